--- /dev/null
+++ b/src/carobspur/execution.py
@@ -0,0 +1,288 @@
+"""What the kinds of calls share: their context, their tools, and their protocol.
+
+A kind of call is a plug-in. It turns one admitted call into a committed outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from .budgets import Budgets, Reservation
+from .clock import Clock
+from .dispatch import Dispatcher
+from .endpoints import Endpoints
+from .errors import CallError, NotFoundError
+from .holder import CacheHolder
+from .inventory import Inventory
+from .journal import CallFinished, CallIntended, CallOutcome
+from .pool import EndpointPool, EndpointState
+from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
+from .retry import Backoff
+from .routing import RouteRequest
+from .session import Session
+from .verdict import MAY_HAVE_RUN, RAN, verdict_name
+
+MAX_SENDS = 3
+
+Result = TypeVar("Result")
+OnText = Callable[[int, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Requester:
+    """Who asks, as the entry process established it."""
+
+    organisation: str
+    user: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """A call as a caller asked for it; ``content`` is the input's JSON text."""
+
+    requester: Requester
+    program: str
+    number: int
+    endpoint: str
+    content: bytes
+
+    @property
+    def digest(self) -> str:
+        """Digest that tells whether two calls are the same one."""
+        return call_digest(self.endpoint, self.content)
+
+
+@dataclass(slots=True, eq=False)
+class RunningCall:
+    """A call under way, with all who listen to its stream.
+
+    Attributes:
+        digest: Digest of the call.
+        task: The task that runs it.
+        texts: Pieces of the answer so far.
+    """
+
+    digest: str
+    task: asyncio.Task[StoredCall] | None = None
+    texts: list[str] = field(default_factory=list)
+    _listeners: list[OnText] = field(default_factory=list)
+
+    def restart(self) -> None:
+        """Forget the pieces so far: the answer is generated anew."""
+        self.texts.clear()
+
+    def add_text(self, text: str) -> None:
+        """Take one piece of the answer and pass it on."""
+        index = len(self.texts)
+        self.texts.append(text)
+        for listener in self._listeners:
+            listener(index, text)
+
+    @contextmanager
+    def listening(self, listener: OnText | None) -> Iterator[None]:
+        """Pass all pieces, those so far first, to a listener during the body."""
+        if listener is None:
+            yield
+            return
+        for index, text in enumerate(self.texts):
+            listener(index, text)
+        self._listeners.append(listener)
+        try:
+            yield
+        finally:
+            self._listeners.remove(listener)
+
+
+@dataclass(frozen=True, slots=True)
+class CallContext:
+    """One admitted call.
+
+    Attributes:
+        program: The program's committed state.
+        request: The call.
+        inventory: The organisation's inventory in force.
+        running: Where pieces of the answer go.
+    """
+
+    program: Program
+    request: CallRequest
+    inventory: Inventory
+    running: RunningCall
+
+    @property
+    def call_id(self) -> str:
+        """Id by which endpoints know the call."""
+        return call_id(self.program.id, self.request.number)
+
+    @property
+    def rank(self) -> int:
+        """Rank of the program's priority class; lower ranks go first."""
+        if self.program.agent == SINGLE_CALL_AGENT:
+            return 0
+        agent = self.inventory.agent(self.program.agent)
+        for item in self.inventory.rules.classes:
+            if item.name == agent.priority_class:
+                return item.rank
+        return 0
+
+
+@dataclass(frozen=True, slots=True)
+class Toolbox:
+    """Parts of the scheduler that kinds of calls use.
+
+    Attributes:
+        clock: Source of time.
+        session: The scheduler's session.
+        budgets: The scheduler's grants.
+        dispatcher: Waiting calls.
+        pool: Endpoints.
+        endpoints: Client of the endpoints.
+        holder: Keeps and releases engines' caches.
+        data_centre: Where the scheduler stands.
+    """
+
+    clock: Clock
+    session: Session
+    budgets: Budgets
+    dispatcher: Dispatcher
+    pool: EndpointPool
+    endpoints: Endpoints
+    holder: CacheHolder
+    data_centre: str
+
+    @asynccontextmanager
+    async def reserved(
+        self, context: CallContext, units: int
+    ) -> AsyncIterator[Reservation]:
+        """Reserve cost units; what is not settled in the body is given back."""
+        reservation = await self.budgets.reserve(
+            context.inventory, context.program.user, units
+        )
+        try:
+            yield reservation
+        finally:
+            reservation.settle(0)
+
+    @asynccontextmanager
+    async def slot(
+        self,
+        context: CallContext,
+        route: RouteRequest,
+        candidates: list[EndpointState],
+    ) -> AsyncIterator[EndpointState]:
+        """Wait for an endpoint and occupy a place there during the body.
+
+        Raises:
+            NotFoundError: There are no candidates.
+            OverloadedError: Too many calls wait already.
+        """
+        if not candidates:
+            raise NotFoundError(f"no endpoint serves {route.model!r}")
+        async with self.dispatcher.slot(
+            route,
+            candidates,
+            organisation=context.program.organisation,
+            rank=context.rank,
+            attained_units=context.program.attained_units,
+        ) as endpoint:
+            yield endpoint
+
+    async def send(
+        self,
+        context: CallContext,
+        route: RouteRequest,
+        candidates: list[EndpointState],
+        send_to: Callable[[EndpointState], Awaitable[Result]],
+    ) -> tuple[Result, EndpointState]:
+        """Send a repeatable call, to another endpoint after a failure.
+
+        Args:
+            context: The call.
+            route: What the routing policy is told of it.
+            candidates: Endpoints that serve it.
+            send_to: Sends it to one endpoint.
+
+        Returns:
+            The result and the endpoint that gave it.
+
+        Raises:
+            CallError: The last endpoint's failure.
+        """
+        backoff = Backoff()
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                async with self.slot(context, route, candidates) as endpoint:
+                    return await self.observed(endpoint, send_to(endpoint)), endpoint
+            except CallError as error:
+                if error.verdict == RAN or attempt == MAX_SENDS:
+                    raise
+            candidates = [c for c in candidates if c is not endpoint] or candidates
+            await self.clock.sleep(backoff.next_s())
+
+    async def observed(
+        self, endpoint: EndpointState, sending: Awaitable[Result]
+    ) -> Result:
+        """Await a sent call and tell the endpoint's circuit breaker how it went."""
+        try:
+            result = await sending
+        except CallError as error:
+            if error.verdict != RAN:
+                endpoint.breaker.on_failure(self.clock.monotonic())
+            raise
+        endpoint.breaker.on_success()
+        return result
+
+    async def finish(self, context: CallContext, outcome: CallOutcome) -> StoredCall:
+        """Commit a call's outcome and return it as stored."""
+        request = context.request
+        record = CallFinished(
+            program=context.program.id,
+            number=request.number,
+            endpoint=request.endpoint,
+            digest=request.digest,
+            input=request.content.decode(),
+            outcome=outcome,
+        )
+        await self.session.commit([record])
+        return context.program.calls[request.number - 1]
+
+
+class CallKind(Protocol):
+    """Turns an admitted call into a committed outcome."""
+
+    async def run(self, context: CallContext) -> StoredCall:
+        """Run a call that was not sent before.
+
+        Raises:
+            CarobspurError: It failed; nothing of it is stored, and its number is
+                free, unless the verdict says that it may have run.
+        """
+
+    async def settle(self, context: CallContext, intent: CallIntended) -> StoredCall:
+        """Find out what came of a call that another process may have sent.
+
+        Raises:
+            CarobspurError: It did not run and never will; its number is free.
+        """
+
+
+def failure_outcome(error: CallError) -> CallOutcome:
+    """Return the outcome that stores a failure which is final."""
+    return CallOutcome(
+        verdict=verdict_name(RAN if error.verdict == RAN else MAY_HAVE_RUN),
+        cause=error.cause,
+        message=error.message,
+    )
+
+
+def with_cost(outcome: CallOutcome, units: int) -> CallOutcome:
+    """Return an outcome with its cost."""
+    return msgspec.structs.replace(outcome, cost_units=units)
--- /dev/null
+++ b/src/carobspur/plugins/calls_model.py
@@ -0,0 +1,174 @@
+"""Model calls: history by prefix key, streamed answers, repeatable."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..endpoints import (
+    GenerateRequest,
+    GenerateResult,
+    ModelInput,
+    count_tokens,
+    decode_model_input,
+    extend_prefix_key,
+)
+from ..errors import NotFoundError, PrefixLostError, RequestError
+from ..execution import CallContext, Toolbox
+from ..history import ModelHistory, model_history
+from ..inventory import Model
+from ..journal import CallIntended, CallOutcome
+from ..kernel import PluginKind, register
+from ..metrics import PREFIX_TOKENS
+from ..pool import CachedPrefix, EndpointState
+from ..programs import StoredCall
+from ..routing import RouteRequest
+
+
+@register(PluginKind.CALLS, "model")
+class ModelCalls:
+    """Runs model calls.
+
+    Args:
+        tools: Parts of the scheduler.
+    """
+
+    __slots__ = ("_tools",)
+
+    def __init__(self, tools: Toolbox) -> None:
+        self._tools = tools
+
+    async def run(self, context: CallContext) -> StoredCall:
+        """Generate an answer and commit it; see :class:`..execution.CallKind`."""
+        model = _model(context)
+        content = decode_model_input(context.request.content)
+        history = model_history(context.program, model.name)
+        new_tokens = count_tokens(content.prompt)
+        if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
+            raise RequestError(f"the history is over {model.context_tokens} tokens")
+        most = _cost(model, new_tokens, content.max_tokens)
+        async with self._tools.reserved(context, most) as reservation:
+            result, engine = await self._generate(context, model, content, history)
+            cost = min(most, _cost(model, new_tokens, result.output_tokens))
+            reservation.settle(cost)
+        outcome = CallOutcome(
+            output=msgspec.json.encode(result).decode(),
+            cost_units=cost,
+            input_tokens=new_tokens,
+            output_tokens=result.output_tokens,
+            engine=engine.address,
+        )
+        stored = await self._tools.finish(context, outcome)
+        self._note_prefix(context, engine, history, content, result)
+        return stored
+
+    async def settle(self, context: CallContext, intent: CallIntended) -> StoredCall:
+        """Run the call again: model calls are repeatable."""
+        return await self.run(context)
+
+    async def _generate(
+        self,
+        context: CallContext,
+        model: Model,
+        content: ModelInput,
+        history: ModelHistory,
+    ) -> tuple[GenerateResult, EndpointState]:
+        route = RouteRequest(
+            program=context.program.id,
+            model=model.name,
+            prefix_key=history.key,
+            prefix_tokens=history.tokens,
+            new_tokens=count_tokens(content.prompt),
+            output_tokens=content.max_tokens,
+            data_centre=self._tools.data_centre,
+        )
+        order = GenerateRequest(
+            call_id=context.call_id,
+            program=context.program.id,
+            model=model.name,
+            prefix_key=history.key,
+            prefix_tokens=history.tokens,
+            history="",
+            append=content.prompt,
+            max_tokens=content.max_tokens,
+            priority=context.rank,
+        )
+
+        async def _send_to(engine: EndpointState) -> GenerateResult:
+            context.running.restart()
+            return await self._generate_on(engine, context, order, history, model)
+
+        candidates = self._tools.pool.engines(context.inventory, model.name)
+        return await self._tools.send(context, route, candidates, _send_to)
+
+    async def _generate_on(
+        self,
+        engine: EndpointState,
+        context: CallContext,
+        order: GenerateRequest,
+        history: ModelHistory,
+        model: Model,
+    ) -> GenerateResult:
+        """Send the new part only, and the whole history where it is missing."""
+        cached = engine.prefixes.get((order.program, order.model))
+        should_have_it = cached is not None and cached.key == history.key
+        if history.key and not should_have_it:
+            order = _with_history(order, history)
+        try:
+            result = await self._send(engine, context, order, model)
+        except PrefixLostError:
+            engine.prefixes.pop((order.program, order.model), None)
+            order = _with_history(order, history)
+            result = await self._send(engine, context, order, model)
+        organisation = context.program.organisation
+        found = min(result.cached_tokens, history.tokens)
+        PREFIX_TOKENS.labels(organisation, "yes").inc(found)
+        PREFIX_TOKENS.labels(organisation, "no").inc(history.tokens - found)
+        return result
+
+    async def _send(
+        self,
+        engine: EndpointState,
+        context: CallContext,
+        order: GenerateRequest,
+        model: Model,
+    ) -> GenerateResult:
+        return await self._tools.endpoints.generate(
+            engine.address,
+            order,
+            timeout_s=model.timeout_s,
+            on_text=context.running.add_text,
+        )
+
+    def _note_prefix(
+        self,
+        context: CallContext,
+        engine: EndpointState,
+        history: ModelHistory,
+        content: ModelInput,
+        result: GenerateResult,
+    ) -> None:
+        """Remember which engine now has the program's history."""
+        program, model = context.program, context.request.endpoint
+        key = extend_prefix_key(history.key, content.prompt, result.text)
+        tokens = history.tokens + count_tokens(content.prompt) + result.output_tokens
+        for other in self._tools.pool:
+            other.prefixes.pop((program.id, model), None)
+        now_s = self._tools.clock.monotonic()
+        engine.prefixes[(program.id, model)] = CachedPrefix(key, tokens, now_s)
+        self._tools.holder.after_call(program, model, engine, key, tokens)
+
+
+def _model(context: CallContext) -> Model:
+    name = context.request.endpoint
+    model = context.inventory.model(name)
+    if model is None:
+        raise NotFoundError(f"no model is called {name!r}")
+    return model
+
+
+def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
+    return input_tokens * model.input_cost + output_tokens * model.output_cost
+
+
+def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
+    return msgspec.structs.replace(order, history=history.text())
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -11,12 +11,13 @@
 import tornado.web
 
 from .budgets import Budgets
-from .calls import CallRequest, CallService, Requester
+from .calls import CallService
 from .clock import Clock, LoopClock
 from .daemon import background, http_server, run_daemon
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import NotReadyError, SessionLostError
+from .execution import CallRequest, Requester, Toolbox
 from .health import health_routes
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
@@ -157,15 +158,9 @@
             clock=self._clock,
             grant_units=options.grant_units,
         )
-        return CallService(
+        tools = Toolbox(
             clock=self._clock,
             session=session,
-            book=self._book,
-            owns=lambda program: (
-                self._keeper is not None and self._keeper.owns(program)
-            ),
-            shards=options.shards,
-            inventories=self._view.inventory,
             budgets=budgets,
             dispatcher=dispatcher,
             pool=self._pool,
@@ -173,6 +168,16 @@
             holder=holder,
             data_centre=self._settings.instance.data_centre,
         )
+        return CallService(
+            tools=tools,
+            book=self._book,
+            owns=self._owns,
+            shards=options.shards,
+            inventories=self._view.inventory,
+        )
+
+    def _owns(self, program: str) -> bool:
+        return self._keeper is not None and self._keeper.owns(program)
 
     def take_view(self) -> None:
         """Follow a change of control's view."""
