Golden files of whole sessions; instances that freeze and wake in the test world

Cause: nothing compared a whole session with what callers, endpoints and the table should see.

Ruled out: noting reads and renewals (their number depends on settings, and would change the files with every change of polling).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test check format soak clean
+.PHONY: install demo test check format approve clean
 
 install: $(STAMP)
 
@@ -28,3 +28,7 @@
 
 clean:
 	rm -rf out build .ruff_cache .hypothesis
+
+# Takes what golden tests received as what they expect; read the difference first.
+approve:
+	for f in tests/golden/*.received.txt; do mv "$$f" "$${f%.received.txt}.approved.txt"; done
--- /dev/null
+++ b/tests/session_log.py
@@ -0,0 +1,88 @@
+"""What callers, endpoints and the table saw of a session, one JSON line an event."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+from approvaltests import Options, verify
+from approvaltests.reporters import PythonNativeReporter
+
+from carobspur.http import HttpRequest, HttpResponse
+from carobspur.journal import JOURNAL_PREFIX, decode_records
+from carobspur.table import CommitRequest, CommitResult
+
+from .builders import OBJECTS_URL, TABLE_URL, TOOL_URL
+from .world import Reply
+
+_IN_ORDER = ("/v1/run", "/v1/generate")
+
+
+class SessionLog:
+    """Collects the events of a session.
+
+    Polling, lease renewals and load reports are left out: they are no part of the
+    session, and their number depends on settings.
+    """
+
+    def __init__(self) -> None:
+        self._lines: list[str] = []
+
+    @property
+    def text(self) -> str:
+        """All events."""
+        return "\n".join(self._lines) + "\n"
+
+    def note(self, request: HttpRequest, response: HttpResponse | None) -> None:
+        """Note what an instance sent."""
+        if request.url == f"{TABLE_URL}/v1/commit":
+            self._note_commit(request, response)
+        elif not request.url.startswith((TABLE_URL, OBJECTS_URL)):
+            self._note_endpoint(request, response)
+
+    def event(self, who: str, **content: Any) -> None:
+        """Note an event."""
+        self._lines.append(json.dumps({"who": who, **content}, sort_keys=True))
+
+    def reply(self, asked: str, reply: Reply) -> Reply:
+        """Note what a caller or operator got, and return it."""
+        self.event("caller", asked=asked, status=reply.status, got=_readable(reply))
+        return reply
+
+    def verify(self) -> None:
+        """Compare all events with the test's golden file."""
+        verify(self.text, options=Options().with_reporter(PythonNativeReporter()))
+
+    def _note_commit(self, request: HttpRequest, response: HttpResponse | None) -> None:
+        commit = msgspec.json.decode(request.body, type=CommitRequest)
+        effect = "no answer"
+        if response is not None:
+            result = msgspec.json.decode(response.body, type=CommitResult)
+            effect = "refused" if result.failed else "committed"
+        for write in commit.writes:
+            if write.key.startswith(JOURNAL_PREFIX) and write.value is not None:
+                for record in decode_records(write.value):
+                    content = json.loads(msgspec.json.encode(record))
+                    self.event("table", record=content, effect=effect)
+
+    def _note_endpoint(
+        self, request: HttpRequest, response: HttpResponse | None
+    ) -> None:
+        path = request.url.partition("://")[2].partition("/")[2]
+        if not f"/{path}".startswith(_IN_ORDER):
+            return
+        kind = "tool" if request.url.startswith(TOOL_URL) else "endpoint"
+        self.event(
+            kind,
+            asked=f"{request.method} {request.url}",
+            call=request.headers.get("Idempotency-Key", ""),
+            sent=json.loads(request.body) if request.body else None,
+            status=None if response is None else response.status,
+        )
+
+
+def _readable(reply: Reply) -> Any:
+    if reply.headers.get("Content-Type") == "text/event-stream":
+        return [[e.name, json.loads(e.data)] for e in reply.events]
+    return reply.json
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,7 +22,7 @@
 from carobspur.entry import Entry, caller_routes
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
 from carobspur.forward import Forwarder
-from carobspur.http import HttpRequest, HttpResponse
+from carobspur.http import HttpError, HttpRequest, HttpResponse
 from carobspur.inventory import Inventory
 from carobspur.kernel import load_plugins
 from carobspur.membership import HttpLiveList
@@ -45,12 +46,15 @@
 
 load_plugins()
 
+Note = Callable[[HttpRequest, HttpResponse | None], None]
+
 
 class DirectPeers:
     """Delivers peer calls in the process; killed processes answer no more."""
 
     def __init__(self) -> None:
         self.servers: dict[tuple[str, int], PeerServer] = {}
+        self.gates: dict[tuple[str, int], Gate] = {}
         self.cut: set[tuple[str, int]] = set()
         self._running: dict[tuple[str, int], set[asyncio.Task[Any]]] = {}
 
@@ -74,7 +78,7 @@
             if on_part is not None:
                 on_part(decode(method.part, encode(part)))
 
-        serving = server.answer(method.name, encode(request), _emit)
+        serving = self._serve(address, server, method, request, _emit)
         task = asyncio.ensure_future(serving)
         self._running.setdefault(address, set()).add(task)
         try:
@@ -89,6 +93,22 @@
             self._running[address].discard(task)
         return decode(method.result, encode(result))
 
+    async def _serve(
+        self,
+        address: tuple[str, int],
+        server: PeerServer,
+        method: Method,
+        request: Any,
+        emit: Any,
+    ) -> Any:
+        gate = self.gates.get(address)
+        if gate is not None:
+            await gate.passed()
+        result = await server.answer(method.name, encode(request), emit)
+        if gate is not None:
+            await gate.passed()
+        return result
+
     def kill(self, address: tuple[str, int]) -> None:
         """End a process: its connections break."""
         self.servers.pop(address, None)
@@ -96,6 +116,51 @@
             task.cancel()
 
 
+class Gate:
+    """Holds back everything that a frozen instance would send or answer."""
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def freeze(self) -> None:
+        """Hold everything back from now on."""
+        self._open.clear()
+
+    def thaw(self) -> None:
+        """Let everything go on."""
+        self._open.set()
+
+    async def passed(self) -> None:
+        """Wait while the gate is closed."""
+        await self._open.wait()
+
+
+class NodeClient:
+    """HTTP client of one instance: it can be frozen, and it notes what is sent.
+
+    A frozen instance neither sends what it was about to send nor sees an answer.
+    """
+
+    def __init__(self, inner: InProcessClient, gate: Gate, note: Note) -> None:
+        self._inner = inner
+        self._gate = gate
+        self._note = note
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        """Send a request once the gate is open."""
+        await self._gate.passed()
+        try:
+            response = await self._inner.fetch(request)
+        except HttpError as error:
+            self._note(request, None)
+            await self._gate.passed()
+            raise error
+        self._note(request, response)
+        await self._gate.passed()
+        return response
+
+
 @dataclass
 class Node:
     """The three daemons of one instance."""
@@ -106,6 +171,7 @@
     entry: Entry
     app: tornado.web.Application
     operators: tornado.web.Application
+    gate: Gate
     tasks: list[asyncio.Task[Any]] = field(default_factory=list)
 
 
@@ -131,7 +197,14 @@
 class World:
     """Platform, endpoints and instances."""
 
-    def __init__(self, inventory: Inventory | None = None, *, shards: int = 8) -> None:
+    def __init__(
+        self,
+        inventory: Inventory | None = None,
+        *,
+        shards: int = 8,
+        note: Note = lambda request, response: None,
+    ) -> None:
+        self._note = note
         self.inventory = inventory or builders.an_inventory()
         self._shards = shards
         self.table = MemoryTable()
@@ -170,15 +243,17 @@
     async def add_node(self, number: int) -> Node:
         """Start one instance."""
         settings = builders.some_settings(number, shards=self._shards)
-        table = HttpTable(self.client, builders.TABLE_URL)
-        objects = HttpObjects(self.client, builders.OBJECTS_URL)
+        gate = Gate()
+        client = NodeClient(self.client, gate, self._note)
+        table = HttpTable(client, builders.TABLE_URL)
+        objects = HttpObjects(client, builders.OBJECTS_URL)
         host = settings.instance.host
         control = Control(
             settings=settings,
             clock=self.clock,
             table=table,
-            live_list=HttpLiveList(self.client, builders.LIVE_LIST_URL),
-            client=self.client,
+            live_list=HttpLiveList(client, builders.LIVE_LIST_URL),
+            client=client,
         )
         control_server = PeerServer()
 
@@ -193,12 +268,13 @@
             clock=self.clock,
             table=table,
             objects=objects,
-            client=self.client,
+            client=client,
             view=view,
         )
         server = PeerServer()
         scheduler.register(server)
         self.peers.servers[(host, settings.scheduler.port)] = server
+        self.peers.gates[(host, settings.scheduler.port)] = gate
         entry_view = self._view(settings)
         entry = Entry(
             settings, entry_view, Forwarder(self.peers, entry_view, self.clock)
@@ -210,6 +286,7 @@
             entry,
             tornado.web.Application(caller_routes(entry)),
             tornado.web.Application(operator_routes(control)),
+            gate,
         )
         self.nodes[number] = node
         view.on_change = scheduler.take_view
@@ -328,20 +405,6 @@
         )
 
 
-class RecordingClient:
-    """HTTP client that notes every request to endpoints and table."""
-
-    def __init__(self, inner: InProcessClient, note: Any) -> None:
-        self._inner = inner
-        self._note = note
-
-    async def fetch(self, request: HttpRequest) -> HttpResponse:
-        """Send a request and note it."""
-        response = await self._inner.fetch(request)
-        self._note(request, response)
-        return response
-
-
 class _Connection:
     """Stands in for the socket of a caller."""
 
