--- a/src/carobspur/configuration.py
+++ b/src/carobspur/configuration.py
@@ -121,21 +121,20 @@
         changes = [msgspec.json.decode(row.value, type=ChangeRow) for row in rows]
         return [item for item in changes if item.organisation == organisation]
 
-    async def changed_since(self, revision: int, head: int) -> list[str]:
-        """Return the organisations that changed after a revision.
+    async def changes_since(self, revision: int, head: int) -> list[ChangeRow]:
+        """Return every change after a revision, oldest first.
 
         Args:
             revision: The revision that is known.
             head: The revision in force.
         """
-        names = set()
+        found = []
         for number in range(revision + 1, head + 1):
             row = await self._table.read(change_key(number))
             if row is None:
                 raise StoreError(f"change {number} is missing from the log")
-            change = msgspec.json.decode(row.value, type=ChangeRow)
-            names.add(change.organisation)
-        return sorted(names)
+            found.append(msgspec.json.decode(row.value, type=ChangeRow))
+        return found
 
     async def import_inventory(
         self,
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -4,52 +4,47 @@
 
 import asyncio
 import logging
+import random
+import secrets
+from collections.abc import Mapping
 from typing import Any
 
 import fire
-import msgspec
 import tornado.web
 
 from .clock import Clock, LoopClock
 from .configuration import Configuration
+from .control_view import ControlView
 from .daemon import background, http_server, run_daemon
-from .errors import CarobspurError, StoreConflictError, StoreError
+from .errors import CarobspurError, StoreError
+from .gossip import Gossip
+from .gossip_rounds import ROUND_S, GossipRounds, PeerCaller, Place
 from .health import health_routes
-from .http import CurlClient, HttpClient, HttpRequest
+from .heartbeats import Heartbeats
+from .http import CurlClient, HttpClient
+from .in_force import NOT_READ, InventoriesInForce, prune_changes
 from .inventory import Inventory
+from .load_asker import LoadAsker
+from .load_reports import LoadReports, LoadSample
 from .membership import (
-    INSTANCE_PREFIX,
     HttpLiveList,
     InstanceRow,
     ListedInstance,
     LiveList,
-    instance_key,
     usable_instances,
+    write_instance,
 )
 from .operators import operator_routes
-from .peers import GET_VIEW, Emit, PeerServer, messages
-from .session import SESSION_PREFIX, SessionRow, decode_session
+from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer, peer_client
 from .settings import Settings
-from .shards import SHARD_PREFIX, ShardRow, shard_number
-from .table import ABSENT_VERSION, Check, HttpTable, Row, Table, Write
+from .table import HttpTable, Table
+from .table_reader import TableReader, reader_order
 
-MAX_POLL_AGE_S = 10.0
-LOAD_TIMEOUT_S = 1.0
-NOT_READ = -1
+LIVE_LIST_READS_PER_S = 50.0
 
 _logger = logging.getLogger(__name__)
 
 
-class EngineLoad(msgspec.Struct, frozen=True):
-    """What an endpoint answers when it is asked for its load."""
-
-    running: int = 0
-    waiting: int = 0
-    kv_used_tokens: int = 0
-    kv_capacity_tokens: int = 0
-    leaving: bool = False
-
-
 class Control:
     """All that one control process knows.
 
@@ -59,6 +54,7 @@
         table: The table service.
         live_list: The platform's list of instances.
         client: HTTP client towards endpoints.
+        peers: Calls other control processes.
     """
 
     def __init__(
@@ -69,23 +65,46 @@
         table: Table,
         live_list: LiveList,
         client: HttpClient,
+        peers: PeerCaller,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._table = table
         self._live_list = live_list
-        self._client = client
         self._configuration = Configuration(table)
-        self._inventories: dict[str, Inventory] = {}
-        self._revisions: dict[str, int] = {}
-        self._revision = NOT_READ
-        self._sessions: list[SessionRow] = []
-        self._shards: list[Row] = []
-        self._instances: list[InstanceRow] = []
+        self._in_force = InventoriesInForce()
+        self._view = ControlView(secrets.token_hex(8), shards=settings.scheduler.shards)
+        self._loads = LoadReports()
         self._listed: list[ListedInstance] = []
-        self._loads: dict[str, tuple[float, EngineLoad | None]] = {}
-        self._polled_s = float("-inf")
-        self._leaving = False
+        self._listed_s = float("-inf")
+        self._heartbeats = Heartbeats(settings.instance.id)
+        self._gossip = Gossip(random.Random(settings.instance.id))
+        self._rounds = GossipRounds(
+            place=Place(settings.instance.id, settings.instance.data_centre),
+            clock=clock,
+            peers=peers,
+            gossip=self._gossip,
+            heartbeats=self._heartbeats,
+            loads=self._loads,
+            in_force=self._in_force,
+            rng=random.Random(settings.instance.id),
+            on_items=self._take_items,
+            on_loads=self._publish_loads,
+        )
+        self._asker = LoadAsker(
+            settings.instance.id,
+            client=client,
+            clock=clock,
+            reports=self._loads,
+            on_loads=self._publish_loads,
+        )
+        self._reader = TableReader(
+            table=table,
+            configuration=self._configuration,
+            gossip=self._gossip,
+            in_force=self._in_force,
+            clock=clock,
+        )
 
     @property
     def instance_id(self) -> str:
@@ -100,32 +119,32 @@
     @property
     def revision(self) -> int:
         """Inventory revision in force here; -1 before the first read."""
-        return self._revision
+        return self._in_force.revision
 
     @property
     def inventories(self) -> dict[str, Inventory]:
         """Inventories in force, by organisation."""
-        return self._inventories
+        return self._in_force.inventories
 
     @property
     def revisions(self) -> dict[str, int]:
         """Revision of each organisation's inventory in force."""
-        return self._revisions
+        return self._in_force.revisions
 
     @property
-    def sessions(self) -> list[SessionRow]:
-        """Schedulers that have sessions."""
-        return self._sessions
+    def sessions(self) -> list[Any]:
+        """Schedulers that have sessions, as ``SessionInfo`` messages."""
+        return list(self._view.sessions.values.values())
 
     @property
-    def instances(self) -> list[InstanceRow]:
-        """Instances that callers may use."""
-        return self._instances
+    def instances(self) -> list[Any]:
+        """Instances that callers may use, as ``InstanceInfo`` messages."""
+        return list(self._view.instances.values.values())
 
     @property
-    def loads(self) -> dict[str, tuple[float, EngineLoad | None]]:
-        """Time and content of each endpoint's last report."""
-        return self._loads
+    def loads(self) -> Mapping[str, LoadSample]:
+        """The youngest report of each endpoint."""
+        return self._loads.samples
 
     @property
     def clock(self) -> Clock:
@@ -133,23 +152,40 @@
         return self._clock
 
     @property
-    def shard_owners(self) -> dict[int, str]:
+    def rounds(self) -> GossipRounds:
+        """Exchange with the other control processes."""
+        return self._rounds
+
+    @property
+    def shard_owners(self) -> Mapping[int, str]:
         """Session that holds each shard."""
-        return {
-            shard_number(row.key): msgspec.json.decode(row.value, type=ShardRow).session
-            for row in self._shards
-        }
+        return self._view.shard_owners.values
 
     @property
     def is_current(self) -> bool:
-        """Whether the table was read recently enough to know what is in force."""
-        age_s = self._clock.monotonic() - self._polled_s
-        return self._revision != NOT_READ and age_s < MAX_POLL_AGE_S
+        """Whether this process knows which inventories are in force."""
+        is_read = self._in_force.revision != NOT_READ
+        return is_read and self._rounds.knows_what_is_in_force
+
+    def register(self, server: PeerServer) -> None:
+        """Serve the peer methods of a control process."""
+
+        async def _get_view(request: Any, emit: Emit) -> Any:
+            return self.view(request)
+
+        async def _gossip(request: Any, emit: Emit) -> Any:
+            return await self._rounds.answer(request)
+
+        async def _reconcile(request: Any, emit: Emit) -> Any:
+            return await self._rounds.answer_reconcile(request)
+
+        server.handle(GET_VIEW, _get_view)
+        server.handle(GOSSIP, _gossip)
+        server.handle(RECONCILE, _reconcile)
 
     async def announce(self, *, leaving: bool) -> None:
         """Write this instance's row."""
         options = self._settings
-        self._leaving = leaving
         row = InstanceRow(
             id=options.instance.id,
             host=options.instance.host,
@@ -158,194 +194,182 @@
             control_port=options.control.port,
             data_centre=options.instance.data_centre,
             leaving=leaving,
+            control_peer_port=options.control.peer_port,
         )
-        key = instance_key(row.id)
-        while True:
-            stored = await self._table.read(key)
-            version = ABSENT_VERSION if stored is None else stored.version
-            write = Write(key, msgspec.json.encode(row))
-            try:
-                await self._table.commit([Check(key, version)], [write])
-                return
-            except StoreConflictError:
-                continue
+        await write_instance(self._table, row)
 
     async def run(self) -> None:
-        """Poll the table and the live list until the task is cancelled."""
+        """Follow the table, where it is this process's turn, until cancelled."""
         is_announced = False
         while True:
             try:
                 if not is_announced:
                     await self.announce(leaving=False)
                     is_announced = True
-                await self.poll()
+                await self.follow()
             except StoreError as error:
                 _logger.warning("the platform can't be read: %s", error.message)
             except CarobspurError:
                 _logger.exception("polling failed")
+            self.refresh()
             await self._clock.sleep(self._settings.control.poll_s)
 
-    async def poll(self) -> None:
-        """Read everything once."""
-        started_s = self._clock.monotonic()
-        await self._poll_configuration()
-        sessions = await self._table.scan(SESSION_PREFIX)
-        self._sessions = [decode_session(row) for row in sessions]
-        self._shards = await self._table.scan(SHARD_PREFIX)
-        rows = await self._table.scan(INSTANCE_PREFIX)
-        await self._poll_live_list()
-        live = {item.instance for item in self._sessions if not item.leaving}
-        self._instances = usable_instances(rows, self._listed, live)
-        self._polled_s = started_s
+    async def run_gossip(self) -> None:
+        """Exchange with other control processes until the task is cancelled."""
+        while True:
+            await self._rounds.run_round()
+            self.refresh()
+            await self._clock.sleep(ROUND_S)
 
     async def run_load(self) -> None:
         """Ask endpoints for their load until the task is cancelled."""
         while True:
-            addresses = sorted(self._engine_addresses())
-            await asyncio.gather(*(self._poll_load(item) for item in addresses))
-            await self._clock.sleep(self._settings.control.poll_s)
+            await self.ask_loads()
+            await self._clock.sleep(self._load_period_s)
 
-    def view(self, known_revision: int) -> Any:
-        """Return the view as a message.
+    async def follow(self) -> None:
+        """Read the table if it is this process's turn, or what gossip left out."""
+        await self._poll_live_list()
+        if self._reader.is_due(self._reader_place(), self._rounds.table_age_s):
+            await self.poll()
+        else:
+            self._publish_inventories(await self._reader.fill_gap())
+
+    async def poll(self) -> None:
+        """Read the table now."""
+        places = {item.data_centre for item in self._view.sessions.values.values()}
+        changed = await self._reader.read(readers=max(1, len(places)))
+        self._rounds.note_reading(self._reader.read_s)
+        self._publish_inventories(changed)
+        self._take_items()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Work out anew which instances are live and which callers may use."""
+        now_s = self._clock.monotonic()
+        sessions = self._view.sessions.values.values()
+        with_session = {item.instance for item in sessions}
+        staying = {item.instance for item in sessions if not item.leaving}
+        known = self._view.all_instances.values()
+        self._rounds.set_instances(x for x in known if x.id in with_session)
+        is_alone = not self._rounds.is_in_contact
+        usable = usable_instances(
+            known,
+            self._listed,
+            staying,
+            lambda name: not is_alone and self._heartbeats.is_silent(name, now_s),
+        )
+        self._view.instances.replace({item.id: item for item in usable})
+
+    async def ask_loads(self) -> None:
+        """Ask the endpoints that are this process's to ask."""
+        now_s = self._clock.monotonic()
+        instances = {
+            item.instance: item.data_centre
+            for item in self._view.sessions.values.values()
+            if not self._heartbeats.is_silent(item.instance, now_s)
+        }
+        own = self._settings.instance
+        instances.setdefault(own.id, own.data_centre)
+        await self._asker.ask(instances, period_s=self._load_period_s)
+
+    def view(self, request: Any) -> Any:
+        """Return what changed in the view, as a message.
 
         Args:
-            known_revision: Revision whose inventories the asker has.
+            request: The ``GetView`` message.
         """
-        inventories = None
-        if known_revision != self._revision:
-            inventories = msgspec.json.encode(list(self._inventories.values()))
-        owners = self.shard_owners
-        return messages.View(
-            revision=self._revision,
-            sessions=[_session_message(item) for item in self._sessions],
-            shard_owners=[owners.get(n, "") for n in range(self._shard_count())],
-            instances=[_instance_message(item) for item in self._instances],
-            loads=self._load_messages(),
-            inventories=inventories,
+        return self._view.message(
+            request,
+            revision=self._in_force.revision,
             is_current=self.is_current,
+            now_s=self._clock.monotonic(),
         )
 
-    def _shard_count(self) -> int:
-        return self._settings.scheduler.shards
+    @property
+    def _load_period_s(self) -> float:
+        return self._loads.ask_period_s(self._settings.control.poll_s)
 
-    async def _poll_configuration(self) -> None:
-        head = await self._configuration.head()
-        if head == self._revision:
+    def _take_items(self) -> None:
+        items = self._gossip.arrived()
+        if not items:
             return
-        if head < self._revision:
-            _logger.error("the table went back to revision %d; ignored", head)
+        prune_changes(self._gossip.store, items)
+        self._publish_inventories(self._in_force.advance(self._gossip.store))
+        self._view.take(items)
+
+    def _publish_inventories(self, organisations: list[str]) -> None:
+        if not organisations:
             return
-        if self._revision == NOT_READ:
-            rows = await self._configuration.organisations()
-        else:
-            names = await self._configuration.changed_since(self._revision, head)
-            rows = [await self._configuration.organisation(name) for name in names]
-        for row in rows:
-            name = row.inventory.organisation
-            self._inventories[name] = row.inventory
-            self._revisions[name] = row.revision
-        self._revision = max([head, *(row.revision for row in rows)])
-        _logger.info("inventory revision %d is in force", self._revision)
+        for name in organisations:
+            self._view.inventories.set(name, self._in_force.inventories[name])
+        self._loads.watch(
+            {
+                engine.address: engine.data_centre
+                for inventory in self._in_force.inventories.values()
+                for engine in inventory.engines
+            }
+        )
+
+    def _publish_loads(self, addresses: list[str]) -> None:
+        for address in addresses:
+            self._view.loads.set(address, self._loads.samples[address])
+
+    def _reader_place(self) -> int:
+        """Return this process's place in its data centre's order of readers."""
+        now_s = self._clock.monotonic()
+        own = self._settings.instance
+        names = {
+            item.instance
+            for item in self._view.sessions.values.values()
+            if item.data_centre == own.data_centre
+            and not self._heartbeats.is_silent(item.instance, now_s)
+        }
+        return reader_order(own.data_centre, names | {own.id}).index(own.id)
 
     async def _poll_live_list(self) -> None:
+        period_s = len(self._view.sessions.values) / LIVE_LIST_READS_PER_S
+        now_s = self._clock.monotonic()
+        if now_s - self._listed_s < period_s:
+            return
+        self._listed_s = now_s
         try:
             self._listed = await self._live_list.instances()
         except StoreError as error:
             _logger.info("the live list can't be read: %s", error.message)
 
-    def _engine_addresses(self) -> set[str]:
-        return {
-            engine.address
-            for inventory in self._inventories.values()
-            for engine in inventory.engines
-        }
-
-    async def _poll_load(self, address: str) -> None:
-        request = HttpRequest("GET", f"{address}/v1/load", timeout_s=LOAD_TIMEOUT_S)
-        load = None
-        try:
-            response = await self._client.fetch(request)
-            if response.status == 200:
-                load = msgspec.json.decode(response.body, type=EngineLoad)
-        except (CarobspurError, msgspec.MsgspecError) as error:
-            _logger.info("%s reports no load: %s", address, error)
-        self._loads[address] = (self._clock.monotonic(), load)
-
-    def _load_messages(self) -> list[Any]:
-        now_s = self._clock.monotonic()
-        found = []
-        for address, (at_s, load) in self._loads.items():
-            known = load or EngineLoad()
-            found.append(
-                messages.EndpointLoad(
-                    address=address,
-                    reachable=load is not None,
-                    running=known.running,
-                    waiting=known.waiting,
-                    kv_used_tokens=known.kv_used_tokens,
-                    kv_capacity_tokens=known.kv_capacity_tokens,
-                    age_s=now_s - at_s,
-                    leaving=known.leaving,
-                )
-            )
-        return found
-
-
-def _session_message(item: SessionRow) -> Any:
-    return messages.SessionInfo(
-        id=item.id,
-        epoch=item.epoch,
-        instance=item.instance,
-        host=item.host,
-        port=item.port,
-        data_centre=item.data_centre,
-        leaving=item.leaving,
-    )
-
-
-def _instance_message(item: InstanceRow) -> Any:
-    return messages.InstanceInfo(
-        id=item.id,
-        host=item.host,
-        entry_port=item.entry_port,
-        scheduler_port=item.scheduler_port,
-        control_port=item.control_port,
-        data_centre=item.data_centre,
-        leaving=item.leaving,
-    )
-
 
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run control until it is told to stop."""
     clock = LoopClock()
     client = CurlClient()
     platform = settings.platform
-    control = Control(
-        settings=settings,
-        clock=clock,
-        table=HttpTable(client, platform.table_url, timeout_s=platform.table_timeout_s),
-        live_list=HttpLiveList(client, platform.live_list_url),
-        client=client,
-    )
-    server = PeerServer()
-
-    async def _get_view(request: Any, emit: Emit) -> Any:
-        return control.view(request.known_revision)
-
-    server.handle(GET_VIEW, _get_view)
     host = settings.instance.host
-    server.listen(settings.control.peer_port, host)
-    app = tornado.web.Application(
-        [*health_routes(lambda: control.is_current), *operator_routes(control)]
-    )
-    async with (
-        background(control.run(), control.run_load()),
-        http_server(app, host, settings.control.port),
-    ):
-        await stopping.wait()
-        await _announce_leaving(control)
-    server.stop()
-    server.close_connections()
+    async with peer_client() as peers:
+        control = Control(
+            settings=settings,
+            clock=clock,
+            table=HttpTable(
+                client, platform.table_url, timeout_s=platform.table_timeout_s
+            ),
+            live_list=HttpLiveList(client, platform.live_list_url),
+            client=client,
+            peers=peers,
+        )
+        server = PeerServer()
+        control.register(server)
+        server.listen(settings.control.peer_port, host)
+        app = tornado.web.Application(
+            [*health_routes(lambda: control.is_current), *operator_routes(control)]
+        )
+        async with (
+            background(control.run(), control.run_gossip(), control.run_load()),
+            http_server(app, host, settings.control.port),
+        ):
+            await stopping.wait()
+            await _announce_leaving(control)
+        server.stop()
+        server.close_connections()
     client.close()
 
 
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -175,9 +175,14 @@
 
     def prepare(self) -> None:
         """Refuse what this instance can't serve."""
-        if not self._entry.view.is_ready:
+        if not self._entry.view.is_fresh:
             raise NotReadyError("this instance is not ready", retry_after_s=1.0)
 
+    def require_current(self) -> None:
+        """Refuse new programs while it is not known which inventory is in force."""
+        if not self._entry.view.is_ready:
+            raise NotReadyError("this instance is out of contact", retry_after_s=1.0)
+
     def on_finish(self) -> None:
         """Count the request."""
         self._entry.request_ended()
@@ -263,6 +268,7 @@
 
     async def post(self) -> None:
         """Start one; the same idempotency key always gives the same program."""
+        self.require_current()
         caller = self.caller()
         body = self.body(StartBody)
         program = program_id(caller.organisation, caller.user, self.idempotency_key())
@@ -354,6 +360,7 @@
 
     async def post(self) -> None:
         """Run one call."""
+        self.require_current()
         body = self.body(CallBody)
         caller = self.caller()
         key = "single\x00" + self.idempotency_key()
@@ -441,6 +448,7 @@
             clock=clock,
             host=settings.instance.host,
             port=settings.control.peer_port,
+            with_loads=False,
         )
         entry = Entry(settings, view, Forwarder(peers, view, clock))
         app = tornado.web.Application(
--- /dev/null
+++ b/src/carobspur/gossip.py
@@ -0,0 +1,257 @@
+"""Versioned items that control processes spread among themselves.
+
+The table stays the truth. An item is what some control process read there, under the
+version that the table gave it; the higher version wins everywhere, so neither a lost
+message nor a process that comes back with old items can revert anything. New items
+are sent on a few times; digests find and mend what that leaves out.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import struct
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+import xxhash
+
+from .peers import messages
+
+BUCKETS = 64
+MAX_ITEM_BYTES = 8192
+MAX_RECONCILED_BUCKETS = 2
+EXTRA_SENDS = 2
+
+_DIGEST = struct.Struct(f">{BUCKETS}I")
+_SUMMARY = struct.Struct(">QQ")
+_WANT = struct.Struct(">Q")
+
+
+class Item(msgspec.Struct, frozen=True):
+    """What a row of the table said.
+
+    Attributes:
+        key: The row's key.
+        version: The row's version when it was read.
+        value: What is spread of its content; ``None`` once the row is deleted.
+    """
+
+    key: str
+    version: int
+    value: bytes | None
+
+    @property
+    def rank(self) -> int:
+        """Number by which newer items win: a deletion is newer than its row."""
+        return 2 * self.version + (self.value is None)
+
+    @property
+    def size(self) -> int:
+        """Bytes of the item in a message, about."""
+        return len(self.key) + len(self.value or b"") + 24
+
+
+def key_hash(key: str) -> int:
+    """Return the hash under which a key is summarized."""
+    return xxhash.xxh64_intdigest(key)
+
+
+class ItemStore:
+    """The newest item known of each key, with a digest a bucket."""
+
+    __slots__ = ("_buckets", "_digests", "_items")
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._buckets: list[dict[int, str]] = [{} for _ in range(BUCKETS)]
+        self._digests = [0] * BUCKETS
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    @property
+    def digest(self) -> bytes:
+        """Digests of all buckets."""
+        return _DIGEST.pack(*self._digests)
+
+    def get(self, key: str) -> Item | None:
+        """Return the item of a key, or ``None``."""
+        return self._items.get(key)
+
+    def under(self, prefix: str) -> Iterator[Item]:
+        """Yield the items, not the deletions, whose keys start with a prefix."""
+        for item in self._items.values():
+            if item.value is not None and item.key.startswith(prefix):
+                yield item
+
+    def put(self, item: Item) -> bool:
+        """Keep an item if it is newer than the known one; return whether it is."""
+        known = self._items.get(item.key)
+        if known is not None and known.rank >= item.rank:
+            return False
+        hashed = key_hash(item.key)
+        if known is not None:
+            self._flip(hashed, known.rank)
+        self._items[item.key] = item
+        self._buckets[hashed % BUCKETS][hashed] = item.key
+        self._flip(hashed, item.rank)
+        return True
+
+    def forget(self, key: str) -> None:
+        """Drop an item that nobody needs any more."""
+        item = self._items.pop(key, None)
+        if item is not None:
+            hashed = key_hash(key)
+            del self._buckets[hashed % BUCKETS][hashed]
+            self._flip(hashed, item.rank)
+
+    def differing(self, digest: bytes) -> list[int]:
+        """Return the buckets in which another store's digest differs."""
+        theirs = _DIGEST.unpack(digest)
+        return [n for n in range(BUCKETS) if theirs[n] != self._digests[n]]
+
+    def summary(self, bucket: int) -> bytes:
+        """Return the hash and rank of every item of a bucket."""
+        return b"".join(
+            _SUMMARY.pack(hashed, self._items[key].rank)
+            for hashed, key in self._buckets[bucket].items()
+        )
+
+    def by_hash(self, hashed: int) -> Item | None:
+        """Return the item whose key has a hash, or ``None``."""
+        key = self._buckets[hashed % BUCKETS].get(hashed)
+        return None if key is None else self._items[key]
+
+    def compare(self, bucket: int, summary: bytes) -> tuple[list[Item], list[int]]:
+        """Return what a summary's owner lacks, and hashes of what is newer there."""
+        theirs = {
+            hashed: rank
+            for hashed, rank in _SUMMARY.iter_unpack(summary)
+            if hashed % BUCKETS == bucket
+        }
+        lacking = [
+            self._items[key]
+            for hashed, key in self._buckets[bucket].items()
+            if theirs.get(hashed, -1) < self._items[key].rank
+        ]
+        wanted = [
+            hashed for hashed, rank in theirs.items() if rank > self._rank(hashed)
+        ]
+        return lacking, wanted
+
+    def _rank(self, hashed: int) -> int:
+        item = self.by_hash(hashed)
+        return -1 if item is None else item.rank
+
+    def _flip(self, hashed: int, rank: int) -> None:
+        digest = xxhash.xxh32_intdigest(_SUMMARY.pack(hashed, rank))
+        self._digests[hashed % BUCKETS] ^= digest
+
+
+class Gossip:
+    """Decides which items go into which message.
+
+    Args:
+        rng: Source of randomness.
+    """
+
+    __slots__ = ("_arrived", "_hot", "_rng", "peers", "store")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._arrived: list[Item] = []
+        self._hot: dict[str, int] = {}
+        self.store = ItemStore()
+        self.peers = 1
+
+    def put(self, item: Item) -> bool:
+        """Keep an item and, if it is new, send it on a few times."""
+        if not self.store.put(item):
+            return False
+        self._arrived.append(item)
+        self._hot.pop(item.key, None)
+        self._hot[item.key] = math.ceil(math.log2(self.peers + 1)) + EXTRA_SENDS
+        return True
+
+    def take(self, items: Iterable[Any]) -> None:
+        """Keep the items of a message that are new here."""
+        for item in items:
+            self.put(Item(item.key, item.version, item.value))
+
+    def arrived(self) -> list[Item]:
+        """Return the items that are new here since the last time."""
+        found, self._arrived = self._arrived, []
+        return found
+
+    def fresh(self, *, known: Iterable[str] = ()) -> list[Any]:
+        """Return messages of items to send on now, newest first, in bounded bytes.
+
+        Args:
+            known: Keys of items that the receiver has just sent.
+        """
+        skipped = set(known)
+        chosen = []
+        room = MAX_ITEM_BYTES
+        for key in reversed(list(self._hot)):
+            item = self.store.get(key)
+            if item is None:
+                del self._hot[key]
+            elif key not in skipped and (not chosen or item.size <= room):
+                room -= item.size
+                chosen.append(item)
+                self._note_sent(key)
+            if room <= 0:
+                break
+        return [item_message(item) for item in chosen]
+
+    def summaries(self, digest: bytes) -> list[Any]:
+        """Return summaries of a few buckets in which a peer's digest differs."""
+        differing = self.store.differing(digest)
+        count = min(len(differing), MAX_RECONCILED_BUCKETS)
+        return [
+            messages.BucketSummary(bucket=bucket, items=self.store.summary(bucket))
+            for bucket in self._rng.sample(differing, count)
+        ]
+
+    def reconcile(self, summaries: Iterable[Any]) -> Any | None:
+        """Return the message that mends the difference, or ``None``."""
+        lacking: list[Item] = []
+        wanted: list[int] = []
+        for summary in summaries:
+            items, hashes = self.store.compare(summary.bucket, summary.items)
+            lacking.extend(items)
+            wanted.extend(hashes)
+        if not lacking and not wanted:
+            return None
+        return messages.Reconcile(
+            items=bounded(lacking), wanted=b"".join(map(_WANT.pack, wanted))
+        )
+
+    def wanted(self, wanted: bytes) -> list[Any]:
+        """Return messages of the items that a peer asked for, in bounded bytes."""
+        found = [self.store.by_hash(hashed) for (hashed,) in _WANT.iter_unpack(wanted)]
+        return bounded([item for item in found if item is not None])
+
+    def _note_sent(self, key: str) -> None:
+        self._hot[key] -= 1
+        if self._hot[key] <= 0:
+            del self._hot[key]
+
+
+def bounded(items: Iterable[Item]) -> list[Any]:
+    """Return messages of the first items that fit; always at least one."""
+    chosen: list[Any] = []
+    room = MAX_ITEM_BYTES
+    for item in items:
+        if chosen and item.size > room:
+            break
+        room -= item.size
+        chosen.append(item_message(item))
+    return chosen
+
+
+def item_message(item: Item) -> Any:
+    """Return the message of an item."""
+    return messages.GossipItem(key=item.key, version=item.version, value=item.value)
--- /dev/null
+++ b/src/carobspur/heartbeats.py
@@ -0,0 +1,95 @@
+"""Heartbeats over gossip: which instances are suspected to have failed.
+
+Suspicion steers address answers, routing and the choice of peers. It never decides
+who owns what: leases in the table do.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+
+import xxhash
+
+SUSPECT_AFTER_S = 5.0
+CONTACT_AGE_S = 3.0
+MAX_HEARTBEATS = 64
+
+_HEARTBEAT = struct.Struct(">II")
+
+
+def name_hash(name: str) -> int:
+    """Return the short form of a name in heartbeats and load reports."""
+    return xxhash.xxh32_intdigest(name)
+
+
+class _Heard:
+    """Highest counter of an instance, and when it was first heard."""
+
+    __slots__ = ("at_s", "counter")
+
+    def __init__(self, counter: int, at_s: float) -> None:
+        self.counter = counter
+        self.at_s = at_s
+
+
+class Heartbeats:
+    """Counters of all instances, as far as they were heard.
+
+    Args:
+        own: Id of this instance.
+    """
+
+    __slots__ = ("_counter", "_heard", "_own")
+
+    def __init__(self, own: str) -> None:
+        self._own = name_hash(own)
+        self._counter = 0
+        self._heard: dict[int, _Heard] = {}
+
+    def beat(self) -> None:
+        """Advance the own counter."""
+        self._counter += 1
+
+    def encode(self) -> bytes:
+        """Return the own counter and the most lately heard ones."""
+        lately = sorted(self._heard.items(), key=lambda pair: -pair[1].at_s)
+        pairs = [(name, heard.counter) for name, heard in lately[:MAX_HEARTBEATS]]
+        pairs.append((self._own, self._counter))
+        return b"".join(_HEARTBEAT.pack(*pair) for pair in pairs)
+
+    def take(self, content: bytes, now_s: float) -> None:
+        """Learn from a peer's message.
+
+        An instance that restarted hears of its former counter and goes on above it.
+        """
+        for name, counter in _HEARTBEAT.iter_unpack(content):
+            if name == self._own:
+                self._counter = max(self._counter, counter)
+                continue
+            heard = self._heard.get(name)
+            if heard is None:
+                self._heard[name] = _Heard(counter, now_s)
+            elif counter > heard.counter:
+                heard.counter = counter
+                heard.at_s = now_s
+
+    def watch(self, instances: Iterable[str], now_s: float) -> None:
+        """Start the grace time of instances that are new, and drop unknown ones."""
+        names = {name_hash(item) for item in instances}
+        for name in names - self._heard.keys() - {self._own}:
+            self._heard[name] = _Heard(0, now_s)
+        for name in self._heard.keys() - names:
+            del self._heard[name]
+
+    def is_silent(self, instance: str, now_s: float) -> bool:
+        """Return whether an instance was not heard for the time of suspicion."""
+        return self.age_s(instance, now_s) > SUSPECT_AFTER_S
+
+    def age_s(self, instance: str, now_s: float) -> float:
+        """Return how long ago an instance's counter was seen to advance."""
+        name = name_hash(instance)
+        if name == self._own:
+            return 0.0
+        heard = self._heard.get(name)
+        return float("inf") if heard is None else now_s - heard.at_s
--- /dev/null
+++ b/src/carobspur/in_force.py
@@ -0,0 +1,109 @@
+"""The inventories in force in one process; a revision is never lowered."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+
+import msgspec
+
+from .configuration import HEAD_KEY, OrganisationRow, change_key
+from .gossip import Item, ItemStore
+from .inventory import Inventory
+
+NOT_READ = -1
+KEPT_CHANGES = 256
+
+_logger = logging.getLogger(__name__)
+
+
+def head_item(revision: int) -> Item:
+    """Return the item that tells of the revision in force."""
+    return Item(HEAD_KEY, revision, msgspec.json.encode(revision))
+
+
+def change_item(number: int, content: bytes) -> Item:
+    """Return the item that carries a change.
+
+    Args:
+        number: The revision that the change made.
+        content: The organisation's row as it was read after the change.
+    """
+    return Item(change_key(number), number, content)
+
+
+class InventoriesInForce:
+    """Inventories by organisation and the revision up to which they are complete."""
+
+    __slots__ = ("_inventories", "_revision", "_revisions")
+
+    def __init__(self) -> None:
+        self._inventories: dict[str, Inventory] = {}
+        self._revisions: dict[str, int] = {}
+        self._revision = NOT_READ
+
+    def __repr__(self) -> str:
+        return f"InventoriesInForce(revision={self._revision})"
+
+    @property
+    def inventories(self) -> dict[str, Inventory]:
+        """Inventories in force, by organisation."""
+        return self._inventories
+
+    @property
+    def revisions(self) -> dict[str, int]:
+        """Revision of each organisation's inventory."""
+        return self._revisions
+
+    @property
+    def revision(self) -> int:
+        """Every change up to this one is in force; -1 before the first read."""
+        return self._revision
+
+    def apply(self, rows: Iterable[OrganisationRow], revision: int) -> list[str]:
+        """Put rows in force.
+
+        Args:
+            rows: Rows of organisations, in any order and of any age.
+            revision: Every change up to it is in these rows or in force already.
+
+        Returns:
+            The organisations that changed.
+        """
+        changed = []
+        for row in rows:
+            name = row.inventory.organisation
+            if row.revision > self._revisions.get(name, NOT_READ):
+                self._inventories[name] = row.inventory
+                self._revisions[name] = row.revision
+                changed.append(name)
+        if revision > self._revision:
+            self._revision = revision
+            _logger.info("inventory revision %d is in force", revision)
+        return changed
+
+    def advance(self, store: ItemStore) -> list[str]:
+        """Put in force what gossip brought, as far as it is without a gap."""
+        if self._revision == NOT_READ:
+            return []
+        rows = []
+        revision = self._revision
+        while (item := store.get(change_key(revision + 1))) is not None:
+            if not item.value:
+                break
+            rows.append(msgspec.json.decode(item.value, type=OrganisationRow))
+            revision += 1
+        return self.apply(rows, revision) if rows else []
+
+
+def prune_changes(store: ItemStore, items: Iterable[Item]) -> None:
+    """Drop changes that every process has long had, so that they spread no more."""
+    head = store.get(HEAD_KEY)
+    if head is None:
+        return
+    last = head.version - KEPT_CHANGES
+    for item in items:
+        if item.key == HEAD_KEY:
+            store.forget(change_key(last))
+        elif item.key.startswith("inventory/change/") and item.version <= last:
+            store.forget(item.key)
--- /dev/null
+++ b/src/carobspur/load_asker.py
@@ -0,0 +1,72 @@
+"""Asks endpoints for their load."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from .clock import Clock
+from .errors import CarobspurError
+from .http import HttpClient, HttpRequest
+from .load_reports import EngineLoad, LoadReports, LoadSample
+
+TIMEOUT_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+class LoadAsker:
+    """Asks the endpoints that are this instance's to ask.
+
+    Args:
+        instance: Id of this instance.
+        client: HTTP client towards endpoints.
+        clock: Source of time.
+        reports: Where the answers go.
+        on_loads: Called with the endpoints that have new reports.
+    """
+
+    __slots__ = ("_client", "_clock", "_instance", "_on_loads", "_reports")
+
+    def __init__(
+        self,
+        instance: str,
+        *,
+        client: HttpClient,
+        clock: Clock,
+        reports: LoadReports,
+        on_loads: Callable[[list[str]], None],
+    ) -> None:
+        self._instance = instance
+        self._client = client
+        self._clock = clock
+        self._reports = reports
+        self._on_loads = on_loads
+
+    async def ask(self, instances: Mapping[str, str], *, period_s: float) -> None:
+        """Ask all of them once.
+
+        Args:
+            instances: Data centre of each instance that asks endpoints.
+            period_s: Time between two rounds.
+        """
+        now_s = self._clock.monotonic()
+        chosen = self._reports.to_ask(
+            self._instance, instances, period_s=period_s, now_s=now_s
+        )
+        await asyncio.gather(*(self._ask(address) for address in chosen))
+
+    async def _ask(self, address: str) -> None:
+        request = HttpRequest("GET", f"{address}/v1/load", timeout_s=TIMEOUT_S)
+        load = None
+        try:
+            response = await self._client.fetch(request)
+            if response.status == 200:
+                load = msgspec.json.decode(response.body, type=EngineLoad)
+        except (CarobspurError, msgspec.MsgspecError) as error:
+            _logger.info("%s reports no load: %s", address, error)
+        if self._reports.put(address, LoadSample(self._clock.monotonic(), load)):
+            self._on_loads([address])
--- a/src/carobspur/membership.py
+++ b/src/carobspur/membership.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
-from .errors import StoreUnavailableError
+from .errors import StoreConflictError, StoreUnavailableError
+from .gossip import Item
 from .http import HttpClient, HttpError, HttpRequest
-from .table import Row
+from .peers import encode, messages
+from .session import decode_session
+from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 INSTANCE_PREFIX = "instance/"
 
@@ -24,6 +28,7 @@
     control_port: int
     data_centre: str
     leaving: bool = False
+    control_peer_port: int = 0
 
 
 class InstanceStatus(StrEnum):
@@ -87,24 +92,79 @@
     return INSTANCE_PREFIX + instance
 
 
+async def write_instance(table: Table, row: InstanceRow) -> None:
+    """Write an instance's row, whatever it was before.
+
+    Raises:
+        StoreUnavailableError: No answer; writing again is safe.
+    """
+    key = instance_key(row.id)
+    content = msgspec.json.encode(row)
+    while True:
+        stored = await table.read(key)
+        version = ABSENT_VERSION if stored is None else stored.version
+        try:
+            await table.commit([Check(key, version)], [Write(key, content)])
+            return
+        except StoreConflictError:
+            continue
+
+
+def instance_item(row: Row) -> Item:
+    """Return what is spread of an instance's row."""
+    found = msgspec.json.decode(row.value, type=InstanceRow)
+    message = messages.InstanceInfo(
+        id=found.id,
+        host=found.host,
+        entry_port=found.entry_port,
+        scheduler_port=found.scheduler_port,
+        control_port=found.control_port,
+        data_centre=found.data_centre,
+        leaving=found.leaving,
+        peer_port=found.control_peer_port,
+    )
+    return Item(row.key, row.version, encode(message))
+
+
+def session_item(row: Row) -> Item:
+    """Return what is spread of a session's row."""
+    found = decode_session(row)
+    message = messages.SessionInfo(
+        id=found.id,
+        epoch=found.epoch,
+        instance=found.instance,
+        host=found.host,
+        port=found.port,
+        data_centre=found.data_centre,
+        leaving=found.leaving,
+    )
+    return Item(row.key, row.version, encode(message))
+
+
 def usable_instances(
-    rows: list[Row], listed: list[ListedInstance], live_schedulers: set[str]
-) -> list[InstanceRow]:
+    instances: Iterable[Any],
+    listed: Iterable[ListedInstance],
+    live_schedulers: set[str],
+    is_silent: Callable[[str], bool],
+) -> list[Any]:
     """Return the instances that callers may be sent to.
 
-    An instance is usable while its scheduler holds a session and nobody says that it
-    is leaving. The platform's list can only take instances away, since it lags.
+    An instance is usable while its scheduler holds a session, nobody says that it is
+    leaving, and its heartbeats arrive. The platform's list lags, so it can only take
+    instances away.
 
     Args:
-        rows: All instance rows.
+        instances: All instances, as ``InstanceInfo`` messages.
         listed: The platform's list; empty where it is not known.
         live_schedulers: Ids of the instances whose schedulers have sessions.
+        is_silent: Tells whether an instance's heartbeats stay away.
     """
     leaving = {item.id for item in listed if item.status == InstanceStatus.LEAVING}
-    found = []
-    for row in rows:
-        item = msgspec.json.decode(row.value, type=InstanceRow)
-        is_gone = item.leaving or item.id in leaving
-        if not is_gone and item.id in live_schedulers:
-            found.append(item)
-    return found
+    return [
+        item
+        for item in instances
+        if not item.leaving
+        and item.id not in leaving
+        and item.id in live_schedulers
+        and not is_silent(item.id)
+    ]
--- a/src/carobspur/operators.py
+++ b/src/carobspur/operators.py
@@ -7,11 +7,12 @@
 import msgspec
 
 from .configuration import difference
-from .errors import ForbiddenError, RequestError, UnauthenticatedError
+from .errors import ForbiddenError, NotReadyError, RequestError, UnauthenticatedError
 from .inventory import Inventory, Key, Role, parse_inventory
 from .problem import ProblemHandler, bearer_secret
 
 BOOTSTRAP_OPERATOR = "bootstrap"
+OUT_OF_CONTACT_RETRY_S = 5.0
 
 
 class EndpointStatus(msgspec.Struct, frozen=True):
@@ -99,6 +100,11 @@
         change = self.request.headers.get("Carobspur-Change", "")
         if not change:
             raise RequestError("the header Carobspur-Change is missing")
+        if not self._control.rounds.is_in_contact:
+            raise NotReadyError(
+                "this instance is out of contact with most others",
+                retry_after_s=OUT_OF_CONTACT_RETRY_S,
+            )
         result = await self._control.configuration.import_inventory(
             inventory,
             expected=self._expected_revision(),
@@ -167,13 +173,13 @@
         endpoints = [
             EndpointStatus(
                 address,
-                load is not None,
-                load.running if load else 0,
-                load.waiting if load else 0,
-                load.kv_used_tokens if load else 0,
-                load.kv_capacity_tokens if load else 0,
+                sample.load is not None,
+                sample.load.running if sample.load else 0,
+                sample.load.waiting if sample.load else 0,
+                sample.load.kv_used_tokens if sample.load else 0,
+                sample.load.kv_capacity_tokens if sample.load else 0,
             )
-            for address, (_, load) in control.loads.items()
+            for address, sample in control.loads.items()
             if address in own
         ]
         self.send(
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -73,6 +73,8 @@
 END_PROGRAM = Method("end_program", messages.EndProgram, messages.Empty)
 DRAIN = Method("drain", messages.Drain, messages.Empty)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
+GOSSIP = Method("gossip", messages.Gossip, messages.Gossip)
+RECONCILE = Method("reconcile", messages.Reconcile, messages.Reconciled)
 
 
 def encode(message: Any) -> bytes:
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -102,10 +102,12 @@
   1: required bool leaving,
 }
 
-// Asks a control process for its view; the inventories are left out of the answer
-// where the asker already has this revision.
+// Asks a control process for its view; the answer holds what changed since the
+// change that the asker names, or everything where it names none that is known.
 struct GetView {
-  1: required i64 known_revision,
+  1: required i64 known_change,
+  2: required string incarnation,
+  3: required bool with_loads,
 }
 
 struct SessionInfo {
@@ -126,6 +128,7 @@
   5: required i32 control_port,
   6: required string data_centre,
   7: required bool leaving,
+  8: required i32 peer_port,
 }
 
 struct EndpointLoad {
@@ -139,12 +142,62 @@
   8: required bool leaving,
 }
 
+struct ShardInfo {
+  1: required i32 number,
+  2: required string session,
+}
+
+// change and incarnation name this state of the view. Where is_full is false, the
+// lists hold only what changed; inventories is a JSON list of those that changed.
 struct View {
-  1: required i64 revision,
-  2: required list<SessionInfo> sessions,
-  3: required list<string> shard_owners,
-  4: required list<InstanceInfo> instances,
-  5: required list<EndpointLoad> loads,
-  6: optional binary inventories,
-  7: required bool is_current,
+  1: required i64 change,
+  2: required string incarnation,
+  3: required bool is_full,
+  4: required i64 revision,
+  5: required bool is_current,
+  6: required i32 shards,
+  7: required list<SessionInfo> sessions,
+  8: required list<string> gone_sessions,
+  9: required list<ShardInfo> shard_owners,
+  10: required list<InstanceInfo> instances,
+  11: required list<string> gone_instances,
+  12: required list<EndpointLoad> loads,
+  13: optional binary inventories,
+}
+
+// A row of the table as a control process read it; no value: the row is deleted.
+struct GossipItem {
+  1: required string key,
+  2: required i64 version,
+  3: optional binary value,
+}
+
+// Key hashes and ranks of a bucket's items, packed.
+struct BucketSummary {
+  1: required i32 bucket,
+  2: required binary items,
+}
+
+// A round of gossip, and its answer. table_age_s is how long ago the freshest reading
+// of the table was made that the sender has heard of; left out where there is none.
+struct Gossip {
+  1: required string instance,
+  2: required string data_centre,
+  3: required i64 revision,
+  4: optional double table_age_s,
+  5: required binary heartbeats,
+  6: required binary loads,
+  7: required binary digest,
+  8: required list<GossipItem> items,
+  9: required list<BucketSummary> summaries,
+}
+
+// Sends items that the other side lacks and asks for items by the hashes of their keys.
+struct Reconcile {
+  1: required list<GossipItem> items,
+  2: required binary wanted,
+}
+
+struct Reconciled {
+  1: required list<GossipItem> items,
 }
--- a/src/carobspur/table.py
+++ b/src/carobspur/table.py
@@ -19,7 +19,8 @@
 
     Attributes:
         key: The row's key.
-        version: Positive, and different after every write of the row.
+        version: Positive, and higher after every write of the row, also when it was
+            deleted in between.
         value: The row's content, a JSON document.
     """
 
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -35,14 +36,22 @@
     """
 
     __slots__ = (
+        "_change",
         "_clock",
         "_host",
+        "_incarnation",
+        "_instances",
         "_inventories",
+        "_is_current",
+        "_keys",
+        "_loads",
+        "_owners",
         "_peers",
         "_port",
         "_received_s",
         "_revision",
-        "_view",
+        "_sessions",
+        "_with_loads",
         "on_change",
     )
 
@@ -53,27 +62,39 @@
         clock: Clock,
         host: str,
         port: int,
+        with_loads: bool = True,
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._peers = peers
         self._clock = clock
         self._host = host
         self._port = port
+        self._with_loads = with_loads
         self.on_change = on_change
-        self._view: Any = None
+        self._change = 0
+        self._incarnation = ""
+        self._is_current = False
         self._revision = NO_REVISION
-        self._received_s = 0.0
+        self._received_s = float("-inf")
+        self._sessions: dict[str, Any] = {}
+        self._instances: dict[str, Any] = {}
+        self._owners: list[str] = []
+        self._loads: list[Any] = []
         self._inventories: dict[str, Inventory] = {}
+        self._keys: dict[str, tuple[Inventory, Key]] = {}
 
     def __repr__(self) -> str:
         return f"ViewClient(revision={self._revision})"
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether control has answered lately."""
+        return self._clock.monotonic() - self._received_s < MAX_VIEW_AGE_S
+
     @property
     def is_ready(self) -> bool:
         """Whether the view is recent and known to be current."""
-        if self._view is None or not self._view.is_current:
-            return False
-        return self._clock.monotonic() - self._received_s < MAX_VIEW_AGE_S
+        return self._is_current and self.is_fresh
 
     @property
     def revision(self) -> int:
@@ -83,17 +104,17 @@
     @property
     def sessions(self) -> list[Any]:
         """Live schedulers, as ``SessionInfo`` messages."""
-        return [] if self._view is None else self._view.sessions
+        return list(self._sessions.values())
 
     @property
     def instances(self) -> list[Any]:
         """Instances that callers may use, as ``InstanceInfo`` messages."""
-        return [] if self._view is None else self._view.instances
+        return list(self._instances.values())
 
     @property
     def loads(self) -> list[Any]:
-        """Reports of endpoints, as ``EndpointLoad`` messages."""
-        return [] if self._view is None else self._view.loads
+        """Reports that came with the last update, as ``EndpointLoad`` messages."""
+        return self._loads
 
     @property
     def inventories(self) -> list[Inventory]:
@@ -118,21 +139,19 @@
             NotReadyError: No inventory is in force here yet.
             UnauthenticatedError: Nobody's.
         """
-        if self._view is None:
+        if not self._incarnation:
             raise NotReadyError("no configuration yet", retry_after_s=1.0)
-        for inventory in self._inventories.values():
-            key = inventory.key_for(secret)
-            if key is not None:
-                return inventory, key
-        raise UnauthenticatedError("the key is not known")
+        found = self._keys.get(hashlib.sha256(secret.encode()).hexdigest())
+        if found is None:
+            raise UnauthenticatedError("the key is not known")
+        return found
 
     def owner_of(self, program: str) -> Any | None:
         """Return the ``SessionInfo`` of the scheduler that owns a program."""
-        if self._view is None or not self._view.shard_owners:
+        if not self._owners:
             return None
-        owners = self._view.shard_owners
-        owner = owners[shard_of(program, len(owners))]
-        return next((item for item in self.sessions if item.id == owner), None)
+        owner = self._owners[shard_of(program, len(self._owners))]
+        return self._sessions.get(owner)
 
     async def run(self) -> None:
         """Update until the task is cancelled."""
@@ -144,17 +163,50 @@
             await self._clock.sleep(VIEW_PERIOD_S)
 
     async def update(self) -> None:
-        """Ask control once; a lower revision than the one in force is ignored."""
-        request = messages.GetView(known_revision=self._revision)
+        """Ask control once for what changed; a lower revision is ignored."""
+        request = messages.GetView(
+            known_change=self._change,
+            incarnation=self._incarnation,
+            with_loads=self._with_loads,
+        )
         view = await self._peers.call(self._host, self._port, GET_VIEW, request)
         if view.revision < self._revision:
             _logger.warning("control went back to revision %d", view.revision)
             return
-        if view.inventories is not None:
-            found = _decoder.decode(view.inventories)
-            self._inventories = {item.organisation: item for item in found}
-        self._view = view
+        if view.is_full:
+            self._clear(view.shards)
+        self._take(view)
+        self._change = view.change
+        self._incarnation = view.incarnation
+        self._is_current = view.is_current
         self._revision = view.revision
         self._received_s = self._clock.monotonic()
         REVISION.set(view.revision)
         self.on_change()
+
+    def _clear(self, shards: int) -> None:
+        self._sessions.clear()
+        self._instances.clear()
+        self._owners = [""] * shards
+
+    def _take(self, view: Any) -> None:
+        self._sessions.update((item.id, item) for item in view.sessions)
+        self._instances.update((item.id, item) for item in view.instances)
+        for name in view.gone_sessions:
+            self._sessions.pop(name, None)
+        for name in view.gone_instances:
+            self._instances.pop(name, None)
+        for item in view.shard_owners:
+            self._owners[item.number] = item.session
+        self._loads = view.loads
+        if view.inventories is not None:
+            self._take_inventories(_decoder.decode(view.inventories))
+
+    def _take_inventories(self, changed: list[Inventory]) -> None:
+        for inventory in changed:
+            former = self._inventories.get(inventory.organisation)
+            for key in former.keys if former is not None else ():
+                self._keys.pop(key.sha256, None)
+            self._inventories[inventory.organisation] = inventory
+            for key in inventory.keys:
+                self._keys[key.sha256] = (inventory, key)
--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from carobspur.control import EngineLoad
 from carobspur.endpoints import (
     GenerateRequest,
     GenerateResult,
@@ -17,6 +16,7 @@
 )
 from carobspur.holder import HoldOrder
 from carobspur.http import HttpResponse
+from carobspur.load_reports import EngineLoad
 from carobspur.sse import Event, encode_event
 
 from .app import Emit, Request, json_response
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,278 @@
+"""Many control processes in one process, on virtual time, with links that fail."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from carobspur.clock import LoopClock
+from carobspur.configuration import Configuration, ImportResult
+from carobspur.control import Control
+from carobspur.errors import (
+    PeerDisconnectedError,
+    PeerUnreachableError,
+    StoreUnavailableError,
+)
+from carobspur.http import HttpRequest, HttpResponse
+from carobspur.inventory import DataCentre, Engine, Inventory
+from carobspur.load_reports import EngineLoad
+from carobspur.membership import ListedInstance
+from carobspur.peers import Method, PeerServer, decode, encode
+from carobspur.session import SessionRow, session_key
+from carobspur.settings import Settings
+from carobspur.shards import ShardRow, shard_key
+from carobspur.table import Row, Write
+from carobspur_standins.table import MemoryTable
+
+from . import builders
+
+FRAME_BYTES = 40
+
+
+@dataclass
+class Traffic:
+    """What went over the links."""
+
+    messages: int = 0
+    sent_bytes: int = 0
+
+
+class _Link:
+    """One process's way to its peers and to the table."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self._fleet = fleet
+        self._number = number
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        method: Method,
+        request: Any,
+        *,
+        timeout_s: float = 5.0,
+    ) -> Any:
+        """Call a peer, with the losses that the fleet has."""
+        fleet = self._fleet
+        target = fleet.numbers.get(host, 0)
+        if target not in fleet.controls or fleet.is_cut(self._number, target):
+            raise PeerUnreachableError(f"{host} is gone")
+        content = encode(request)
+        fleet.count(content)
+        if fleet.rng.random() < fleet.loss:
+            raise PeerDisconnectedError("the request was lost")
+        server = fleet.servers[target]
+        result = encode(await server.answer(method.name, content, lambda part: None))
+        fleet.count(result)
+        if fleet.rng.random() < fleet.loss:
+            raise PeerDisconnectedError("the answer was lost")
+        return decode(method.result, result)
+
+    async def read(self, key: str) -> Row | None:
+        """Read a row."""
+        self._require_table()
+        return await self._fleet.table.read(key)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Scan rows."""
+        self._require_table()
+        rows = await self._fleet.table.scan(prefix)
+        self._fleet.rows_scanned += len(rows)
+        return rows
+
+    async def commit(self, checks: Any, writes: Any) -> int:
+        """Commit rows."""
+        self._require_table()
+        return await self._fleet.table.commit(checks, writes)
+
+    async def instances(self) -> list[ListedInstance]:
+        """Return an empty list of instances."""
+        return []
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        """Answer as an engine that reports its load."""
+        fleet = self._fleet
+        fleet.loads_asked += 1
+        address = request.url.removesuffix("/v1/load")
+        load = EngineLoad(
+            running=fleet.rng.randrange(32),
+            kv_used_tokens=fleet.rng.randrange(100_000),
+            kv_capacity_tokens=100_000,
+            leaving=address in fleet.leaving_engines,
+        )
+        return HttpResponse(200, msgspec.json.encode(load))
+
+    def _require_table(self) -> None:
+        if not self._fleet.sees_table(self._number):
+            raise StoreUnavailableError("no way to the table")
+
+
+class Fleet:
+    """Control processes with sessions and shards in the table, but no schedulers.
+
+    Args:
+        instances: Number of instances.
+        data_centres: Number of data centres; instances take turns.
+        engines: Number of engines, spread over the data centres.
+        shards: Number of shards.
+    """
+
+    def __init__(
+        self,
+        instances: int,
+        *,
+        data_centres: int = 3,
+        engines: int = 2,
+        shards: int = 8,
+        seed: int = 1,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.table = MemoryTable()
+        self.clock = LoopClock()
+        self.size = instances
+        self.data_centres = data_centres
+        self.shards = shards
+        self.engines = engines
+        self.controls: dict[int, Control] = {}
+        self.servers: dict[int, PeerServer] = {}
+        self.numbers: dict[str, int] = {}
+        self.is_cut: Callable[[int, int], bool] = lambda a, b: False
+        self.sees_table: Callable[[int], bool] = lambda number: True
+        self.loss = 0.0
+        self.traffic = Traffic()
+        self.rows_scanned = 0
+        self.loads_asked = 0
+        self.leaving_engines: set[str] = set()
+        self._tasks: dict[int, list[asyncio.Task[None]]] = {}
+        self._changes = 0
+
+    def count(self, content: bytes) -> None:
+        """Count one message on a link."""
+        self.traffic.messages += 1
+        self.traffic.sent_bytes += len(content) + FRAME_BYTES
+
+    def inventory(self, *, units: int = 1_000_000) -> Inventory:
+        """Return an inventory with the fleet's engines."""
+        base = builders.an_inventory(units=units)
+        engines = [
+            Engine(f"e{n}", _engine_url(n), self.place(n), ["model"], kv_tokens=100_000)
+            for n in range(self.engines)
+        ]
+        places = [DataCentre(self.place(n)) for n in range(self.data_centres)]
+        return msgspec.structs.replace(base, engines=engines, data_centres=places)
+
+    def place(self, number: int) -> str:
+        """Return the data centre of an instance or engine."""
+        return f"dc-{number % self.data_centres}"
+
+    async def start(self) -> Fleet:
+        """Write sessions, shards and the first inventory, and start all."""
+        await self.change()
+        for number in range(1, self.size + 1):
+            await self.write_session(number)
+        for shard in range(self.shards):
+            holder = f"s{shard % self.size + 1}"
+            row = msgspec.json.encode(ShardRow(holder))
+            await self.table.commit([], [Write(shard_key(shard), row)])
+        for number in range(1, self.size + 1):
+            self.start_control(number)
+        await self.until(lambda: all(c.is_current for c in self.controls.values()))
+        return self
+
+    async def write_session(self, number: int) -> None:
+        """Write the session row that an instance's scheduler would hold."""
+        host = self._host(number)
+        place = self.place(number)
+        row = SessionRow(f"s{number}", number, f"i{number}", host, 2, place)
+        content = msgspec.json.encode(row)
+        await self.table.commit([], [Write(session_key(row.id), content)])
+
+    def start_control(self, number: int) -> Control:
+        """Start the control process of an instance."""
+        link: Any = _Link(self, number)
+        control = Control(
+            settings=self._settings(number),
+            clock=self.clock,
+            table=link,
+            live_list=link,
+            client=link,
+            peers=link,
+        )
+        server = PeerServer()
+        control.register(server)
+        self.controls[number] = control
+        self.servers[number] = server
+        self.numbers[self._host(number)] = number
+        loops = (control.run(), control.run_gossip(), control.run_load())
+        self._tasks[number] = [
+            asyncio.ensure_future(self._start_late(number, loop)) for loop in loops
+        ]
+        return control
+
+    def kill(self, number: int) -> Control:
+        """End the control process of an instance."""
+        for task in self._tasks.pop(number):
+            task.cancel()
+        self.servers.pop(number)
+        return self.controls.pop(number)
+
+    async def change(self, *, units: int = 1_000_000) -> int:
+        """Accept a change of the inventory; return its revision."""
+        self._changes += 1
+        result = await self._import(Configuration(self.table), units)
+        return result.revision
+
+    async def until(
+        self, is_true: Callable[[], bool], *, limit_s: float = 120.0
+    ) -> float:
+        """Let time pass until a condition holds; return the seconds it took."""
+        start_s = self.clock.monotonic()
+        while not is_true():
+            waited_s = self.clock.monotonic() - start_s
+            assert waited_s < limit_s, "the condition did not come true"
+            await asyncio.sleep(0.05)
+        return self.clock.monotonic() - start_s
+
+    async def until_in_force(self, revision: int, *, limit_s: float = 120.0) -> float:
+        """Wait until a revision is in force everywhere."""
+        return await self.until(
+            lambda: all(c.revision >= revision for c in self.controls.values()),
+            limit_s=limit_s,
+        )
+
+    async def _import(self, configuration: Configuration, units: int) -> ImportResult:
+        known = await configuration.organisation(builders.ORGANISATION)
+        return await configuration.import_inventory(
+            self.inventory(units=units + self._changes),
+            expected=0 if known is None else known.revision,
+            change=f"c{self._changes}",
+            operator="ops",
+            now_s=0.0,
+        )
+
+    async def _start_late(self, number: int, loop: Any) -> None:
+        await asyncio.sleep((number * 0.618034) % 1.0 * 0.5)
+        await loop
+
+    def _host(self, number: int) -> str:
+        return f"10.1.{number // 250}.{number % 250}"
+
+    def _settings(self, number: int) -> Settings:
+        base = builders.some_settings(1, shards=self.shards)
+        instance = replace(
+            base.instance,
+            id=f"i{number}",
+            host=self._host(number),
+            data_centre=self.place(number),
+        )
+        return replace(base, instance=instance)
+
+
+def _engine_url(number: int) -> str:
+    return f"http://10.9.{number // 250}.{number % 250}:1"
--- a/tests/world.py
+++ b/tests/world.py
@@ -28,7 +28,7 @@
 from carobspur.membership import HttpLiveList
 from carobspur.objects import HttpObjects
 from carobspur.operators import operator_routes
-from carobspur.peers import GET_VIEW, Method, PeerServer, decode, encode
+from carobspur.peers import Method, PeerServer, decode, encode
 from carobspur.scheduler import Scheduler
 from carobspur.settings import Settings
 from carobspur.sse import EventParser
@@ -254,13 +254,10 @@
             table=table,
             live_list=HttpLiveList(client, builders.LIVE_LIST_URL),
             client=client,
+            peers=self.peers,
         )
         control_server = PeerServer()
-
-        async def _get_view(request: Any, emit: Any) -> Any:
-            return control.view(request.known_revision)
-
-        control_server.handle(GET_VIEW, _get_view)
+        control.register(control_server)
         self.peers.servers[(host, settings.control.peer_port)] = control_server
         view = self._view(settings)
         scheduler = Scheduler(
@@ -291,7 +288,13 @@
         self.nodes[number] = node
         view.on_change = scheduler.take_view
         await scheduler.open(settings.scheduler.port)
-        loops = [control.run(), control.run_load(), view.run(), entry_view.run()]
+        loops = [
+            control.run(),
+            control.run_gossip(),
+            control.run_load(),
+            view.run(),
+            entry_view.run(),
+        ]
         loops.append(scheduler.keeper.run())
         node.tasks = [asyncio.ensure_future(item) for item in loops]
         return node
