Changes are pushed on at once; load reports shrink to 11 bytes

Cause: at 180 nodes a change took up to 2.95 s to be in force and a node's control traffic was 21.7 kB/s (both ways), near the limits of 3 s and 23 kB/s; most bytes were load reports of 19 bytes, most of the time was rounds of 0.5 s. Now a new head is pushed on to three peers when it arrives; a load report carries the share of the cache in use instead of two token counts. Choosing peers no longer looks at every instance each round. Ruled out: shorter rounds (twice the bytes and processor time for all traffic).

--- /dev/null
+++ b/experiments/membership_slopes.py
@@ -0,0 +1,81 @@
+"""Cost of membership, configuration and load reports against the number of nodes.
+
+Runs control processes in one process on virtual time, with the messages encoded as on
+the wire, and prints one line a size. Processor time counts both ends' encoding and
+decoding but no sockets; ``peer_call_cost.py`` measures those.
+
+    PYTHONPATH=src:. python experiments/membership_slopes.py 7 30 90 180 360
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import statistics
+import sys
+import time
+
+from tests.fleet import Fleet, Traffic
+from tests.virtual import run_virtual
+
+ENGINES_PER_NODE = 3100 / 360
+SHARDS_PER_NODE = 4
+WARM_S = 15
+MEASURED_S = 10
+CHANGES = 5
+
+
+async def measure(size: int) -> str:
+    """Return one line of the table."""
+    places = 6 if size >= 30 else 3
+    engines = round(size * ENGINES_PER_NODE)
+    shards = size * SHARDS_PER_NODE
+    fleet = Fleet(size, data_centres=places, engines=engines, shards=shards)
+    await fleet.start()
+    await asyncio.sleep(WARM_S)
+    fleet.traffic = Traffic()
+    reads, rows, asked = fleet.table.reads, fleet.rows_scanned, fleet.loads_asked
+    started_s = time.process_time()
+    await asyncio.sleep(MEASURED_S)
+    used_s = time.process_time() - started_s
+    node_seconds = size * MEASURED_S
+    sent_bytes = fleet.traffic.sent_bytes / node_seconds
+    sent = fleet.traffic.messages / node_seconds
+    reads_per_s = (fleet.table.reads - reads) / MEASURED_S
+    rows_per_s = (fleet.rows_scanned - rows) / MEASURED_S
+    asked_per_s = (fleet.loads_asked - asked) / node_seconds
+    ages_s = load_ages_s(fleet)
+    took_s = [await fleet.until_in_force(await fleet.change()) for _ in range(CHANGES)]
+    return (
+        f"{size:5d} {engines:7d} {2 * sent:6.1f} {2 * sent_bytes / 1e3:6.2f}"
+        f" {100 * used_s / node_seconds:6.2f} {reads_per_s:7.1f} {rows_per_s:7.0f}"
+        f" {asked_per_s:6.2f} {max(took_s):7.2f} {statistics.median(ages_s):6.2f}"
+        f" {max(ages_s):7.2f}"
+    )
+
+
+def load_ages_s(fleet: Fleet) -> list[float]:
+    """Return the ages of the reports that nodes have of their own data centre."""
+    now_s = fleet.clock.monotonic()
+    return [
+        now_s - sample.at_s
+        for number, control in fleet.controls.items()
+        for engine in control.inventories["oro-recupero"].engines
+        if engine.data_centre == fleet.place(number)
+        and (sample := control.loads.get(engine.address)) is not None
+    ]
+
+
+def main() -> None:
+    """Print the table."""
+    logging.disable(logging.CRITICAL)
+    print(
+        "nodes engines  msg/s   kB/s  %core reads/s  rows/s asks/s force_s"
+        "  age50 age_max"
+    )
+    for size in map(int, sys.argv[1:] or ["7", "30", "90"]):
+        print(run_virtual(lambda size=size: measure(size)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobspur/configuration.py
+++ b/src/carobspur/configuration.py
@@ -13,6 +13,7 @@
 from .inventory import Inventory, inventory_digest
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
+INVENTORY_PREFIX = "inventory/"
 HEAD_KEY = "inventory/head"
 ORGANISATION_PREFIX = "inventory/organisation/"
 CHANGE_PREFIX = "inventory/change/"
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -13,7 +13,7 @@
 import tornado.web
 
 from .clock import Clock, LoopClock
-from .configuration import Configuration
+from .configuration import HEAD_KEY, Configuration
 from .control_view import ControlView
 from .daemon import background, http_server, run_daemon
 from .errors import CarobspurError, StoreError
@@ -25,7 +25,7 @@
 from .in_force import NOT_READ, InventoriesInForce, prune_changes
 from .inventory import Inventory
 from .load_asker import LoadAsker
-from .load_reports import LoadReports, LoadSample
+from .load_reports import LoadReports, LoadSample, Watched
 from .membership import (
     HttpLiveList,
     InstanceRow,
@@ -218,7 +218,6 @@
         """Exchange with other control processes until the task is cancelled."""
         while True:
             await self._rounds.run_round()
-            self.refresh()
             await self._clock.sleep(ROUND_S)
 
     async def run_load(self) -> None:
@@ -295,6 +294,8 @@
         if not items:
             return
         prune_changes(self._gossip.store, items)
+        if any(item.key == HEAD_KEY for item in items):
+            self._rounds.push_changes()
         self._publish_inventories(self._in_force.advance(self._gossip.store))
         self._view.take(items)
 
@@ -305,7 +306,7 @@
             self._view.inventories.set(name, self._in_force.inventories[name])
         self._loads.watch(
             {
-                engine.address: engine.data_centre
+                engine.address: Watched(engine.data_centre, engine.kv_tokens)
                 for inventory in self._in_force.inventories.values()
                 for engine in inventory.engines
             }
--- a/src/carobspur/gossip.py
+++ b/src/carobspur/gossip.py
@@ -185,16 +185,17 @@
         found, self._arrived = self._arrived, []
         return found
 
-    def fresh(self, *, known: Iterable[str] = ()) -> list[Any]:
+    def fresh(self, *, known: Iterable[str] = (), prefix: str = "") -> list[Any]:
         """Return messages of items to send on now, newest first, in bounded bytes.
 
         Args:
             known: Keys of items that the receiver has just sent.
+            prefix: Only items whose keys start with it.
         """
         skipped = set(known)
         chosen = []
         room = MAX_ITEM_BYTES
-        for key in reversed(list(self._hot)):
+        for key in [key for key in reversed(self._hot) if key.startswith(prefix)]:
             item = self.store.get(key)
             if item is None:
                 del self._hot[key]
--- a/src/carobspur/gossip_rounds.py
+++ b/src/carobspur/gossip_rounds.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from .clock import Clock
+from .configuration import INVENTORY_PREFIX
 from .errors import CarobspurError
 from .gossip import Gossip
 from .heartbeats import CONTACT_AGE_S, Heartbeats
@@ -20,6 +22,7 @@
 FAR_ROUNDS = 2
 DEAD_PEER_ROUNDS = 10
 KNOWLEDGE_AGE_S = 3.0
+PUSHES = 3
 
 
 class PeerCaller(Protocol):
@@ -86,7 +89,11 @@
         self._on_items = on_items
         self._on_loads = on_loads
         self._round = 0
+        self._pushing: asyncio.Task[None] | None = None
         self._instances: dict[str, Any] = {}
+        self._near: list[Any] = []
+        self._far: list[Any] = []
+        self._silent: list[Any] = []
         self._table_s = float("-inf")
         self._shown_revision = 0
 
@@ -128,7 +135,20 @@
         """Set the live instances, as ``InstanceInfo`` messages."""
         self._instances = {item.id: item for item in instances}
         self._gossip.peers = max(1, len(self._instances))
-        self._heartbeats.watch(self._instances, self._clock.monotonic())
+        now_s = self._clock.monotonic()
+        self._heartbeats.watch(self._instances, now_s)
+        self._near.clear()
+        self._far.clear()
+        self._silent.clear()
+        for item in self._instances.values():
+            if item.id == self._place.instance or not item.peer_port:
+                continue
+            if self._heartbeats.is_silent(item.id, now_s):
+                self._silent.append(item)
+            elif item.data_centre == self._place.data_centre:
+                self._near.append(item)
+            else:
+                self._far.append(item)
 
     def choose_peers(self) -> list[Any]:
         """Return whom to talk to in the next round.
@@ -136,20 +156,12 @@
         One peer of the own data centre every round, one of another every second
         round, and now and then one that has fallen silent.
         """
-        others = [
-            item
-            for name, item in self._instances.items()
-            if name != self._place.instance and item.peer_port
-        ]
-        now_s = self._clock.monotonic()
-        silent = {x.id for x in others if self._heartbeats.is_silent(x.id, now_s)}
-        near = [x for x in others if self._is_near(x) and x.id not in silent]
-        far = [x for x in others if not self._is_near(x) and x.id not in silent]
+        near, far, silent = self._near, self._far, self._silent
         chosen = self._rng.sample(near, min(1, len(near)))
         if not near or self._round % FAR_ROUNDS == 0:
             chosen += self._rng.sample(far, min(1, len(far)))
         if silent and (not chosen or self._round % DEAD_PEER_ROUNDS == 0):
-            chosen.append(self._rng.choice([x for x in others if x.id in silent]))
+            chosen.append(self._rng.choice(silent))
         return chosen
 
     async def run_round(self) -> None:
@@ -163,6 +175,22 @@
             except CarobspurError:
                 continue
 
+    def push_changes(self) -> None:
+        """Send the latest changes of inventories on at once, to a few peers.
+
+        Rounds reach whom this leaves out.
+        """
+        if self._pushing is None or self._pushing.done():
+            self._pushing = asyncio.ensure_future(self._push_changes())
+
+    async def _push_changes(self) -> None:
+        items = self._gossip.fresh(prefix=INVENTORY_PREFIX)
+        others = self._near + self._far
+        chosen = self._rng.sample(others, min(PUSHES, len(others)))
+        message = messages.Reconcile(items=items, wanted=b"")
+        sending = (self._call(peer, RECONCILE, message) for peer in chosen)
+        await asyncio.gather(*sending, return_exceptions=True)
+
     async def answer(self, request: Any) -> Any:
         """Take a peer's round and answer it."""
         self._take(request)
@@ -222,6 +250,3 @@
     def _take_items(self, items: Iterable[Any]) -> None:
         self._gossip.take(items)
         self._on_items()
-
-    def _is_near(self, item: Any) -> bool:
-        return item.data_centre == self._place.data_centre
--- a/src/carobspur/heartbeats.py
+++ b/src/carobspur/heartbeats.py
@@ -6,18 +6,22 @@
 
 from __future__ import annotations
 
+import heapq
 import struct
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
 SUSPECT_AFTER_S = 5.0
 CONTACT_AGE_S = 3.0
 MAX_HEARTBEATS = 64
+MAX_NAMES = 65_536
 
 _HEARTBEAT = struct.Struct(">II")
 
 
+@lru_cache(maxsize=MAX_NAMES)
 def name_hash(name: str) -> int:
     """Return the short form of a name in heartbeats and load reports."""
     return xxhash.xxh32_intdigest(name)
@@ -53,8 +57,10 @@
 
     def encode(self) -> bytes:
         """Return the own counter and the most lately heard ones."""
-        lately = sorted(self._heard.items(), key=lambda pair: -pair[1].at_s)
-        pairs = [(name, heard.counter) for name, heard in lately[:MAX_HEARTBEATS]]
+        lately = heapq.nlargest(
+            MAX_HEARTBEATS, self._heard.items(), key=lambda pair: pair[1].at_s
+        )
+        pairs = [(name, heard.counter) for name, heard in lately]
         pairs.append((self._own, self._counter))
         return b"".join(_HEARTBEAT.pack(*pair) for pair in pairs)
 
--- a/src/carobspur/load_reports.py
+++ b/src/carobspur/load_reports.py
@@ -23,15 +23,15 @@
 FEW_ENDPOINTS = 128
 MANY_PERIOD_S = 1.0
 SECOND_ASKER_AFTER_PERIODS = 3.0
-SAME_AGE_S = 0.05
+SAME_AGE_S = 0.15
 ASKERS = 2
 
-_SAMPLE = struct.Struct(">IHHIIHB")
+_SAMPLE = struct.Struct(">IHHBBB")
 _MAX_U16 = 0xFFFF
-_MAX_U32 = 0xFFFFFFFF
+_MAX_U8 = 0xFF
 _REACHABLE = 1
 _LEAVING = 2
-_AGE_UNIT_S = 0.02
+_AGE_UNIT_S = 0.1
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
@@ -44,6 +44,14 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Watched:
+    """An endpoint whose load is wanted: where it stands and its cache's capacity."""
+
+    data_centre: str
+    kv_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadSample:
     """A report of an endpoint.
@@ -72,7 +80,7 @@
 
     __slots__ = (
         "_askers",
-        "_data_centres",
+        "_watched",
         "_names",
         "_samples",
         "_sends",
@@ -82,7 +90,7 @@
     def __init__(self) -> None:
         self._askers: dict[str, str] = {}
         self._share: dict[str, bool] = {}
-        self._data_centres: dict[str, str] = {}
+        self._watched: dict[str, Watched] = {}
         self._names: dict[int, str] = {}
         self._samples: dict[str, LoadSample] = {}
         self._sends: dict[str, int] = {}
@@ -92,14 +100,14 @@
         """The youngest reports by endpoint."""
         return self._samples
 
-    def watch(self, data_centres: Mapping[str, str]) -> None:
-        """Set the endpoints that exist, by address, with their data centres."""
-        if data_centres == self._data_centres:
+    def watch(self, endpoints: Mapping[str, Watched]) -> None:
+        """Set the endpoints that exist, by address."""
+        if endpoints == self._watched:
             return
-        self._data_centres = dict(data_centres)
+        self._watched = dict(endpoints)
         self._askers = {}
-        self._names = {name_hash(address): address for address in data_centres}
-        for address in [item for item in self._samples if item not in data_centres]:
+        self._names = {name_hash(address): address for address in endpoints}
+        for address in [item for item in self._samples if item not in endpoints]:
             del self._samples[address]
             self._sends.pop(address, None)
 
@@ -138,7 +146,7 @@
 
     def ask_period_s(self, poll_s: float) -> float:
         """Return the time between two reports of an endpoint."""
-        is_few = len(self._data_centres) <= FEW_ENDPOINTS
+        is_few = len(self._watched) <= FEW_ENDPOINTS
         return poll_s if is_few else max(poll_s, MANY_PERIOD_S)
 
     def _find_share(self, own: str) -> dict[str, bool]:
@@ -146,7 +154,8 @@
         places = set(self._askers.values())
         own_place = self._askers.get(own)
         share = {}
-        for address, data_centre in self._data_centres.items():
+        for address, watched in self._watched.items():
+            data_centre = watched.data_centre
             if data_centre != own_place and data_centre in places:
                 continue
             order = askers(address, data_centre, self._askers)
@@ -174,17 +183,18 @@
     def take(self, content: bytes, now_s: float) -> list[str]:
         """Keep the reports of a message; return the endpoints that have new ones."""
         found = []
-        for hashed, running, waiting, used, capacity, age, flags in _SAMPLE.iter_unpack(
-            content
-        ):
+        for hashed, running, waiting, used, age, flags in _SAMPLE.iter_unpack(content):
             address = self._names.get(hashed)
             if address is None:
                 continue
-            load = None
+            sample = LoadSample(now_s - age * _AGE_UNIT_S, None)
             if flags & _REACHABLE:
+                capacity = self._watched[address].kv_tokens
                 is_leaving = bool(flags & _LEAVING)
-                load = EngineLoad(running, waiting, used, capacity, is_leaving)
-            if self.put(address, LoadSample(now_s - age * _AGE_UNIT_S, load)):
+                used_tokens = used * capacity // _MAX_U8
+                load = EngineLoad(running, waiting, used_tokens, capacity, is_leaving)
+                sample = LoadSample(sample.at_s, load)
+            if self.put(address, sample):
                 found.append(address)
         return found
 
@@ -194,9 +204,9 @@
         return known is None or now_s - known.at_s > limit_s
 
     def _concerns(self, address: str, data_centre: str) -> bool:
-        if len(self._data_centres) <= FEW_ENDPOINTS:
+        if len(self._watched) <= FEW_ENDPOINTS:
             return True
-        is_near = self._data_centres.get(address) == data_centre
+        is_near = self._watched[address].data_centre == data_centre
         return is_near or not self._samples[address].may_take
 
     def _note_sent(self, address: str) -> None:
@@ -208,13 +218,13 @@
         sample = self._samples[address]
         load = sample.load or EngineLoad()
         flags = _REACHABLE * (sample.load is not None) + _LEAVING * load.leaving
+        used = _MAX_U8 * load.kv_used_tokens // max(1, load.kv_capacity_tokens)
         return _SAMPLE.pack(
             name_hash(address),
             min(load.running, _MAX_U16),
             min(load.waiting, _MAX_U16),
-            min(load.kv_used_tokens, _MAX_U32),
-            min(load.kv_capacity_tokens, _MAX_U32),
-            min(int((now_s - sample.at_s) / _AGE_UNIT_S), _MAX_U16),
+            min(used, _MAX_U8),
+            min(round((now_s - sample.at_s) / _AGE_UNIT_S), _MAX_U8),
             flags,
         )
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -42,6 +42,16 @@
     sent_bytes: int = 0
 
 
+class PacedClock(LoopClock):
+    """A clock whose sleeps can be made longer, to let hours pass in few steps."""
+
+    pace = 1.0
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for the given time, times the pace."""
+        await asyncio.sleep(seconds * self.pace)
+
+
 class _Link:
     """One process's way to its peers and to the table."""
 
@@ -134,7 +144,7 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.table = MemoryTable()
-        self.clock = LoopClock()
+        self.clock = PacedClock()
         self.size = instances
         self.data_centres = data_centres
         self.shards = shards
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,6 +12,7 @@
 from .virtual import run_virtual
 
 IN_FORCE_LIMIT_S = 3.0
+HOUR_PACE = 60
 
 
 class ChangesTest(unittest.TestCase):
@@ -60,7 +61,8 @@
 class CutTest(unittest.TestCase):
     def test_an_hour_without_the_other_region(self) -> None:
         async def scenario() -> None:
-            fleet = await Fleet(6, data_centres=6).start()
+            fleet = await Fleet(12, data_centres=6).start()
+            await asyncio.sleep(5)
             fleet.is_cut = lambda a, b: a % 2 != b % 2
             fleet.sees_table = lambda number: number % 2 == 0
             revision = await fleet.change()
@@ -71,7 +73,11 @@
             self.assertTrue(all(c.is_current for c in near))
             self.assertTrue(all(c.revision < revision for c in far))
             self.assertFalse(any(c.is_current for c in far))
+            fleet.clock.pace = HOUR_PACE
             await asyncio.sleep(3600)
+            fleet.clock.pace = 1.0
+            await asyncio.sleep(HOUR_PACE)
+            self.assertTrue(all(c.revision < revision for c in far))
             fleet.is_cut = lambda a, b: False
             fleet.sees_table = lambda number: True
             self.assertLess(await fleet.until_in_force(revision), IN_FORCE_LIMIT_S)
@@ -82,7 +88,11 @@
         async def scenario() -> None:
             fleet = await Fleet(7).start()
             fleet.sees_table = lambda number: False
+            await asyncio.sleep(20)
+            fleet.clock.pace = 10
             await asyncio.sleep(600)
+            fleet.clock.pace = 1.0
+            await asyncio.sleep(10)
             self.assertTrue(all(c.is_current for c in fleet.controls.values()))
 
         run_virtual(scenario)
