Requests leave a frozen owner, and wait for the entry's inventory revision

Cause 1: an entry process waited up to the call's time limit for a scheduler that was stopped by SIGSTOP: its connections stay open, so nothing failed. Seen in a test with real processes (60 s time-out). Cause 2: right after an import an entry process knew the organisation and the owner's scheduler did not yet, so a good request got 404.

Ruled out: a shorter time limit for calls (cuts long model calls); heartbeats on peer connections (the session row already says who is alive).

Change: the forwarder stops waiting when the owner's session has ended; every request carries the entry's inventory revision and a scheduler behind it says not ready.

Conclusion: a frozen owner costs its lease, not the caller's time limit.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -123,6 +123,7 @@
         self._lease_s = lease_s
         self._taken: set[int] = set()
         self._processes: list[Process] = []
+        self._forgotten: list[Process] = []
         self._platform: dict[str, str] = {}
         self.instances: list[Instance] = []
 
@@ -131,6 +132,11 @@
         """All processes that were started and not stopped."""
         return list(self._processes)
 
+    @property
+    def platform(self) -> dict[str, str]:
+        """Base URLs of the platform's services, by kind."""
+        return dict(self._platform)
+
     def start_standin(self, kind: str, *options: str) -> str:
         """Start a stand-in and return its base URL."""
         port = free_port(self._taken)
@@ -228,12 +234,19 @@
                 )
 
     def forget(self, process: Process) -> None:
-        """Do not expect a process to run any more."""
+        """Do not expect a process to run any more; it is still stopped at the end."""
+        self._processes.remove(process)
+        self._forgotten.append(process)
+
+    def kill(self, process: Process) -> None:
+        """End a process at once and do not expect it any more."""
+        process.kill()
         self._processes.remove(process)
 
     def stop(self) -> None:
         """Stop the daemons, then the stand-ins, and wait for their ends."""
         daemons = [p for i in self.instances for p in i.processes.values()]
+        self._end(self._forgotten)
         self._end([item for item in self._processes if item in daemons])
         self._end([item for item in self._processes if item not in daemons])
         self._processes.clear()
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -201,7 +201,11 @@
         if not user:
             raise RequestError("the header Carobspur-User is missing")
         self._organisation = inventory.organisation
-        return messages.Caller(organisation=inventory.organisation, user=user)
+        return messages.Caller(
+            organisation=inventory.organisation,
+            user=user,
+            revision=self._entry.view.revision,
+        )
 
     def idempotency_key(self) -> str:
         """Return the request's idempotency key.
--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+from collections.abc import Awaitable
 from typing import Any
 
 from .clock import Clock
@@ -48,7 +50,7 @@
         limit_s: Seconds to follow a program that has no reachable owner.
     """
 
-    __slots__ = ("_clock", "_limit_s", "_peers", "_view")
+    __slots__ = ("_asked", "_clock", "_limit_s", "_peers", "_view")
 
     def __init__(
         self,
@@ -62,6 +64,8 @@
         self._view = view
         self._clock = clock
         self._limit_s = limit_s
+        self._asked: dict[str, set[asyncio.Future[Any]]] = {}
+        view.on_change = self._leave_lost_owners
 
     async def ask(
         self,
@@ -118,7 +122,7 @@
         owner = self._view.owner_of(program)
         if owner is None:
             raise NotOwnerError(f"nobody owns program {program} at present")
-        return await self._peers.call(
+        calling = self._peers.call(
             owner.host,
             owner.port,
             method,
@@ -126,6 +130,38 @@
             on_part=on_part,
             timeout_s=timeout_s,
         )
+        return await self._while_owner_lives(owner.id, calling)
+
+    async def _while_owner_lives(self, owner: str, calling: Awaitable[Any]) -> Any:
+        """Await an owner's answer; an owner whose session ended gives none.
+
+        A frozen process keeps its connections open, so only the end of its session
+        tells that nobody should wait for it any longer.
+        """
+        task = asyncio.ensure_future(calling)
+        asked = self._asked.setdefault(owner, set())
+        asked.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if task in asked:
+                raise
+            raise PeerDisconnectedError(f"session {owner} ended") from None
+        finally:
+            asked.discard(task)
+            task.cancel()
+            if not asked and self._asked.get(owner) is asked:
+                del self._asked[owner]
+
+    def _leave_lost_owners(self) -> None:
+        """Stop waiting for owners whose sessions have ended."""
+        live = {item.id for item in self._view.sessions}
+        for owner in self._asked.keys() - live:
+            asked = self._asked.pop(owner)
+            tasks = list(asked)
+            asked.clear()
+            for task in tasks:
+                task.cancel()
 
 
 def _given_up(error: CarobspurError, may_have_run: bool) -> NotReadyError:
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -28,10 +28,12 @@
 struct Empty {
 }
 
-// Who asks, as the entry process established it from the caller's key.
+// Who asks, as the entry process established it from the caller's key. A scheduler
+// whose inventory revision is lower than the entry's must not judge the request yet.
 struct Caller {
   1: required string organisation,
   2: required string user,
+  3: required i64 revision,
 }
 
 struct StartProgram {
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -229,9 +229,18 @@
         if self._keeper is not None:
             SHARDS.set(len(self._keeper.owned))
 
+    def _requester(self, caller: Any) -> Requester:
+        """Return who asks, once this process knows what the entry process knows."""
+        if caller.revision > self._view.revision:
+            raise NotReadyError(
+                f"inventory revision {caller.revision} is not in force here yet",
+                retry_after_s=1.0,
+            )
+        return Requester(caller.organisation, caller.user)
+
     async def _start_program(self, request: Any, emit: Emit) -> Any:
         created = await self.calls.start_program(
-            _requester(request.caller),
+            self._requester(request.caller),
             request.program,
             agent=request.agent,
             parent=request.parent or "",
@@ -241,7 +250,7 @@
 
     async def _run_call(self, request: Any, emit: Emit) -> Any:
         call = CallRequest(
-            _requester(request.caller),
+            self._requester(request.caller),
             request.program,
             request.number,
             request.endpoint,
@@ -252,7 +261,7 @@
 
     async def _run_single_call(self, request: Any, emit: Emit) -> Any:
         call = CallRequest(
-            _requester(request.caller),
+            self._requester(request.caller),
             request.program,
             1,
             request.endpoint,
@@ -263,7 +272,7 @@
 
     async def _show_program(self, request: Any, emit: Emit) -> Any:
         found = self.calls.show(
-            _requester(request.caller),
+            self._requester(request.caller),
             request.program,
             with_history=request.with_history,
         )
@@ -271,7 +280,7 @@
 
     async def _end_program(self, request: Any, emit: Emit) -> Any:
         await self.calls.end_program(
-            _requester(request.caller), request.program, request.reason
+            self._requester(request.caller), request.program, request.reason
         )
         return messages.Empty()
 
@@ -281,10 +290,6 @@
         return messages.Empty()
 
 
-def _requester(caller: Any) -> Requester:
-    return Requester(caller.organisation, caller.user)
-
-
 def _text_emitter(emit: Emit) -> Any:
     return lambda index, text: emit(messages.CallPart(index=index, text=text))
 
