--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -28,9 +28,9 @@
 )
 from .operators import operator_routes
 from .peers import GET_VIEW, Emit, PeerServer, messages
-from .session import SESSION_PREFIX, SessionRow, decode_session
+from .session_row import SESSION_PREFIX, SessionRow, decode_session
 from .settings import Settings
-from .shards import SHARD_PREFIX, ShardRow, shard_number
+from .shard_rows import SHARD_PREFIX, ShardRow, shard_number
 from .table import ABSENT_VERSION, Check, HttpTable, Row, Table, Write
 
 MAX_POLL_AGE_S = 10.0
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -11,17 +11,17 @@
 import logging
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import msgspec
 
 from .clock import Clock
 from .errors import SessionLostError, StoreConflictError, StoreUnavailableError
 from .journal import Record, chunk_key, encode_records
-from .table import ABSENT_VERSION, Check, Row, Table, Write
+from .pending import PendingCommit
+from .session_row import SessionRow, decode_session, session_key
+from .table import ABSENT_VERSION, Check, Table, Write
 from .verdict import MAY_HAVE_RUN, NOT_RUN
 
-SESSION_PREFIX = "session/"
 EPOCH_KEY = "epoch"
 RENEWALS_PER_LEASE = 4
 RETRY_DELAY_S = 0.1
@@ -30,59 +30,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class SessionRow(msgspec.Struct, frozen=True):
-    """Content of a session's row.
-
-    Attributes:
-        id: Id of the session, never used again.
-        epoch: Fencing number, higher than that of every earlier session.
-        instance: Id of the instance.
-        host: IP number of the scheduler.
-        port: Its port for peers.
-        data_centre: Where it stands.
-        commits: Number of commits that took effect.
-        leaving: Whether it is handing its shards over.
-    """
-
-    id: str
-    epoch: int
-    instance: str
-    host: str
-    port: int
-    data_centre: str
-    commits: int = 0
-    leaving: bool = False
-
-
-def session_key(session: str) -> str:
-    """Return the key of a session's row."""
-    return SESSION_PREFIX + session
-
-
-def decode_session(row: Row) -> SessionRow:
-    """Read a session's row."""
-    return msgspec.json.decode(row.value, type=SessionRow)
-
-
-@dataclass(slots=True, eq=False)
-class _PendingCommit:
-    """Changes that wait for a commit."""
-
-    records: list[Record]
-    checks: list[Check]
-    writes: list[Write]
-    done: asyncio.Future[int]
-
-    def resolve(self, commit: int) -> None:
-        if not self.done.done():
-            self.done.set_result(commit)
-
-    def fail(self, error: Exception) -> None:
-        if not self.done.done():
-            self.done.set_exception(error)
-            self.done.exception()
-
-
 async def _next_epoch(table: Table) -> tuple[int, int]:
     row = await table.read(EPOCH_KEY)
     if row is None:
@@ -139,7 +86,7 @@
         self._lease_s = lease_s
         self._interval_s = interval_s
         self._on_commit = on_commit
-        self._pending: list[_PendingCommit] = []
+        self._pending: list[PendingCommit] = []
         self._wake = asyncio.Event()
         self._renewed_s = clock.monotonic()
         self._last_start_s = clock.monotonic()
@@ -266,7 +213,7 @@
         if self._is_lost:
             raise SessionLostError(f"session {self.id} was taken over")
         loop = asyncio.get_event_loop()
-        pending = _PendingCommit(
+        pending = PendingCommit(
             list(records), list(checks), list(writes), loop.create_future()
         )
         self._pending.append(pending)
@@ -313,7 +260,7 @@
         if wait_s > 0:
             await self._clock.sleep(min(wait_s, renewal_s))
 
-    async def _commit_batch(self, batch: list[_PendingCommit]) -> None:
+    async def _commit_batch(self, batch: list[PendingCommit]) -> None:
         """Commit a batch, retrying the same transaction until its fate is known."""
         delay_s = RETRY_DELAY_S
         while batch is not None:
@@ -335,7 +282,7 @@
                 self._took_effect(row, version, batch)
                 return
 
-    async def _try_commit(self, row: SessionRow, batch: list[_PendingCommit]) -> int:
+    async def _try_commit(self, row: SessionRow, batch: list[PendingCommit]) -> int:
         key = session_key(self.id)
         checks = [Check(key, self._version)]
         writes = [Write(key, msgspec.json.encode(row))]
@@ -350,7 +297,7 @@
         return await self._table.commit(checks, writes)
 
     def _took_effect(
-        self, row: SessionRow, version: int, batch: list[_PendingCommit]
+        self, row: SessionRow, version: int, batch: list[PendingCommit]
     ) -> None:
         self._in_doubt = False
         self._row = msgspec.structs.replace(row, leaving=self._row.leaving)
@@ -363,8 +310,8 @@
             pending.resolve(row.commits)
 
     async def _after_conflict(
-        self, conflict: StoreConflictError, row: SessionRow, batch: list[_PendingCommit]
-    ) -> list[_PendingCommit] | None:
+        self, conflict: StoreConflictError, row: SessionRow, batch: list[PendingCommit]
+    ) -> list[PendingCommit] | None:
         """Return what is left to commit, or ``None`` where the batch is settled."""
         if session_key(self.id) in conflict.keys:
             await self._settle(row, batch)
@@ -378,7 +325,7 @@
                 pending.fail(conflict)
         return rest
 
-    async def _settle(self, row: SessionRow, batch: list[_PendingCommit]) -> None:
+    async def _settle(self, row: SessionRow, batch: list[PendingCommit]) -> None:
         """Find out from our row whether an unanswered commit took effect."""
         delay_s = RETRY_DELAY_S
         while True:
@@ -395,7 +342,7 @@
                 return
         self._lose(MAY_HAVE_RUN if self._in_doubt else NOT_RUN, batch)
 
-    def _lose(self, verdict: object, batch: list[_PendingCommit]) -> None:
+    def _lose(self, verdict: object, batch: list[PendingCommit]) -> None:
         self._is_lost = True
         for pending in batch:
             pending.fail(
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -14,28 +14,23 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
 from .clock import Clock
 from .errors import CarobspurError, SessionLostError, StoreConflictError, StoreError
-from .journal import JOURNAL_PREFIX, Record, chunk_commit, decode_records
+from .lease_watch import LeaseWatch
 from .objects import Objects
 from .placement import first, rank, shard_of
 from .programs import Program, ProgramBook
-from .session import (
-    SESSION_PREFIX,
-    Session,
-    SessionRow,
-    decode_session,
-    session_key,
-)
+from .recovery import SNAPSHOT_PREFIX, Recovery, Snapshot
+from .session import Session
+from .session_row import SESSION_PREFIX, SessionRow, decode_session, session_key
+from .shard_rows import SHARD_PREFIX, ShardRow, Span, shard_key, shard_number
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
-SHARD_PREFIX = "shard/"
 SHARD_COUNT_KEY = "shards"
-SNAPSHOT_PREFIX = "snapshot/"
 WATCHES_PER_LEASE = 4
 WATCHERS = 3
 MAX_MOVES_PER_WATCH = 8
@@ -43,79 +38,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class Span(msgspec.Struct, frozen=True):
-    """A part of a session's journal; ``last`` of 0 means up to its end."""
-
-    session: str
-    first: int
-    last: int = 0
-
-
-class ShardRow(msgspec.Struct, frozen=True):
-    """Content of a shard's row.
-
-    Attributes:
-        session: Id of the session that holds it.
-        snapshot: Key of the object with its state, or empty.
-        spans: Journals to replay on top of it, in order.
-    """
-
-    session: str
-    snapshot: str = ""
-    spans: list[Span] = []
-
-
-class Snapshot(msgspec.Struct, frozen=True):
-    """State of all programs of some shards at one commit."""
-
-    programs: list[Program]
-
-
-def shard_key(number: int) -> str:
-    """Return the key of a shard's row."""
-    return f"{SHARD_PREFIX}{number:05d}"
-
-
-def shard_number(key: str) -> int:
-    """Return the number of a shard from its row's key."""
-    return int(key.removeprefix(SHARD_PREFIX))
-
-
-@dataclass(slots=True)
-class LeaseWatch:
-    """Tells which sessions have been silent for the lease time.
-
-    Attributes:
-        lease_s: The lease time.
-    """
-
-    lease_s: float
-    _seen: dict[str, tuple[int, float]] = field(default_factory=dict)
-
-    def observe(self, rows: list[Row], now_s: float) -> None:
-        """Take the session rows of one scan.
-
-        Args:
-            rows: All session rows.
-            now_s: The watcher's own monotonic time before the scan was sent.
-        """
-        fresh = {}
-        for row in rows:
-            known = self._seen.get(row.key)
-            unchanged = known is not None and known[0] == row.version
-            fresh[row.key] = known if unchanged else (row.version, now_s)
-        self._seen = fresh
-
-    def silent_for_s(self, session: str, now_s: float) -> float:
-        """Return for how long a session's row has been seen unchanged."""
-        known = self._seen.get(session_key(session))
-        return 0.0 if known is None else now_s - known[1]
-
-    def is_expired(self, session: str, now_s: float, *, patience_s: float = 0) -> bool:
-        """Return whether a session may be taken over."""
-        return self.silent_for_s(session, now_s) >= self.lease_s + patience_s
-
-
 @dataclass(frozen=True, slots=True)
 class TableView:
     """Sessions and shards as one scan showed them."""
@@ -421,65 +343,3 @@
             writes=[Write(shard_key(n), content) for n in sorted(numbers)]
         )
         self._last_checkpoint = at
-
-
-class Recovery:
-    """Rebuilds programs of shards from snapshots and journals.
-
-    Each snapshot and each journal is read once, however many shards need it.
-    """
-
-    __slots__ = ("_journals", "_objects", "_snapshots", "_table")
-
-    def __init__(self, table: Table, objects: Objects) -> None:
-        self._table = table
-        self._objects = objects
-        self._snapshots: dict[str, list[Program]] = {}
-        self._journals: dict[str, list[tuple[int, list[Record]]]] = {}
-
-    async def programs(self, rows: dict[int, ShardRow], shards: int) -> list[Program]:
-        """Return the programs of shards.
-
-        Args:
-            rows: The shards' rows by number.
-            shards: Number of shards of the whole system.
-
-        Raises:
-            StoreError: State could not be read.
-        """
-        found: list[Program] = []
-        for number, row in rows.items():
-            book = ProgramBook()
-            for program in await self._snapshot(row.snapshot):
-                if shard_of(program.id, shards) == number:
-                    book.add(program)
-            for span in row.spans:
-                for record in await self._records(span):
-                    if shard_of(record.program, shards) == number:
-                        book.apply(record)
-            found.extend(book.programs)
-        return found
-
-    async def _snapshot(self, key: str) -> list[Program]:
-        if not key:
-            return []
-        if key not in self._snapshots:
-            content = await self._objects.get(key)
-            if content is None:
-                raise StoreError(f"the snapshot {key} is missing")
-            snapshot = msgspec.json.decode(content, type=Snapshot)
-            self._snapshots[key] = snapshot.programs
-        return self._snapshots[key]
-
-    async def _records(self, span: Span) -> list[Record]:
-        if span.session not in self._journals:
-            rows = await self._table.scan(f"{JOURNAL_PREFIX}{span.session}/")
-            self._journals[span.session] = [
-                (chunk_commit(row.key), decode_records(row.value)) for row in rows
-            ]
-        return [
-            record
-            for commit, records in self._journals[span.session]
-            if commit >= span.first and (span.last == 0 or commit <= span.last)
-            for record in records
-        ]
