--- a/src/carobspur/pending.py
+++ b/src/carobspur/pending.py
@@ -1,13 +1,18 @@
-"""Changes that wait for a session's next commit."""
+"""Changes that wait for a session's next commit, and the transactions they go into."""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from .journal import Record
+from .errors import CarobspurError
+from .journal import Record, chunk_key, encode_records
+from .session_row import SessionRow
 from .table import Check, Write
 
+MAX_COMMIT_ROWS = 500
+MAX_COMMIT_RECORDS = 2000
+
 
 @dataclass(slots=True, eq=False)
 class PendingCommit:
@@ -18,6 +23,11 @@
     writes: list[Write]
     done: asyncio.Future[int]
 
+    @property
+    def keys(self) -> set[str]:
+        """Keys of all rows that the changes check or write."""
+        return {item.key for item in (*self.checks, *self.writes)}
+
     def resolve(self, commit: int) -> None:
         """Tell the waiter which commit holds the changes."""
         if not self.done.done():
@@ -28,3 +38,93 @@
         if not self.done.done():
             self.done.set_exception(error)
             self.done.exception()
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One transaction, sent until its fate is known.
+
+    Attributes:
+        row: The session's row as the transaction writes it; its commit number is
+            used for this content only.
+        batch: Changes that go with it.
+        refused: Changes left out of it, with the error that they get once it, and no
+            earlier attempt that held them, took effect.
+        started_s: When it was first sent, on the session's clock.
+    """
+
+    row: SessionRow
+    batch: list[PendingCommit]
+    started_s: float
+    refused: list[tuple[PendingCommit, CarobspurError]] = field(default_factory=list)
+
+    @property
+    def records(self) -> list[Record]:
+        """All records, in order."""
+        return [record for pending in self.batch for record in pending.records]
+
+    @property
+    def checks(self) -> list[Check]:
+        """Conditions of all changes."""
+        return list({check for pending in self.batch for check in pending.checks})
+
+    @property
+    def writes(self) -> list[Write]:
+        """Rows of all changes, the journal's included."""
+        writes = [write for pending in self.batch for write in pending.writes]
+        records = self.records
+        if records:
+            chunk = chunk_key(self.row.id, self.row.commits)
+            writes.append(Write(chunk, encode_records(records)))
+        return writes
+
+    def without(self, number: int, keys: set[str], error: CarobspurError) -> Attempt:
+        """Return the next attempt, without the changes that check some rows."""
+        kept, refused = [], list(self.refused)
+        for pending in self.batch:
+            if keys.isdisjoint(check.key for check in pending.checks):
+                kept.append(pending)
+            else:
+                refused.append((pending, error))
+        return self._next(number, kept, refused)
+
+    def without_any(self, number: int, error: CarobspurError) -> Attempt:
+        """Return the next attempt, with no changes left."""
+        refused = [*self.refused, *((pending, error) for pending in self.batch)]
+        return self._next(number, [], refused)
+
+    def _next(
+        self,
+        number: int,
+        batch: list[PendingCommit],
+        refused: list[tuple[PendingCommit, CarobspurError]],
+    ) -> Attempt:
+        row = SessionRow(**{**_fields(self.row), "commits": number})
+        return Attempt(row, batch, self.started_s, refused)
+
+
+def _fields(row: SessionRow) -> dict[str, object]:
+    return {name: getattr(row, name) for name in row.__struct_fields__}
+
+
+def take_batch(
+    pending: list[PendingCommit],
+) -> tuple[list[PendingCommit], list[PendingCommit]]:
+    """Divide waiting changes into those of the next commit and those that wait on.
+
+    Changes that touch the same row never go together, so that each one's checks see
+    what the one before it wrote.
+
+    Args:
+        pending: Waiting changes in order of their arrival.
+    """
+    batch: list[PendingCommit] = []
+    rest: list[PendingCommit] = []
+    taken: set[str] = set()
+    records = 0
+    for item in pending:
+        fits = len(taken) < MAX_COMMIT_ROWS and records < MAX_COMMIT_RECORDS
+        (batch if fits and taken.isdisjoint(item.keys) else rest).append(item)
+        taken |= item.keys
+        records += len(item.records)
+    return batch, rest
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -15,14 +15,19 @@
 import msgspec
 
 from .clock import Clock
-from .errors import SessionLostError, StoreConflictError, StoreUnavailableError
-from .journal import Record, chunk_key, encode_records
-from .pending import PendingCommit
-from .session_row import SessionRow, decode_session, session_key
-from .table import ABSENT_VERSION, Check, Table, Write
-from .verdict import MAY_HAVE_RUN, NOT_RUN
-
-EPOCH_KEY = "epoch"
+from .errors import (
+    SessionLostError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from .journal import Record
+from .lease import Lease
+from .pending import Attempt, PendingCommit, take_batch
+from .session_row import SessionRow, create_session, decode_session, session_key
+from .table import Check, Table, Write
+from .verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
+
 RENEWALS_PER_LEASE = 4
 RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
@@ -30,13 +35,6 @@
 _logger = logging.getLogger(__name__)
 
 
-async def _next_epoch(table: Table) -> tuple[int, int]:
-    row = await table.read(EPOCH_KEY)
-    if row is None:
-        return 1, ABSENT_VERSION
-    return msgspec.json.decode(row.value, type=int) + 1, row.version
-
-
 class Session:
     """A live session; made by :meth:`open` and ended by :meth:`close`.
 
@@ -45,6 +43,7 @@
         clock: Source of time.
         row: The session's row as it was written.
         version: Version of that row.
+        lease: The session's lease.
         lease_s: Time after which others may take over a session that is silent.
         interval_s: Returns the least time between the starts of two commits.
         on_commit: Called with the records of each commit that took effect, in
@@ -52,15 +51,17 @@
     """
 
     __slots__ = (
+        "_batch",
         "_clock",
-        "_in_doubt",
+        "_doubtful",
         "_interval_s",
         "_is_lost",
         "_last_start_s",
+        "_lease",
         "_lease_s",
+        "_next_commit",
         "_on_commit",
         "_pending",
-        "_renewed_s",
         "_row",
         "_table",
         "_task",
@@ -75,6 +76,7 @@
         clock: Clock,
         row: SessionRow,
         version: int,
+        lease: Lease,
         lease_s: float,
         interval_s: Callable[[], float],
         on_commit: Callable[[list[Record]], None],
@@ -87,10 +89,12 @@
         self._interval_s = interval_s
         self._on_commit = on_commit
         self._pending: list[PendingCommit] = []
+        self._batch: list[PendingCommit] = []
+        self._doubtful: list[Attempt] = []
+        self._next_commit = row.commits + 1
         self._wake = asyncio.Event()
-        self._renewed_s = clock.monotonic()
-        self._last_start_s = clock.monotonic()
-        self._in_doubt = False
+        self._lease = lease
+        self._last_start_s = float("-inf")
         self._is_lost = False
         self._task: asyncio.Task[None] | None = None
 
@@ -113,42 +117,28 @@
     ) -> Session:
         """Write a new session's row and start renewing it.
 
+        Where the answer is lost, the row may stand although nobody renews it; others
+        take it for a session only once it has made a commit.
+
         Raises:
             StoreUnavailableError: The table service did not answer.
         """
-        while True:
-            epoch, epoch_version = await _next_epoch(table)
-            row = SessionRow(
-                id=f"s{epoch:08d}",
-                epoch=epoch,
-                instance=instance,
-                host=host,
-                port=port,
-                data_centre=data_centre,
-            )
-            try:
-                version = await table.commit(
-                    [
-                        Check(EPOCH_KEY, epoch_version),
-                        Check(session_key(row.id), ABSENT_VERSION),
-                    ],
-                    [
-                        Write(EPOCH_KEY, msgspec.json.encode(epoch)),
-                        Write(session_key(row.id), msgspec.json.encode(row)),
-                    ],
-                )
-                break
-            except StoreConflictError:
-                continue
+        row, version, opened_s = await create_session(
+            table,
+            clock,
+            SessionRow("", 0, instance, host, port, data_centre),
+        )
         session = cls(
             table=table,
             clock=clock,
             row=row,
             version=version,
+            lease=Lease(clock, lease_s, opened_s),
             lease_s=lease_s,
             interval_s=interval_s,
             on_commit=on_commit,
         )
+        session._wake.set()
         session._task = asyncio.ensure_future(session._run())
         return session
 
@@ -175,17 +165,22 @@
     @property
     def is_in_doubt(self) -> bool:
         """Whether a commit is under way whose effect is not known."""
-        return self._in_doubt
+        return bool(self._doubtful)
 
     @property
     def lease_age_s(self) -> float:
-        """Seconds since the start of the last commit that took effect."""
-        return self._clock.monotonic() - self._renewed_s
+        """Seconds since the last commit that took effect was sent."""
+        return self._lease.age_s
 
     @property
     def has_lease(self) -> bool:
         """Whether nobody can have taken the session over yet."""
-        return not self._is_lost and self.lease_age_s < self._lease_s
+        return not self._is_lost and self._lease.is_held
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether it may have been taken over in a pause; see :class:`Lease`."""
+        return self._is_lost or self._lease.is_stale
 
     async def commit(
         self,
@@ -226,29 +221,39 @@
         self._wake.set()
 
     async def close(self) -> None:
-        """Stop renewing and delete the session's row if it is still ours."""
+        """Commit what waits, stop renewing, delete the row if it is still ours."""
+        await self._flush()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        if self._is_lost or self._in_doubt:
+        was_lost, batch = self._is_lost, self._batch
+        self._lose(MAY_HAVE_RUN, batch)
+        if was_lost:
             return
         key = session_key(self.id)
         try:
             await self._table.commit([Check(key, self._version)], [Write(key, None)])
         except (StoreConflictError, StoreUnavailableError) as error:
             _logger.warning("session row was not deleted: %s", error.message)
-        self._lose(NOT_RUN, [])
+
+    async def _flush(self) -> None:
+        waiting = [item.done for item in (*self._batch, *self._pending)]
+        if waiting and not self._is_lost:
+            await asyncio.wait(waiting, timeout=self._lease_s)
 
     async def _run(self) -> None:
         while not self._is_lost:
             await self._wait_for_turn()
-            batch, self._pending = self._pending, []
             self._wake.clear()
+            self._batch, self._pending = take_batch(self._pending)
+            if self._pending:
+                self._wake.set()
             try:
-                await self._commit_batch(batch)
+                await self._commit_batch(self._batch)
             except Exception:
                 _logger.exception("committing failed; giving the session up")
-                self._lose(MAY_HAVE_RUN, batch)
+                self._lose(MAY_HAVE_RUN, self._batch)
+            self._batch = []
 
     async def _wait_for_turn(self) -> None:
         renewal_s = self._lease_s / RENEWALS_PER_LEASE
@@ -260,73 +265,88 @@
         if wait_s > 0:
             await self._clock.sleep(min(wait_s, renewal_s))
 
+    def _number(self) -> int:
+        number = self._next_commit
+        self._next_commit += 1
+        return number
+
     async def _commit_batch(self, batch: list[PendingCommit]) -> None:
-        """Commit a batch, retrying the same transaction until its fate is known."""
+        """Commit a batch, retrying until it is known what took effect."""
         delay_s = RETRY_DELAY_S
-        while batch is not None:
+        row = msgspec.structs.replace(self._row, commits=self._number())
+        attempt = Attempt(row, batch, self._clock.monotonic())
+        while True:
             self._last_start_s = self._clock.monotonic()
-            row = msgspec.structs.replace(self._row, commits=self._row.commits + 1)
             try:
-                version = await self._try_commit(row, batch)
+                version = await self._send(attempt)
             except StoreConflictError as conflict:
-                rest = await self._after_conflict(conflict, row, batch)
-                if rest is None:
+                if session_key(self.id) in conflict.keys:
+                    await self._settle()
                     return
-                batch = rest
+                keys = set(conflict.keys)
+                attempt = attempt.without(self._number(), keys, conflict)
+                attempt.started_s = self._clock.monotonic()
             except StoreUnavailableError as error:
-                self._in_doubt = self._in_doubt or error.verdict != NOT_RUN
-                _logger.warning("commit %d unanswered: %s", row.commits, error.message)
+                self._note_unanswered(attempt, error)
                 await self._clock.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+            except StoreError as error:
+                attempt = self._after_rejection(attempt, error)
             else:
-                self._took_effect(row, version, batch)
+                self._took_effect(attempt, version, self._last_start_s)
                 return
 
-    async def _try_commit(self, row: SessionRow, batch: list[PendingCommit]) -> int:
+    async def _send(self, attempt: Attempt) -> int:
         key = session_key(self.id)
-        checks = [Check(key, self._version)]
-        writes = [Write(key, msgspec.json.encode(row))]
-        records: list[Record] = []
-        for pending in batch:
-            records.extend(pending.records)
-            checks.extend(pending.checks)
-            writes.extend(pending.writes)
-        if records:
-            chunk = chunk_key(self.id, row.commits)
-            writes.append(Write(chunk, encode_records(records)))
-        return await self._table.commit(checks, writes)
+        checks = [Check(key, self._version), *attempt.checks]
+        writes = [Write(key, msgspec.json.encode(attempt.row)), *attempt.writes]
+        limit_s = self._lease_s / RENEWALS_PER_LEASE
+        try:
+            return await asyncio.wait_for(self._table.commit(checks, writes), limit_s)
+        except TimeoutError as error:
+            raise StoreUnavailableError(f"no answer in {limit_s:g} s") from error
 
-    def _took_effect(
-        self, row: SessionRow, version: int, batch: list[PendingCommit]
-    ) -> None:
-        self._in_doubt = False
-        self._row = msgspec.structs.replace(row, leaving=self._row.leaving)
+    def _note_unanswered(self, attempt: Attempt, error: StoreUnavailableError) -> None:
+        self._lease.note_unanswered(self._last_start_s)
+        if error.verdict != NOT_RUN and attempt not in self._doubtful:
+            self._doubtful.append(attempt)
+        number = attempt.row.commits
+        _logger.warning("commit %d unanswered: %s", number, error.message)
+
+    def _after_rejection(self, attempt: Attempt, error: StoreError) -> Attempt:
+        """Return the next attempt after the table refused to take a transaction.
+
+        Changes are tried in halves, so that only the one that is at fault fails.
+        """
+        if not attempt.batch:
+            raise error
+        if self._doubtful or len(attempt.batch) == 1:
+            attempt = attempt.without_any(self._number(), error)
+        else:
+            half = len(attempt.batch) // 2
+            self._pending = attempt.batch[half:] + self._pending
+            self._batch = attempt.batch[:half]
+            self._wake.set()
+            row = msgspec.structs.replace(attempt.row, commits=self._number())
+            attempt = Attempt(row, self._batch, 0.0, attempt.refused)
+        attempt.started_s = self._clock.monotonic()
+        return attempt
+
+    def _took_effect(self, attempt: Attempt, version: int, sent_s: float) -> None:
+        self._doubtful.clear()
+        self._row = msgspec.structs.replace(attempt.row, leaving=self._row.leaving)
         self._version = version
-        self._renewed_s = self._last_start_s
-        records = [record for pending in batch for record in pending.records]
+        self._lease.renew(sent_s)
+        records = attempt.records
         if records:
             self._on_commit(records)
-        for pending in batch:
-            pending.resolve(row.commits)
-
-    async def _after_conflict(
-        self, conflict: StoreConflictError, row: SessionRow, batch: list[PendingCommit]
-    ) -> list[PendingCommit] | None:
-        """Return what is left to commit, or ``None`` where the batch is settled."""
-        if session_key(self.id) in conflict.keys:
-            await self._settle(row, batch)
-            return None
-        failed = set(conflict.keys)
-        rest = []
-        for pending in batch:
-            if failed.isdisjoint(check.key for check in pending.checks):
-                rest.append(pending)
-            else:
-                pending.fail(conflict)
-        return rest
+        for pending, error in attempt.refused:
+            pending.fail(error)
+        for pending in attempt.batch:
+            pending.resolve(attempt.row.commits)
 
-    async def _settle(self, row: SessionRow, batch: list[PendingCommit]) -> None:
-        """Find out from our row whether an unanswered commit took effect."""
+    async def _settle(self) -> None:
+        """Find out from our row which unanswered attempt took effect, if any."""
         delay_s = RETRY_DELAY_S
         while True:
             try:
@@ -335,21 +355,21 @@
             except StoreUnavailableError:
                 await self._clock.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
-        if stored is not None and self._in_doubt:
-            content = decode_session(stored)
-            if content.commits == row.commits:
-                self._took_effect(row, stored.version, batch)
-                return
-        self._lose(MAY_HAVE_RUN if self._in_doubt else NOT_RUN, batch)
+        if stored is not None:
+            number = decode_session(stored).commits
+            for attempt in self._doubtful:
+                if attempt.row.commits == number:
+                    self._took_effect(attempt, stored.version, attempt.started_s)
+                    return
+        self._lose(MAY_HAVE_RUN if self._doubtful else NOT_RUN, self._batch)
 
-    def _lose(self, verdict: object, batch: list[PendingCommit]) -> None:
+    def _lose(self, verdict: Verdict, batch: list[PendingCommit]) -> None:
         self._is_lost = True
+        message = f"session {self.id} was taken over"
         for pending in batch:
-            pending.fail(
-                SessionLostError(f"session {self.id} was taken over", verdict=verdict)
-            )
+            pending.fail(SessionLostError(message, verdict=verdict))
         for pending in self._pending:
-            pending.fail(SessionLostError(f"session {self.id} was taken over"))
+            pending.fail(SessionLostError(message))
         self._pending.clear()
 
 
--- a/src/carobspur/session_row.py
+++ b/src/carobspur/session_row.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
-from .table import Row
+from .clock import Clock
+from .errors import StoreConflictError
+from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 SESSION_PREFIX = "session/"
+EPOCH_KEY = "epoch"
 
 
 class SessionRow(msgspec.Struct, frozen=True):
@@ -41,3 +44,42 @@
 def decode_session(row: Row) -> SessionRow:
     """Read a session's row."""
     return msgspec.json.decode(row.value, type=SessionRow)
+
+
+async def create_session(
+    table: Table, clock: Clock, row: SessionRow
+) -> tuple[SessionRow, int, float]:
+    """Write the row of a new session.
+
+    Args:
+        table: The table service.
+        clock: Source of time.
+        row: The row; its id and epoch are filled in.
+
+    Returns:
+        The row as written, its version, and when its commit was sent.
+
+    Raises:
+        StoreUnavailableError: No answer; the row may have been written.
+    """
+    while True:
+        epoch, epoch_version = await _next_epoch(table)
+        row = msgspec.structs.replace(row, id=f"s{epoch:08d}", epoch=epoch)
+        key = session_key(row.id)
+        checks = [Check(EPOCH_KEY, epoch_version), Check(key, ABSENT_VERSION)]
+        writes = [
+            Write(EPOCH_KEY, msgspec.json.encode(epoch)),
+            Write(key, msgspec.json.encode(row)),
+        ]
+        sent_s = clock.monotonic()
+        try:
+            return row, await table.commit(checks, writes), sent_s
+        except StoreConflictError:
+            continue
+
+
+async def _next_epoch(table: Table) -> tuple[int, int]:
+    row = await table.read(EPOCH_KEY)
+    if row is None:
+        return 1, ABSENT_VERSION
+    return msgspec.json.decode(row.value, type=int) + 1, row.version
--- a/src/carobspur_standins/table.py
+++ b/src/carobspur_standins/table.py
@@ -48,6 +48,10 @@
 
     async def commit(self, checks: list[Check], writes: list[Write]) -> int:
         """Write all rows if all checks hold."""
+        return self.apply(checks, writes)
+
+    def apply(self, checks: list[Check], writes: list[Write]) -> int:
+        """Write all rows if all checks hold, at once."""
         failed = [item.key for item in checks if not self._holds(item)]
         if failed:
             keys = tuple(failed)
--- /dev/null
+++ b/tests/faulty_table.py
@@ -0,0 +1,77 @@
+"""A table with one fault for each commit, and with transactions that arrive late."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from enum import StrEnum
+
+from carobspur.errors import StoreConflictError, StoreUnavailableError
+from carobspur.table import Check, Row, Write
+from carobspur.verdict import NOT_RUN
+from carobspur_standins.table import MemoryTable
+
+
+class CommitFault(StrEnum):
+    """What becomes of a commit.
+
+    ``REFUSED`` is known not to have run; ``DROPPED`` never arrives; ``LATE`` arrives
+    when :meth:`FaultyTable.deliver_late` is called; ``ANSWER_LOST`` takes effect.
+    """
+
+    NONE = "none"
+    REFUSED = "refused"
+    DROPPED = "dropped"
+    LATE = "late"
+    ANSWER_LOST = "answer_lost"
+
+
+class FaultyTable:
+    """Wraps a table; ``fault`` picks the fault of each commit."""
+
+    def __init__(self, inner: MemoryTable) -> None:
+        self.inner = inner
+        self.is_down = False
+        self.fault: Callable[[list[Write]], CommitFault] = lambda w: CommitFault.NONE
+        self.late: list[tuple[list[Check], list[Write]]] = []
+
+    async def commit(self, checks: list[Check], writes: list[Write]) -> int:
+        """Commit under the fault that was picked."""
+        fault = CommitFault.REFUSED if self.is_down else self.fault(writes)
+        match fault:
+            case CommitFault.REFUSED:
+                raise StoreUnavailableError("refused", verdict=NOT_RUN)
+            case CommitFault.LATE:
+                self.late.append((checks, writes))
+            case CommitFault.ANSWER_LOST:
+                await self.inner.commit(checks, writes)
+            case CommitFault.NONE:
+                return await self.inner.commit(checks, writes)
+        raise StoreUnavailableError("no answer")
+
+    def deliver_late(self) -> None:
+        """Let the transactions that are still under way arrive."""
+        late, self.late = self.late, []
+        for checks, writes in late:
+            with suppress(StoreConflictError):
+                self.inner.apply(checks, writes)
+
+    async def read(self, key: str) -> Row | None:
+        """Read a row."""
+        self._require_up()
+        return await self.inner.read(key)
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Scan rows."""
+        self._require_up()
+        return await self.inner.scan(prefix)
+
+    def _require_up(self) -> None:
+        if self.is_down:
+            raise StoreUnavailableError("down")
+
+
+def faults_in_order(*faults: CommitFault) -> Callable[[list[Write]], CommitFault]:
+    """Return a picker that gives these faults in order and then none."""
+    left = list(faults)
+    return lambda writes: left.pop(0) if left else CommitFault.NONE
