Session: one way to read a row until the table answers

Cause: the same retry loop stood in two places with hand-made delays; Backoff has it. Ruled out: leaving it, since the keeper needs the same.

--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -24,13 +24,20 @@
 from .lease import Lease
 from .pacing import CommitPacer
 from .pending import Attempt, PendingCommit, take_batch
-from .session_row import SessionRow, create_session, decode_session, session_key
+from .retry import Backoff
+from .session_row import (
+    MAX_RETRY_DELAY_S,
+    RETRY_DELAY_S,
+    SessionRow,
+    create_session,
+    decode_session,
+    read_until_answered,
+    session_key,
+)
 from .table import Check, Table, Write
 from .verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
 
 RENEWALS_PER_LEASE = 4
-RETRY_DELAY_S = 0.1
-MAX_RETRY_DELAY_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -273,7 +280,7 @@
 
     async def _commit_batch(self, batch: list[PendingCommit]) -> None:
         """Commit a batch, retrying until it is known what took effect."""
-        delay_s = RETRY_DELAY_S
+        backoff = Backoff(first_s=RETRY_DELAY_S, max_s=MAX_RETRY_DELAY_S)
         row = msgspec.structs.replace(self._row, commits=self._number())
         attempt = Attempt(row, batch, self._clock.monotonic())
         while True:
@@ -290,8 +297,7 @@
                 attempt.started_s = self._clock.monotonic()
             except StoreUnavailableError as error:
                 self._note_unanswered(attempt, error)
-                await self._clock.sleep(delay_s)
-                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+                await self._clock.sleep(backoff.next_s())
             except StoreError as error:
                 attempt = self._after_rejection(attempt, error)
             else:
@@ -346,14 +352,7 @@
 
     async def _settle(self) -> None:
         """Find out from our row which unanswered attempt took effect, if any."""
-        delay_s = RETRY_DELAY_S
-        while True:
-            try:
-                stored = await self._table.read(session_key(self.id))
-                break
-            except StoreUnavailableError:
-                await self._clock.sleep(delay_s)
-                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+        stored = await read_until_answered(self._table, self._clock, self.id)
         if stored is not None:
             number = decode_session(stored).commits
             for attempt in self._doubtful:
--- a/src/carobspur/session_row.py
+++ b/src/carobspur/session_row.py
@@ -5,11 +5,14 @@
 import msgspec
 
 from .clock import Clock
-from .errors import StoreConflictError
+from .errors import StoreConflictError, StoreUnavailableError
+from .retry import Backoff
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 SESSION_PREFIX = "session/"
 EPOCH_KEY = "epoch"
+RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
 
 
 class SessionRow(msgspec.Struct, frozen=True):
@@ -78,6 +81,16 @@
             continue
 
 
+async def read_until_answered(table: Table, clock: Clock, session: str) -> Row | None:
+    """Return a session's row, asking again until the table answers."""
+    backoff = Backoff(first_s=RETRY_DELAY_S, max_s=MAX_RETRY_DELAY_S)
+    while True:
+        try:
+            return await table.read(session_key(session))
+        except StoreUnavailableError:
+            await clock.sleep(backoff.next_s())
+
+
 async def _next_epoch(table: Table) -> tuple[int, int]:
     row = await table.read(EPOCH_KEY)
     if row is None:
