--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -227,6 +227,7 @@
             self._book.apply(record)
         PROGRAMS.set(len(self._book))
         if self._keeper is not None:
+            self._keeper.note(records)
             SHARDS.set(len(self._keeper.owned))
 
     def _requester(self, caller: Any) -> Requester:
