Engine stand-in: common batch steps, cache accounting, resume, KV moves, events

Cause: the policies need an engine whose prefill and decode compete, whose memory is counted, and whose reports are late; the old one ran every call on its own timer. Ruled out: a timer for each call (prefill then costs the other calls nothing, and one wake-up a token); keys by content alone (two programs with equal words shared an entry). Conclusion: events are at GET /v1/events?after=N, what is held at GET /v1/cache, sums for the measure at GET /v1/account; messages are in engine_messages.py.

--- a/src/carobspur/endpoints.py
+++ b/src/carobspur/endpoints.py
@@ -49,6 +49,7 @@
         append: The new part.
         max_tokens: Most tokens to generate.
         priority: Lower values go first.
+        hold_s: Seconds for which the engine holds the longer history afterwards.
     """
 
     call_id: str
@@ -60,6 +61,7 @@
     append: str
     max_tokens: int
     priority: int = 0
+    hold_s: float = 0.0
 
 
 class GenerateResult(msgspec.Struct, frozen=True):
--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass
 
 import msgspec
 
@@ -15,84 +14,26 @@
     count_tokens,
     extend_prefix_key,
 )
+from carobspur.engine_messages import (
+    EngineAccount,
+    EngineOrder,
+    EngineOrderKind,
+    KvImage,
+)
 from carobspur.holder import HoldOrder
 from carobspur.http import HttpResponse
 from carobspur.sse import Event, encode_event
 
 from .app import Emit, Request, json_response
+from .batch import Batch, Generation, Speed
+from .kv_cache import EventFeed, PrefixCache
 
 CANCEL_PATH = "/v1/cancel/"
+HTTP_NOT_FOUND = 404
 HTTP_PREFIX_LOST = 409
 HTTP_FENCED = 412
-
-
-@dataclass(slots=True)
-class _CacheEntry:
-    """A history in the cache."""
-
-    program: str
-    tokens: int
-    held_until_s: float = 0.0
-
-
-class PrefixCache:
-    """Histories by key, least recently used first, within a number of tokens.
-
-    Args:
-        capacity: Most tokens that are kept.
-    """
-
-    __slots__ = ("_capacity", "_entries", "_used")
-
-    def __init__(self, capacity: int) -> None:
-        self._capacity = capacity
-        self._entries: OrderedDict[str, _CacheEntry] = OrderedDict()
-        self._used = 0
-
-    @property
-    def used(self) -> int:
-        """Tokens that are kept."""
-        return self._used
-
-    def find(self, key: str) -> _CacheEntry | None:
-        """Return a history's entry and make it the most recently used."""
-        if key in self._entries:
-            self._entries.move_to_end(key)
-        return self._entries.get(key)
-
-    def replace(
-        self, old_key: str, key: str, program: str, tokens: int, now_s: float
-    ) -> None:
-        """Keep a history instead of the shorter one that it continues."""
-        self._remove(old_key)
-        self._remove(key)
-        self._entries[key] = _CacheEntry(program, tokens)
-        self._used += tokens
-        self._evict(now_s)
-
-    def hold(self, key: str, until_s: float) -> None:
-        """Keep a history until a time, whatever else comes."""
-        entry = self._entries.get(key)
-        if entry is not None:
-            entry.held_until_s = until_s
-
-    def release(self, program: str, key: str) -> None:
-        """Forget one history of a program, or all where no key is given."""
-        for known, entry in list(self._entries.items()):
-            if entry.program == program and key in ("", known):
-                self._remove(known)
-
-    def _remove(self, key: str) -> None:
-        entry = self._entries.pop(key, None)
-        if entry is not None:
-            self._used -= entry.tokens
-
-    def _evict(self, now_s: float) -> None:
-        for key, entry in list(self._entries.items()):
-            if self._used <= self._capacity:
-                return
-            if entry.held_until_s <= now_s:
-                self._remove(key)
+KEPT_GENERATIONS = 2000
+LEAVING_ROLE = "leaving"
 
 
 class ModelEngine:
@@ -102,8 +43,16 @@
         kv_tokens: Capacity of the prefix cache.
         batch: Calls that run at once; more wait.
         prefill_tokens_per_s: Speed of reading input.
-        decode_tokens_per_s: Speed of generating for one call.
+        decode_tokens_per_s: Speed of generating for a call that runs alone.
         checks_fencing: Whether orders with an old fencing number are refused.
+        batch_slowdown: Share by which each further call slows a decode step.
+        step_tokens: Tokens generated in one decode step.
+        transfer_tokens_per_s: Speed of KV export and import.
+        order_s: Seconds that loading a model, adapter or version takes.
+        load_lag_s: Age up to which a load report may be out of date.
+        event_delay_s: Age at which cache events are published.
+        event_loss: Share of cache events that are never published.
+        seed: Seed of the losses.
     """
 
     def __init__(
@@ -114,19 +63,38 @@
         prefill_tokens_per_s: float = 5000.0,
         decode_tokens_per_s: float = 50.0,
         checks_fencing: bool = False,
+        batch_slowdown: float = 0.0,
+        step_tokens: int = 1,
+        transfer_tokens_per_s: float = 50_000.0,
+        order_s: float = 0.5,
+        load_lag_s: float = 0.0,
+        event_delay_s: float = 0.0,
+        event_loss: float = 0.0,
+        seed: int | None = None,
     ) -> None:
-        self._cache = PrefixCache(kv_tokens)
-        self._kv_tokens = kv_tokens
-        self._places = asyncio.Semaphore(batch)
-        self._prefill_tokens_per_s = prefill_tokens_per_s
-        self._decode_tokens_per_s = decode_tokens_per_s
+        self._speed = Speed(
+            prefill_tokens_per_s,
+            decode_tokens_per_s,
+            batch,
+            batch_slowdown,
+            step_tokens,
+        )
+        self._feed = EventFeed(_now, delay_s=event_delay_s, loss=event_loss, seed=seed)
+        self._cache = PrefixCache(kv_tokens, _now, self._feed)
+        self._batch = Batch(self._speed, self._remember)
         self._checks_fencing = checks_fencing
+        self._transfer_tokens_per_s = transfer_tokens_per_s
+        self._order_s = order_s
+        self._load_lag_s = load_lag_s
+        self._load = EngineLoad(kv_capacity_tokens=kv_tokens)
+        self._load_s = float("-inf")
         self._highest_fence = 0
-        self._running = 0
-        self._waiting = 0
-        self._cancelled: set[str] = set()
+        self._generations: OrderedDict[str, Generation] = OrderedDict()
+        self._orders: dict[EngineOrderKind, list[str]] = {}
         self.calls = 0
         self.recomputed_tokens = 0
+        self.prefilled_tokens = 0
+        self.generated_tokens = 0
 
     @property
     def cache(self) -> PrefixCache:
@@ -140,78 +108,171 @@
                 order = msgspec.json.decode(request.body, type=GenerateRequest)
                 return await self._generate(order, emit)
             case "/v1/holds":
-                order = msgspec.json.decode(request.body, type=HoldOrder)
-                return self._hold(order)
-            case "/v1/load":
-                return json_response(self._load())
+                return self._hold(msgspec.json.decode(request.body, type=HoldOrder))
+            case "/v1/kv/export":
+                return await self._export(_image(request))
+            case "/v1/kv/import":
+                return await self._import(_image(request))
+            case "/v1/orders":
+                order = msgspec.json.decode(request.body, type=EngineOrder)
+                return await self._obey(order)
         if request.path.startswith(CANCEL_PATH):
-            self._cancelled.add(request.path.removeprefix(CANCEL_PATH))
-            return HttpResponse(204, b"")
-        return HttpResponse(404, b"")
+            return self._cancel(request.path.removeprefix(CANCEL_PATH))
+        return self._report(request)
 
-    def _load(self) -> EngineLoad:
-        return EngineLoad(
-            self._running, self._waiting, self._cache.used, self._kv_tokens
+    def _report(self, request: Request) -> HttpResponse:
+        match request.path:
+            case "/v1/load":
+                return json_response(self._lagging_load())
+            case "/v1/events":
+                return json_response(
+                    self._feed.after(int(request.query.get("after", "0")))
+                )
+            case "/v1/cache":
+                return json_response(self._cache.histories)
+            case "/v1/orders":
+                return json_response(self._orders)
+            case "/v1/account":
+                return json_response(self.account())
+        return HttpResponse(HTTP_NOT_FOUND, b"")
+
+    def account(self) -> EngineAccount:
+        """Return the sums that the measures need."""
+        return EngineAccount(
+            idle_token_s=self._cache.idle_token_s(),
+            recomputed_tokens=self.recomputed_tokens,
+            prefilled_tokens=self.prefilled_tokens,
+            generated_tokens=self.generated_tokens,
+            calls=self.calls,
+            kv_tokens=self._cache.capacity,
+            prefill_tokens_per_s=self._speed.prefill_tokens_per_s,
         )
 
+    def _lagging_load(self) -> EngineLoad:
+        if _now() - self._load_s >= self._load_lag_s:
+            roles = self._orders.get(EngineOrderKind.ROLE, [""])
+            self._load = EngineLoad(
+                self._batch.running,
+                self._batch.waiting,
+                self._cache.used + self._batch.running_tokens,
+                self._cache.capacity,
+                leaving=roles[-1] == LEAVING_ROLE,
+            )
+            self._load_s = _now()
+        return self._load
+
+    def _is_fenced_off(self, fence: int) -> bool:
+        if self._checks_fencing and fence < self._highest_fence:
+            return True
+        self._highest_fence = max(self._highest_fence, fence)
+        return False
+
     def _hold(self, order: HoldOrder) -> HttpResponse:
-        if self._checks_fencing and order.fence < self._highest_fence:
+        if self._is_fenced_off(order.fence):
             return HttpResponse(HTTP_FENCED, b"")
-        self._highest_fence = max(self._highest_fence, order.fence)
         if order.ttl_s > 0:
-            now_s = asyncio.get_event_loop().time()
-            self._cache.hold(order.key, now_s + order.ttl_s)
+            self._cache.hold(order.program, order.key, _now() + order.ttl_s)
         else:
             self._cache.release(order.program, order.key)
         return HttpResponse(204, b"")
 
+    async def _export(self, image: KvImage) -> HttpResponse:
+        entry = self._cache.find(image.program, image.key)
+        if entry is None:
+            return HttpResponse(HTTP_NOT_FOUND, b"")
+        await asyncio.sleep(entry.tokens / self._transfer_tokens_per_s)
+        return json_response(msgspec.structs.replace(image, tokens=entry.tokens))
+
+    async def _import(self, image: KvImage) -> HttpResponse:
+        if self._is_fenced_off(image.fence):
+            return HttpResponse(HTTP_FENCED, b"")
+        await asyncio.sleep(image.tokens / self._transfer_tokens_per_s)
+        self._cache.make_room(image.tokens + self._batch.running_tokens)
+        self._cache.put(image.program, image.key, image.tokens, image.ttl_s)
+        return HttpResponse(204, b"")
+
+    async def _obey(self, order: EngineOrder) -> HttpResponse:
+        if self._is_fenced_off(order.fence):
+            return HttpResponse(HTTP_FENCED, b"")
+        if order.kind != EngineOrderKind.ROLE:
+            await asyncio.sleep(self._order_s)
+        self._orders.setdefault(order.kind, []).append(order.name)
+        return HttpResponse(204, b"")
+
+    def _cancel(self, call: str) -> HttpResponse:
+        generation = self._generations.get(call)
+        if generation is not None:
+            generation.is_cancelled = True
+        return HttpResponse(204, b"")
+
     async def _generate(self, order: GenerateRequest, emit: Emit) -> HttpResponse:
-        cached = self._cache.find(order.prefix_key) if order.prefix_key else None
-        if order.prefix_key and cached is None and not order.history:
-            return HttpResponse(HTTP_PREFIX_LOST, b"")
-        self._waiting += 1
-        try:
-            await self._places.acquire()
-        finally:
-            self._waiting -= 1
-        self._running += 1
-        try:
-            return await self._run(order, cached is not None, emit)
-        finally:
-            self._running -= 1
-            self._places.release()
-
-    async def _run(
-        self, order: GenerateRequest, is_cached: bool, emit: Emit
-    ) -> HttpResponse:
-        self.calls += 1
+        generation = self._generations.get(order.call_id)
+        if generation is None or not _is_resumed_by(generation, order):
+            cached = self._cache.take(order.program, order.prefix_key)
+            if order.prefix_key and cached is None and not order.history:
+                return HttpResponse(HTTP_PREFIX_LOST, b"")
+            found = order.prefix_tokens if cached else 0
+            generation = self._start(order, found)
+
+        def _emit_words(number: int, text: str) -> None:
+            data = msgspec.json.encode(text)
+            emit(encode_event(Event("token", data, str(number))))
+
+        await generation.follow(_emit_words)
+        emit(encode_event(Event("done", msgspec.json.encode(_result(generation)))))
+        return HttpResponse(200, b"")
+
+    def _start(self, order: GenerateRequest, cached_tokens: int) -> Generation:
+        missing = order.prefix_tokens - cached_tokens
         new_tokens = count_tokens(order.append)
-        missing = 0 if is_cached else order.prefix_tokens
+        prefill = missing + new_tokens
+        tokens = order.prefix_tokens + new_tokens + order.max_tokens
+        self.calls += 1
         self.recomputed_tokens += missing
-        await asyncio.sleep((missing + new_tokens) / self._prefill_tokens_per_s)
-        words = []
-        for index in range(order.max_tokens):
-            if order.call_id in self._cancelled:
-                break
-            await asyncio.sleep(1 / self._decode_tokens_per_s)
-            words.append(f"w{index}")
-            data = msgspec.json.encode(words[-1] + " ")
-            emit(encode_event(Event("token", data, str(index + 1))))
-        text = " ".join(words)
-        self._remember(order, text, new_tokens, len(words))
-        result = GenerateResult(
-            text=text,
-            output_tokens=len(words),
-            prompt_tokens=order.prefix_tokens + new_tokens,
-            cached_tokens=order.prefix_tokens if is_cached else 0,
+        self.prefilled_tokens += prefill
+        generation = Generation(order, cached_tokens, prefill, tokens)
+        self._generations[order.call_id] = generation
+        if len(self._generations) > KEPT_GENERATIONS:
+            self._generations.popitem(last=False)
+        self._batch.add(generation)
+        self._cache.make_room(self._batch.running_tokens)
+        return generation
+
+    def _remember(self, generation: Generation) -> None:
+        order = generation.order
+        self.generated_tokens += len(generation.words)
+        if generation.is_cancelled:
+            if generation.cached_tokens:
+                self._cache.put(order.program, order.prefix_key, order.prefix_tokens)
+            return
+        key = extend_prefix_key(
+            order.prefix_key, order.append, " ".join(generation.words)
         )
-        emit(encode_event(Event("done", msgspec.json.encode(result))))
-        return HttpResponse(200, b"")
+        new_tokens = count_tokens(order.append) + len(generation.words)
+        tokens = order.prefix_tokens + new_tokens
+        self._cache.make_room(tokens + self._batch.running_tokens)
+        self._cache.put(order.program, key, tokens, order.hold_s)
 
-    def _remember(
-        self, order: GenerateRequest, text: str, new_tokens: int, output_tokens: int
-    ) -> None:
-        key = extend_prefix_key(order.prefix_key, order.append, text)
-        tokens = order.prefix_tokens + new_tokens + output_tokens
-        now_s = asyncio.get_event_loop().time()
-        self._cache.replace(order.prefix_key, key, order.program, tokens, now_s)
+
+def _now() -> float:
+    return asyncio.get_event_loop().time()
+
+
+def _image(request: Request) -> KvImage:
+    return msgspec.json.decode(request.body, type=KvImage)
+
+
+def _is_resumed_by(generation: Generation, order: GenerateRequest) -> bool:
+    known = generation.order
+    is_same = (known.prefix_key, known.append) == (order.prefix_key, order.append)
+    return is_same and not generation.is_cancelled
+
+
+def _result(generation: Generation) -> GenerateResult:
+    order = generation.order
+    return GenerateResult(
+        text=" ".join(generation.words),
+        output_tokens=len(generation.words),
+        prompt_tokens=order.prefix_tokens + count_tokens(order.append),
+        cached_tokens=generation.cached_tokens,
+    )
--- a/src/carobspur_standins/main.py
+++ b/src/carobspur_standins/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from typing import Any
 
 import fire
 
@@ -46,28 +47,9 @@
             port,
         )
 
-    def engine(
-        self,
-        port: int,
-        host: str = "127.0.0.1",
-        kv_tokens: int = 100_000,
-        batch: int = 8,
-        prefill_tokens_per_s: float = 5000.0,
-        decode_tokens_per_s: float = 50.0,
-        checks_fencing: bool = False,
-    ) -> None:
-        """Run a model engine."""
-        _run(
-            lambda: ModelEngine(
-                kv_tokens=kv_tokens,
-                batch=batch,
-                prefill_tokens_per_s=prefill_tokens_per_s,
-                decode_tokens_per_s=decode_tokens_per_s,
-                checks_fencing=checks_fencing,
-            ),
-            host,
-            port,
-        )
+    def engine(self, port: int, host: str = "127.0.0.1", **options: Any) -> None:
+        """Run a model engine; options as :class:`.engine.ModelEngine` takes them."""
+        _run(lambda: ModelEngine(**options), host, port)
 
 
 def _run(build: type[Standin], host: str, port: int) -> None:
