carobspur-load: seeded programs, open-loop driver, report, virtual-time comparison

Ruled out: closed-loop callers (a slow system thins out its own samples); timing the policy trials by real processes alone (10 cores shared by six; virtual time gives the same figures for the same seed, and 8 runs of 40 s in about 30 s).

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module is a command of its own, short and bounded in time."""
--- /dev/null
+++ b/experiments/virtual_world.py
@@ -0,0 +1,137 @@
+"""A whole deployment in one process under virtual time, driven by the load tool.
+
+Timing on a shared machine does not reach these runs: the same seed gives the same
+figures. They contain no processor time, so the cost of the own path is not in them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from urllib.parse import urlsplit
+
+import msgspec
+from tests import builders
+from tests.world import World, _serve
+
+from carobspur.http import HttpError, HttpRequest, HttpResponse
+from carobspur.inventory import Allowance, Engine, Inventory, Key, Role, parse_inventory
+from carobspur.load_driver import Target
+from carobspur.verdict import NOT_RUN
+from carobspur.workload import EngineSpeed, Workload
+from carobspur_standins.engine import ModelEngine
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+ENTRY_PORT = 1
+LOAD_LAG_S = 0.5
+MANY_UNITS = 1 << 50
+UNITS_WINDOW_S = 3600
+# Options of the plain balancers that the policy is compared with.
+PLAIN = "holds = none"
+POLICIES = {
+    "round_robin": f"routing = round_robin\n{PLAIN}",
+    "least_loaded": f"routing = least_loaded\n{PLAIN}",
+    "sticky": f"routing = sticky\n{PLAIN}",
+    "finish": "routing = finish\nholds = cost",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Example:
+    """One of the example organisations, scaled to the sizes of its load file."""
+
+    workload: Workload
+    inventory: Inventory
+
+    @classmethod
+    def read(cls, name: str, *, kv_tokens: int) -> Example:
+        """Read inventory and workload; the pool is as the workload says."""
+        inventory = parse_inventory(next(EXAMPLES.glob(f"{name}*.json")).read_bytes())
+        workload = Workload.read(EXAMPLES / f"load-{name}.ini")
+        return cls(workload, _scaled(inventory, workload.speed, kv_tokens))
+
+
+def _scaled(inventory: Inventory, speed: EngineSpeed, kv_tokens: int) -> Inventory:
+    places = [item.name for item in inventory.data_centres]
+    slower = 1 + speed.batch_slowdown * (speed.batch - 1)
+    engines = [
+        Engine(
+            f"engine-{number}",
+            f"http://10.0.1.{number + 1}:1",
+            places[number % len(places)],
+            [item.name for item in inventory.models],
+            kv_tokens=kv_tokens,
+            in_flight=speed.batch,
+            prefill_tokens_per_s=speed.prefill_tokens_per_s,
+            decode_tokens_per_s=speed.decode_tokens_per_s / slower,
+        )
+        for number in range(speed.engines)
+    ]
+    services = []
+    for item in inventory.services:
+        url = builders.PLAIN_URL if item.repeatable else builders.TOOL_URL
+        replica = msgspec.structs.replace(item.replicas[0], address=url)
+        services.append(msgspec.structs.replace(item, replicas=[replica]))
+    keys = [
+        Key("callers", builders.digest_of(builders.CALLER_SECRET), Role.CALLER),
+        Key("operators", builders.digest_of(builders.OPERATOR_SECRET), Role.OPERATOR),
+    ]
+    return msgspec.structs.replace(
+        inventory,
+        keys=keys,
+        engines=engines,
+        services=services,
+        allowances=[Allowance(MANY_UNITS, UNITS_WINDOW_S)],
+    )
+
+
+class WorldClient:
+    """HTTP client of callers: reaches entry handlers and engines in the process.
+
+    Args:
+        world: The deployment.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        """Send a request; see :class:`carobspur.http.HttpClient`."""
+        parts = urlsplit(request.url)
+        if parts.hostname.startswith("10.0."):
+            return await self._world.client.fetch(request)
+        for node in self._world.nodes.values():
+            if node.settings.instance.host == parts.hostname:
+                body = None if request.body is None else msgspec.Raw(request.body)
+                reply = await _serve(
+                    node.app, request.method, parts.path, body, dict(request.headers)
+                )
+                return HttpResponse(reply.status, reply.body, reply.headers)
+        raise HttpError(f"{parts.hostname} is gone", verdict=NOT_RUN)
+
+
+async def start_world(
+    example: Example, options: str, *, instances: int, load_lag_s: float = LOAD_LAG_S
+) -> tuple[World, Target]:
+    """Start a deployment; return it with the target for the load driver."""
+    speed = example.workload.speed
+    engines = {
+        item.address: ModelEngine(
+            kv_tokens=item.kv_tokens,
+            batch=speed.batch,
+            prefill_tokens_per_s=speed.prefill_tokens_per_s,
+            decode_tokens_per_s=speed.decode_tokens_per_s,
+            batch_slowdown=speed.batch_slowdown,
+            step_tokens=4,
+            load_lag_s=load_lag_s,
+            seed=number,
+        )
+        for number, item in enumerate(example.inventory.engines)
+    }
+    world = World(example.inventory, engines=engines, scheduler_options=options)
+    await world.start(instances)
+    entries = [
+        f"http://{node.settings.instance.host}:{ENTRY_PORT}"
+        for node in world.nodes.values()
+    ]
+    return world, Target("", entries, list(engines), builders.CALLER_SECRET)
--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -88,7 +88,7 @@
         """Release everything that engines keep of an ended program."""
         for engine in self._pool:
             held = [key for key in engine.prefixes if key[0] == program.id]
-            if held:
+            if held and self._policy.releases:
                 order = HoldOrder(program.id, "", 0.0, self._fence)
                 self._order(engine.address, order)
             for key in held:
--- a/src/carobspur/holds.py
+++ b/src/carobspur/holds.py
@@ -46,7 +46,13 @@
 
 
 class HoldPolicy(Protocol):
-    """Decides what an engine keeps during a pause."""
+    """Decides what an engine keeps during a pause.
+
+    Attributes:
+        releases: Whether engines are told which histories no call will use again.
+    """
+
+    releases: bool
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
         """Return what to ask of the engine that ran the last call."""
--- /dev/null
+++ b/src/carobspur/load_driver.py
@@ -0,0 +1,292 @@
+"""Drives programs against a deployment: open-loop arrivals over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+
+from .clock import Clock
+from .endpoints import ModelInput
+from .engine_messages import EngineAccount
+from .errors import CarobspurError
+from .http import HttpClient, HttpRequest, HttpResponse
+from .workload import (
+    Arrival,
+    ModelTurn,
+    PauseTurn,
+    ProgramPlan,
+    SubAgentTurn,
+    ToolTurn,
+    Turn,
+)
+
+CALL_TIMEOUT_S = 60.0
+CONNECTION_TRIES = 20
+RECONNECT_S = 0.2
+DEFAULT_RETRY_S = 1.0
+HTTP_REFUSALS = frozenset({429, 503})
+
+
+class Outcome(StrEnum):
+    """How a program ended for its caller."""
+
+    COMPLETED = "completed"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One program as its caller saw it.
+
+    Attributes:
+        agent: Name of its agent.
+        intended_s: Intended start, seconds after the run's start.
+        latency_s: From the intended start to the last answer.
+        outcome: How it ended.
+        refusals: Refusals on its way, also those that a later try made good.
+        reason: Why it failed or was refused.
+    """
+
+    agent: str
+    intended_s: float
+    latency_s: float
+    outcome: Outcome
+    refusals: int = 0
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A deployment as a load run is told of it.
+
+    Attributes:
+        name: Name in the report, usually the policy's.
+        entries: Base URLs at which addresses are asked for first.
+        engines: Base URLs of the engines, for their accounts.
+        key: The organisation's caller key.
+    """
+
+    name: str
+    entries: Sequence[str]
+    engines: Sequence[str]
+    key: str
+
+
+class _GivenUpError(Exception):
+    """The program ended before its last answer."""
+
+    def __init__(self, outcome: Outcome, reason: str) -> None:
+        super().__init__(reason)
+        self.outcome = outcome
+        self.reason = reason
+
+
+class AddressBook:
+    """Addresses as callers keep them.
+
+    Args:
+        client: The HTTP client.
+        clock: Source of time.
+        target: The deployment.
+        source: Chooses among the addresses.
+    """
+
+    __slots__ = ("_client", "_clock", "_kept", "_source", "_target", "_until_s")
+
+    def __init__(
+        self, client: HttpClient, clock: Clock, target: Target, source: random.Random
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._target = target
+        self._source = source
+        self._kept: list[str] = list(target.entries)
+        self._until_s = float("-inf")
+
+    def forget(self) -> None:
+        """Ask again before the next request."""
+        self._until_s = float("-inf")
+
+    async def choose(self) -> str:
+        """Return the base URL of an instance."""
+        now_s = self._clock.monotonic()
+        if now_s >= self._until_s:
+            self._until_s = now_s + DEFAULT_RETRY_S
+            await self._ask()
+        return self._source.choice(self._kept)
+
+    async def _ask(self) -> None:
+        entries = [*self._target.entries]
+        self._source.shuffle(entries)
+        headers = {"Authorization": f"Bearer {self._target.key}"}
+        for entry in entries:
+            message = HttpRequest("GET", f"{entry}/v1/addresses", headers=headers)
+            try:
+                response = await self._client.fetch(message)
+            except CarobspurError:
+                continue
+            if response.status == 200:
+                answer = msgspec.json.decode(response.body)
+                found = answer["addresses"]
+                self._kept = [f"http://{item['host']}:{item['port']}" for item in found]
+                self._until_s = self._clock.monotonic() + answer["keep_s"]
+                return
+
+
+@dataclass(slots=True, eq=False)
+class _Run:
+    """A program under way."""
+
+    plan: ProgramPlan
+    name: str
+    give_up_s: float
+    id: str = ""
+    calls: int = 0
+    refusals: int = 0
+    has_begun: bool = False
+
+
+@dataclass(slots=True)
+class LoadDriver:
+    """Runs programs at their intended starts and times each.
+
+    Attributes:
+        client: The HTTP client.
+        clock: Source of time.
+        target: The deployment.
+        patience_s: Time after which a caller gives a refused program up.
+        seed: Seed of what the driver chooses itself; part of the programs' keys.
+    """
+
+    client: HttpClient
+    clock: Clock
+    target: Target
+    patience_s: float
+    seed: int = 0
+    _book: AddressBook = field(init=False)
+    _endings: list[asyncio.Future[Any]] = field(init=False, default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Make the address book."""
+        source = random.Random(self.seed)
+        self._book = AddressBook(self.client, self.clock, self.target, source)
+
+    async def run(self, arrivals: Sequence[Arrival]) -> list[Sample]:
+        """Run all programs to their ends; starts never wait for earlier programs."""
+        start_s = self.clock.monotonic()
+        tasks = []
+        for number, arrival in enumerate(arrivals):
+            wait_s = start_s + arrival.at_s - self.clock.monotonic()
+            if wait_s > 0:
+                await self.clock.sleep(wait_s)
+            running = self._sample(f"{self.seed}-{number}", arrival, start_s)
+            tasks.append(asyncio.ensure_future(running))
+        samples = await asyncio.gather(*tasks)
+        await asyncio.gather(*self._endings, return_exceptions=True)
+        return list(samples)
+
+    async def accounts(self) -> list[EngineAccount]:
+        """Return the accounts of the engines that answer."""
+        found = []
+        for engine in self.target.engines:
+            try:
+                response = await self.client.fetch(
+                    HttpRequest("GET", f"{engine}/v1/account")
+                )
+            except CarobspurError:
+                continue
+            found.append(msgspec.json.decode(response.body, type=EngineAccount))
+        return found
+
+    async def _sample(self, name: str, arrival: Arrival, start_s: float) -> Sample:
+        intended_s = start_s + arrival.at_s
+        run = _Run(arrival.plan, name, intended_s + self.patience_s)
+        outcome, reason = Outcome.COMPLETED, ""
+        try:
+            await self._program(run, parent="")
+        except _GivenUpError as error:
+            outcome, reason = error.outcome, error.reason
+        latency_s = self.clock.monotonic() - intended_s
+        plan = arrival.plan
+        return Sample(
+            plan.agent, arrival.at_s, latency_s, outcome, run.refusals, reason
+        )
+
+    async def _program(self, run: _Run, *, parent: str) -> None:
+        body = {"agent": run.plan.agent, "parent": parent}
+        answer = await self._ask(run, "POST", "/v1/programs", body, key=run.name)
+        run.id = answer["program"]
+        try:
+            for number, turn in enumerate(run.plan.turns):
+                await self._turn(run, number, turn)
+        finally:
+            ending = self._ask(run, "DELETE", f"/v1/programs/{run.id}")
+            self._endings.append(asyncio.ensure_future(ending))
+
+    async def _turn(self, run: _Run, number: int, turn: Turn) -> None:
+        match turn:
+            case ModelTurn(prompt_tokens, output_tokens):
+                prompt = f"{run.name}.{number} " + "word " * (prompt_tokens - 1)
+                content = ModelInput(prompt, output_tokens)
+                await self._call(run, run.plan.model, content)
+            case ToolTurn(endpoint):
+                await self._call(run, endpoint, {"program": run.name, "turn": number})
+            case PauseTurn(seconds):
+                await self.clock.sleep(seconds)
+            case SubAgentTurn(plan):
+                child = _Run(plan, f"{run.name}.{number}", run.give_up_s)
+                child.has_begun = run.has_begun
+                await self._program(child, parent=run.id)
+                run.refusals += child.refusals
+
+    async def _call(self, run: _Run, endpoint: str, content: Any) -> None:
+        run.calls += 1
+        path = f"/v1/programs/{run.id}/calls/{run.calls}"
+        await self._ask(run, "POST", path, {"endpoint": endpoint, "input": content})
+        run.has_begun = True
+
+    async def _ask(
+        self, run: _Run, method: str, path: str, body: Any = None, *, key: str = ""
+    ) -> Any:
+        """Send a request until it is answered; every request may be sent again."""
+        headers = {
+            "Authorization": f"Bearer {self.target.key}",
+            "Carobspur-User": run.plan.user,
+            "Idempotency-Key": key,
+        }
+        content = None if body is None else msgspec.json.encode(body)
+        tries = 0
+        while True:
+            url = await self._book.choose()
+            message = HttpRequest(method, url + path, content, headers, CALL_TIMEOUT_S)
+            try:
+                response = await self.client.fetch(message)
+            except CarobspurError as error:
+                tries += 1
+                self._book.forget()
+                if tries == CONNECTION_TRIES:
+                    raise _GivenUpError(Outcome.FAILED, error.message) from error
+                await self.clock.sleep(RECONNECT_S)
+                continue
+            if response.status in HTTP_REFUSALS:
+                await self._wait_for_retry(run, response)
+                continue
+            if response.status >= 400:
+                raise _GivenUpError(Outcome.FAILED, response.body.decode())
+            return msgspec.json.decode(response.body) if response.body else None
+
+    async def _wait_for_retry(self, run: _Run, response: HttpResponse) -> None:
+        """Wait as long as the refusal says, or give the program up."""
+        run.refusals += 1
+        retry_s = float(response.headers.get("Retry-After", DEFAULT_RETRY_S))
+        if self.clock.monotonic() + retry_s > run.give_up_s:
+            outcome = Outcome.FAILED if run.has_begun else Outcome.REFUSED
+            raise _GivenUpError(outcome, response.body.decode())
+        await self.clock.sleep(retry_s)
--- a/src/carobspur/plugins/holds_cost.py
+++ b/src/carobspur/plugins/holds_cost.py
@@ -17,6 +17,7 @@
     """Keeps a history while its cache share costs less than recomputing it."""
 
     __slots__ = ()
+    releases = True
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
         """Return what to ask of the engine that ran the last call."""
@@ -29,9 +30,10 @@
 
 @register(PluginKind.HOLDS, "none")
 class NoHolds:
-    """Never asks an engine to keep anything; a baseline."""
+    """Tells engines nothing; a baseline."""
 
     __slots__ = ()
+    releases = False
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
         """Return that the engine decides."""
--- /dev/null
+++ b/src/carobspur/workload.py
@@ -0,0 +1,266 @@
+"""Programs for load runs, drawn from a seed; the system is not told their shape."""
+
+from __future__ import annotations
+
+import configparser
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TypeAlias
+
+from .errors import SettingsError
+
+PLANS_FOR_MEAN = 2000
+MAX_DEPTH = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ModelTurn:
+    """A model call: length of its new part and of its answer, in tokens."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ToolTurn:
+    """A call of a tool or plain service."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class PauseTurn:
+    """The caller's own work between two calls."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class SubAgentTurn:
+    """A program that this one starts and waits for."""
+
+    plan: ProgramPlan
+
+
+Turn: TypeAlias = ModelTurn | ToolTurn | PauseTurn | SubAgentTurn
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramPlan:
+    """One program: who runs it, its model, and its turns in order."""
+
+    agent: str
+    user: str
+    model: str
+    turns: tuple[Turn, ...]
+
+    def model_turns(self) -> Iterator[ModelTurn]:
+        """Yield its model calls, those of its sub-agents too."""
+        for turn in self.turns:
+            match turn:
+                case ModelTurn():
+                    yield turn
+                case SubAgentTurn(plan):
+                    yield from plan.model_turns()
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A program and its intended start, in seconds after the run's start."""
+
+    at_s: float
+    plan: ProgramPlan
+
+
+@dataclass(frozen=True, slots=True)
+class AgentMix:
+    """How programs of one agent look; ``a to b`` ranges are uniform.
+
+    Attributes:
+        agent: Name of the agent.
+        share: Its share of all programs.
+        model: Endpoint of its model calls.
+        mean_turns: Mean number of model calls (geometric).
+        max_turns: Most model calls.
+        first_tokens: Range of the first prompt's length.
+        prompt_tokens: Range of the other prompts' length.
+        output_tokens: Range of the answers' length.
+        pause_s: Median pause between two model calls (log-normal).
+        pause_sigma: Spread of the pauses.
+        tool: Endpoint of its tool calls.
+        tool_share: Chance of a tool call between two model calls.
+        sub_agent: Agent of its sub-agents.
+        sub_agent_share: Chance of a sub-agent between two model calls.
+    """
+
+    agent: str
+    share: float
+    model: str
+    mean_turns: float
+    max_turns: int
+    first_tokens: tuple[int, int]
+    prompt_tokens: tuple[int, int]
+    output_tokens: tuple[int, int]
+    pause_s: float
+    pause_sigma: float
+    tool: str = ""
+    tool_share: float = 0.0
+    sub_agent: str = ""
+    sub_agent_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpeed:
+    """Speed of the deployment's engines; see :mod:`carobspur_standins.batch`."""
+
+    engines: int
+    batch: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    batch_slowdown: float = 0.0
+
+    def seconds(self, turn: ModelTurn) -> float:
+        """Return an engine's seconds for a call whose history is in the cache."""
+        slower = 1 + self.batch_slowdown * (self.batch - 1)
+        decode_s = turn.output_tokens * slower / self.decode_tokens_per_s
+        return turn.prompt_tokens / self.prefill_tokens_per_s + decode_s / self.batch
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """The programs of one organisation.
+
+    Attributes:
+        organisation: The organisation.
+        users: Number of users, drawn evenly.
+        patience_s: Time after which a caller gives a refused program up.
+        mixes: Kinds of programs.
+        speed: Speed of the engines, for the nominal rate.
+    """
+
+    organisation: str
+    users: int
+    patience_s: float
+    speed: EngineSpeed
+    mixes: dict[str, AgentMix] = field(default_factory=dict)
+
+    @classmethod
+    def read(cls, path: str | Path) -> Workload:
+        """Read an INI file; sections ``[load]``, ``[engines]`` and ``[agent NAME]``.
+
+        Raises:
+            SettingsError: It can't be read or has faults.
+        """
+        parser = configparser.ConfigParser(interpolation=None)
+        try:
+            parser.read_string(Path(path).read_text(encoding="utf-8"))
+            return cls._parse(parser)
+        except (OSError, ValueError, KeyError, configparser.Error) as error:
+            raise SettingsError(f"{path}: {error!r}") from error
+
+    @classmethod
+    def _parse(cls, parser: configparser.ConfigParser) -> Workload:
+        mixes = {}
+        for name in parser.sections():
+            kind, _, agent = name.partition(" ")
+            if kind == "agent":
+                mixes[agent] = _mix(agent, parser[name])
+        load, engines = parser["load"], parser["engines"]
+        speed = EngineSpeed(
+            engines=engines.getint("engines"),
+            batch=engines.getint("batch"),
+            prefill_tokens_per_s=engines.getfloat("prefill_tokens_per_s"),
+            decode_tokens_per_s=engines.getfloat("decode_tokens_per_s"),
+            batch_slowdown=engines.getfloat("batch_slowdown"),
+        )
+        return cls(
+            load["organisation"],
+            load.getint("users"),
+            load.getfloat("patience_s"),
+            speed,
+            mixes,
+        )
+
+    def draw_plan(self, source: random.Random) -> ProgramPlan:
+        """Draw one program."""
+        mixes = list(self.mixes.values())
+        [mix] = source.choices(mixes, weights=[item.share for item in mixes])
+        user = f"user-{source.randrange(self.users)}"
+        return self._draw(source, mix, user, depth=1)
+
+    def arrivals(self, *, seed: int, rate: float, duration_s: float) -> list[Arrival]:
+        """Draw the programs of a run: a Poisson process of the given rate."""
+        source = random.Random(seed)
+        found = []
+        at_s = source.expovariate(rate)
+        while at_s < duration_s:
+            found.append(Arrival(at_s, self.draw_plan(source)))
+            at_s += source.expovariate(rate)
+        return found
+
+    def nominal_rate(self, *, seed: int = 0) -> float:
+        """Return the programs a second that fill all engines (100 % load)."""
+        source = random.Random(seed)
+        plans = [self.draw_plan(source) for _ in range(PLANS_FOR_MEAN)]
+        turns = [turn for plan in plans for turn in plan.model_turns()]
+        total_s = sum(self.speed.seconds(turn) for turn in turns)
+        return self.speed.engines * len(plans) / total_s
+
+    def _draw(
+        self, source: random.Random, mix: AgentMix, user: str, *, depth: int
+    ) -> ProgramPlan:
+        turns: list[Turn] = []
+        length = _geometric(source, mix.mean_turns, mix.max_turns)
+        for number in range(length):
+            tokens = mix.prompt_tokens if number else mix.first_tokens
+            output = source.randint(*mix.output_tokens)
+            turns.append(ModelTurn(source.randint(*tokens), output))
+            if number + 1 < length:
+                turns.extend(self._between(source, mix, user, depth))
+        return ProgramPlan(mix.agent, user, mix.model, tuple(turns))
+
+    def _between(
+        self, source: random.Random, mix: AgentMix, user: str, depth: int
+    ) -> Iterator[Turn]:
+        """Yield what stands between two model calls."""
+        if source.random() < mix.tool_share:
+            yield ToolTurn(mix.tool)
+        if depth < MAX_DEPTH and source.random() < mix.sub_agent_share:
+            sub_agent = self.mixes[mix.sub_agent]
+            yield SubAgentTurn(self._draw(source, sub_agent, user, depth=depth + 1))
+        yield PauseTurn(source.lognormvariate(math.log(mix.pause_s), mix.pause_sigma))
+
+
+def _mix(agent: str, section: configparser.SectionProxy) -> AgentMix:
+    return AgentMix(
+        agent=agent,
+        share=section.getfloat("share"),
+        model=section["model"],
+        mean_turns=section.getfloat("mean_turns"),
+        max_turns=section.getint("max_turns"),
+        first_tokens=_range(section["first_tokens"]),
+        prompt_tokens=_range(section["prompt_tokens"]),
+        output_tokens=_range(section["output_tokens"]),
+        pause_s=section.getfloat("pause_s"),
+        pause_sigma=section.getfloat("pause_sigma"),
+        tool=section.get("tool", ""),
+        tool_share=section.getfloat("tool_share", 0.0),
+        sub_agent=section.get("sub_agent", ""),
+        sub_agent_share=section.getfloat("sub_agent_share", 0.0),
+    )
+
+
+def _range(text: str) -> tuple[int, int]:
+    low, high = text.split("to")
+    return int(low), int(high)
+
+
+def _geometric(source: random.Random, mean: float, most: int) -> int:
+    if mean <= 1:
+        return 1
+    chance = 1 / mean
+    drawn = 1 + int(math.log(1 - source.random()) / math.log(1 - chance))
+    return min(drawn, most)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -100,8 +100,11 @@
     )
 
 
-def some_settings(number: int = 1, *, shards: int = 8) -> Settings:
+def some_settings(
+    number: int = 1, *, shards: int = 8, scheduler_options: str = ""
+) -> Settings:
     """Return the settings of an in-process instance."""
+    options = scheduler_options.replace("\n", "\n        ")
     return Settings.parse(
         f"""
         [instance]
@@ -119,6 +122,7 @@
         metrics_port = 3
         lease_s = {LEASE_S}
         shards = {shards}
+        {options}
         [control]
         port = 4
         peer_port = 5
--- a/tests/world.py
+++ b/tests/world.py
@@ -203,19 +203,22 @@
         *,
         shards: int = 8,
         note: Note = lambda request, response: None,
+        engines: dict[str, ModelEngine] | None = None,
+        scheduler_options: str = "",
     ) -> None:
         self._note = note
+        self._scheduler_options = scheduler_options
         self.inventory = inventory or builders.an_inventory()
         self._shards = shards
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.live_list = MemoryLiveList()
-        self.engines = {
+        self.engines = engines or {
             url: ModelEngine(checks_fencing=number == 0)
             for number, url in enumerate(builders.ENGINE_URLS)
         }
-        fencing = self.inventory.service("payout").checks_fencing
-        self.tool = ToolService(checks_fencing=fencing)
+        tool = next(item for item in self.inventory.services if not item.repeatable)
+        self.tool = ToolService(checks_fencing=tool.checks_fencing)
         self.plain = ToolService()
         self.client = InProcessClient(
             {
@@ -242,7 +245,9 @@
 
     async def add_node(self, number: int) -> Node:
         """Start one instance."""
-        settings = builders.some_settings(number, shards=self._shards)
+        settings = builders.some_settings(
+            number, shards=self._shards, scheduler_options=self._scheduler_options
+        )
         gate = Gate()
         client = NodeClient(self.client, gate, self._note)
         table = HttpTable(client, builders.TABLE_URL)
