--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -16,6 +16,7 @@
 from .configuration import HEAD_KEY, Configuration
 from .control_view import ControlView
 from .daemon import background, http_server, run_daemon
+from .endpoint_loads import LoadReports, LoadSample, Watched
 from .errors import CarobspurError, StoreError
 from .gossip import Gossip
 from .gossip_rounds import ROUND_S, GossipRounds, PeerCaller, Place
@@ -25,7 +26,6 @@
 from .in_force import NOT_READ, InventoriesInForce, prune_changes
 from .inventory import Inventory
 from .load_asker import LoadAsker
-from .load_reports import LoadReports, LoadSample, Watched
 from .membership import (
     HttpLiveList,
     InstanceRow,
--- a/src/carobspur/control_view.py
+++ b/src/carobspur/control_view.py
@@ -7,12 +7,11 @@
 
 import msgspec
 
-from . import membership, session
-from . import shards as shard_rows
+from . import membership, session_row, shard_rows
 from .deltas import ChangeCounter, DeltaMap
+from .endpoint_loads import EngineLoad, LoadSample
 from .gossip import Item
 from .inventory import Inventory
-from .load_reports import EngineLoad, LoadSample
 from .peers import decode, messages
 
 
@@ -58,7 +57,7 @@
             match kind + "/":
                 case membership.INSTANCE_PREFIX:
                     _follow(self.all_instances, name, item, messages.InstanceInfo)
-                case session.SESSION_PREFIX:
+                case session_row.SESSION_PREFIX:
                     self._follow_session(name, item)
                 case shard_rows.SHARD_PREFIX:
                     owner = (item.value or b"").decode()
--- a/src/carobspur/gossip_rounds.py
+++ b/src/carobspur/gossip_rounds.py
@@ -10,11 +10,11 @@
 
 from .clock import Clock
 from .configuration import INVENTORY_PREFIX
+from .endpoint_loads import LoadReports
 from .errors import CarobspurError
 from .gossip import Gossip
 from .heartbeats import CONTACT_AGE_S, Heartbeats
 from .in_force import InventoriesInForce
-from .load_reports import LoadReports
 from .peers import GOSSIP, RECONCILE, Method, messages
 
 ROUND_S = 0.5
--- a/src/carobspur/load_asker.py
+++ b/src/carobspur/load_asker.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from .clock import Clock
+from .endpoint_loads import EngineLoad, LoadReports, LoadSample
 from .errors import CarobspurError
 from .http import HttpClient, HttpRequest
-from .load_reports import EngineLoad, LoadReports, LoadSample
 
 TIMEOUT_S = 1.0
 
--- a/src/carobspur/membership.py
+++ b/src/carobspur/membership.py
@@ -12,7 +12,7 @@
 from .gossip import Item
 from .http import HttpClient, HttpError, HttpRequest
 from .peers import encode, messages
-from .session import decode_session
+from .session_row import decode_session
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 INSTANCE_PREFIX = "instance/"
--- /dev/null
+++ b/src/carobspur/recovery.py
@@ -0,0 +1,96 @@
+"""Rebuilds programs from snapshots and journals."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .errors import StoreError
+from .journal import Chunk, Record, decode_chunk, journal_prefix
+from .objects import Objects
+from .placement import shard_of
+from .programs import Program, ProgramBook
+from .shard_rows import ShardRow, Span
+from .table import Table
+
+SNAPSHOT_PREFIX = "snapshot/"
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """State of all programs of a shard at one commit."""
+
+    programs: list[Program]
+
+
+class Recovery:
+    """Rebuilds programs of shards from snapshots and journals.
+
+    Each snapshot and each journal is read once, however many shards need it.
+
+    Args:
+        table: The table service.
+        objects: The object store.
+        shards: Number of shards of the whole system.
+    """
+
+    __slots__ = ("_journals", "_objects", "_shards", "_table")
+
+    def __init__(self, table: Table, objects: Objects, shards: int) -> None:
+        self._table = table
+        self._objects = objects
+        self._shards = shards
+        self._journals: dict[str, dict[int, list[tuple[int, Record]]]] = {}
+
+    async def programs(self, number: int, row: ShardRow) -> list[Program]:
+        """Return the programs of a shard.
+
+        Args:
+            number: The shard's number.
+            row: Its row.
+
+        Raises:
+            StoreError: State could not be read, or is not whole.
+        """
+        book = ProgramBook()
+        for program in await self._snapshot(row.snapshot):
+            book.add(program)
+        for span in row.spans:
+            for record in await self._records(span, number):
+                try:
+                    book.apply(record)
+                except KeyError:
+                    raise StoreError(
+                        f"shard {number}: the start of {record.program} is missing"
+                    ) from None
+        return book.programs
+
+    async def _snapshot(self, key: str) -> list[Program]:
+        if not key:
+            return []
+        content = await self._objects.get(key)
+        if content is None:
+            raise StoreError(f"the snapshot {key} is missing")
+        return msgspec.json.decode(content, type=Snapshot).programs
+
+    async def _records(self, span: Span, number: int) -> list[Record]:
+        if span.session not in self._journals:
+            self._journals[span.session] = await self._journal(span.session)
+        found = self._journals[span.session].get(number, [])
+        return [
+            record
+            for commit, record in found
+            if commit >= span.first and (span.last == 0 or commit <= span.last)
+        ]
+
+    async def _journal(self, session: str) -> dict[int, list[tuple[int, Record]]]:
+        rows = await self._table.scan(journal_prefix(session))
+        chunks = sorted((decode_chunk(row.value) for row in rows), key=_commit)
+        by_shard: dict[int, list[tuple[int, Record]]] = {}
+        for chunk in chunks:
+            for record in chunk.records:
+                number = shard_of(record.program, self._shards)
+                by_shard.setdefault(number, []).append((chunk.commit, record))
+        return by_shard
+
+
+def _commit(chunk: Chunk) -> int:
+    return chunk.commit
--- a/src/carobspur/table_reader.py
+++ b/src/carobspur/table_reader.py
@@ -3,7 +3,8 @@
 Few processes read: the first of each data centre's rendezvous order, the next ones
 when what is heard of the table grows old, all others only now and then. The time
 between scans grows with the number of rows, so that the scans of all readers together
-stay within a fixed rate of rows.
+stay within a fixed rate of rows; a row that changes with the set of sessions brings
+the next scan forward.
 """
 
 from __future__ import annotations
@@ -23,9 +24,9 @@
     session_item,
 )
 from .placement import rank
-from .session import SESSION_PREFIX
-from .shards import SHARD_PREFIX, ShardRow
-from .table import Row, Table
+from .session_row import SESSION_PREFIX, SESSIONS_CHANGED_KEY
+from .shard_rows import SHARD_PREFIX, ShardRow
+from .table import ABSENT_VERSION, Row, Table
 
 SCANNED_ROWS_PER_S = 600.0
 STANDBY_READERS = 3
@@ -33,6 +34,7 @@
 OTHERS_AGE_S = 2.0
 OTHERS_PERIOD_S = 5.0
 GAP_LIMIT_S = 1.0
+MIN_SCAN_PERIOD_S = 1.0
 MAX_CHANGES_READ = 64
 MAX_SPREAD_BYTES = 16_384
 
@@ -63,6 +65,7 @@
         "_in_force",
         "_read_s",
         "_scanned_s",
+        "_sessions_change",
         "_table",
         "_tried_s",
     )
@@ -85,6 +88,7 @@
         self._tried_s = float("-inf")
         self._scanned_s = float("-inf")
         self._gap_since_s = float("inf")
+        self._sessions_change = ABSENT_VERSION
 
     @property
     def read_s(self) -> float:
@@ -118,9 +122,14 @@
         self._tried_s = started_s
         head = await self._configuration.head()
         changed = await self._follow(head)
-        if started_s - self._scanned_s >= self._scan_period_s(readers):
+        sessions = await self._table.read(SESSIONS_CHANGED_KEY)
+        change = ABSENT_VERSION if sessions is None else sessions.version
+        waited_s = started_s - self._scanned_s
+        is_new = change != self._sessions_change and waited_s >= MIN_SCAN_PERIOD_S
+        if is_new or waited_s >= self._scan_period_s(readers):
             await self._scan()
             self._scanned_s = started_s
+            self._sessions_change = change
         self._read_s = started_s
         return changed
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 from carobspur.clock import LoopClock
 from carobspur.configuration import Configuration, ImportResult
 from carobspur.control import Control
+from carobspur.endpoint_loads import EngineLoad
 from carobspur.errors import (
     PeerDisconnectedError,
     PeerUnreachableError,
@@ -20,12 +21,11 @@
 )
 from carobspur.http import HttpRequest, HttpResponse
 from carobspur.inventory import DataCentre, Engine, Inventory
-from carobspur.load_reports import EngineLoad
 from carobspur.membership import ListedInstance
 from carobspur.peers import Method, PeerServer, decode, encode
-from carobspur.session import SessionRow, session_key
+from carobspur.session_row import SessionRow, session_key
 from carobspur.settings import Settings
-from carobspur.shards import ShardRow, shard_key
+from carobspur.shard_rows import ShardRow, shard_key
 from carobspur.table import Row, Write
 from carobspur_standins.table import MemoryTable
 
