--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,10 +14,12 @@
 from typing import Any
 from urllib.request import Request, urlopen
 
+import msgspec
 from examples.caller import Caller, Refusal
 from examples.deployment import Deployment, Instance, example_inventory
 
 from carobspur.inventory import encode_inventory
+from carobspur.journal import decode_chunk
 from carobspur.placement import shard_of
 
 SHARDS = 64
@@ -86,9 +88,9 @@
         table = self.running.platform["table"]
         key = f"shard%2F{shard_of(program, SHARDS):05d}"
         row = get_json(f"{table}/v1/rows/{key}")
-        session = _value(row)["session"]
+        session = json.loads(row_value(row))["session"]
         row = get_json(f"{table}/v1/rows/session%2F{session}")
-        name = _value(row)["instance"]
+        name = json.loads(row_value(row))["instance"]
         return next(item for item in self.running.instances if item.id == name)
 
     def other(self, instance: Instance) -> Instance:
@@ -165,7 +167,7 @@
         return any(
             record["type"] == "intended" and record["program"] == program
             for row in rows
-            for record in _value(row)
+            for record in msgspec.to_builtins(decode_chunk(row_value(row)).records)
         )
 
     def _engines_run(self, calls: int) -> bool:
@@ -173,5 +175,5 @@
         return sum(item["running"] for item in loads) >= calls
 
 
-def _value(row: dict[str, Any]) -> Any:
-    return json.loads(base64.b64decode(row["value"]))
+def row_value(row: dict[str, Any]) -> bytes:
+    return base64.b64decode(row["value"])
