--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -24,6 +24,7 @@
 FAILOVER_LIMIT_S = 10.0
 DEFAULT_TIMEOUT_S = 10.0
 RETRY_AFTER_S = 2.0
+MAX_FOLLOW_DELAY_S = 0.2
 
 _logger = logging.getLogger(__name__)
 
@@ -93,7 +94,7 @@
                 earlier one may have run the request.
             CarobspurError: The owner's own answer.
         """
-        backoff = Backoff()
+        backoff = Backoff(max_s=MAX_FOLLOW_DELAY_S)
         may_have_run = False
         unreachable_s: float | None = None
         while True:
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -63,6 +63,7 @@
         "_batch",
         "_clock",
         "_doubtful",
+        "_is_closing",
         "_is_lost",
         "_last_start_s",
         "_lease",
@@ -107,6 +108,7 @@
         self._lease = lease
         self._last_start_s = clock.monotonic()
         self._is_lost = False
+        self._is_closing = False
         self._task: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
@@ -258,6 +260,8 @@
     async def close(self) -> None:
         """Commit what waits, stop renewing, delete the row if it is still ours."""
         await self._flush()
+        # A cancellation can get lost in ``wait_for`` when the event is set with it.
+        self._is_closing = True
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -280,7 +284,7 @@
             await asyncio.wait(waiting, timeout=self._lease_s)
 
     async def _run(self) -> None:
-        while not self._is_lost:
+        while not self._is_lost and not self._is_closing:
             await self._wait_for_turn()
             self._wake.clear()
             self._batch, self._pending = take_batch(self._pending)
--- a/src/carobspur_standins/table.py
+++ b/src/carobspur_standins/table.py
@@ -28,7 +28,8 @@
     """Rows with versions, in memory; a :class:`carobspur.table.Table` itself.
 
     Attributes:
-        reads: Rows and scans that were read.
+        reads: Single reads and scans.
+        rows_read: Rows that reads and scans returned.
         rows_written: Rows that were written.
         commits: Commits that took effect.
     """
@@ -38,6 +39,7 @@
         self._keys: list[str] = []
         self._version = 0
         self.reads = 0
+        self.rows_read = 0
         self.rows_written = 0
         self.commits = 0
 
@@ -66,6 +68,7 @@
     async def read(self, key: str) -> Row | None:
         """Return a row, or ``None``."""
         self.reads += 1
+        self.rows_read += 1
         return self._rows.get(key)
 
     async def scan(self, prefix: str) -> list[Row]:
@@ -77,6 +80,7 @@
             if not key.startswith(prefix):
                 break
             found.append(self._rows[key])
+        self.rows_read += len(found)
         return found
 
     async def handle(self, request: Request, emit: Emit) -> HttpResponse:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -184,6 +184,16 @@
 
         run_virtual(scenario)
 
+    def test_close_ends_although_the_session_was_just_woken(self) -> None:
+        async def scenario() -> None:
+            session = await open_session(MemoryTable())
+            await session.commit()
+            await asyncio.sleep(0.01)
+            session.announce(shards=[1])
+            await asyncio.wait_for(session.close(), 10.0)
+
+        run_virtual(scenario)
+
     def test_close_commits_what_was_given_before(self) -> None:
         async def scenario() -> None:
             table = MemoryTable()
