Journals of ended sessions are swept once no shard refers to them

Cause: rows of dead and closed sessions' journals stayed for ever: whoever took the shards over wrote new rows and never looked back. Ruled out: deleting by the taker (it may die too); reference counts (a further write for each checkpoint).

--- /dev/null
+++ b/src/carobspur/journal_sweep.py
@@ -0,0 +1,79 @@
+"""Deletes the journals of ended sessions once no shard's row refers to them."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from .clock import Clock
+from .journal import journal_prefix
+from .placement import first
+from .session import Session
+from .session_row import ENDED_PREFIX, ended_key
+from .shard_rows import SHARD_PREFIX, ShardRow
+from .table import Table, Write
+
+MAX_DELETES_PER_COMMIT = 100
+
+_logger = logging.getLogger(__name__)
+
+
+class JournalSweep:
+    """Sweeps the journals that fall to one session.
+
+    A shard's row names an ended session's journal only if it did so before: nobody
+    adds such a name. A scan of all shards' rows that finds none is thus final.
+
+    Args:
+        table: The table service.
+        clock: Source of time.
+        session: The session that deletes.
+        period_s: Time between two sweeps.
+    """
+
+    __slots__ = ("_clock", "_due_s", "_period_s", "_session", "_table")
+
+    def __init__(
+        self, table: Table, clock: Clock, session: Session, *, period_s: float
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._session = session
+        self._period_s = period_s
+        self._due_s = clock.monotonic() + period_s
+
+    async def step(self, staying: list[str]) -> None:
+        """Sweep if it is time.
+
+        Args:
+            staying: Sessions that share the work.
+        """
+        if self._clock.monotonic() < self._due_s:
+            return
+        self._due_s = self._clock.monotonic() + self._period_s
+        ended = [
+            row.key.removeprefix(ENDED_PREFIX)
+            for row in await self._table.scan(ENDED_PREFIX)
+        ]
+        mine = [name for name in ended if first(name, staying) == self._session.id]
+        if not mine:
+            return
+        needed = await self._needed()
+        for name in mine:
+            if name not in needed:
+                await self._delete(name)
+
+    async def _needed(self) -> set[str]:
+        rows = await self._table.scan(SHARD_PREFIX)
+        shards = [msgspec.json.decode(row.value, type=ShardRow) for row in rows]
+        return {span.session for shard in shards for span in shard.spans}
+
+    async def _delete(self, session: str) -> None:
+        rows = await self._table.scan(journal_prefix(session))
+        keys = [row.key for row in rows]
+        while keys:
+            part, keys = keys[:MAX_DELETES_PER_COMMIT], keys[MAX_DELETES_PER_COMMIT:]
+            await self._session.commit(writes=[Write(key, None) for key in part])
+        await self._session.commit(writes=[Write(ended_key(session), None)])
+        _logger.info("deleted %d journal rows of %s", len(rows), session)
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -31,6 +31,7 @@
     SessionRow,
     create_session,
     decode_session,
+    end_session,
     read_until_answered,
     session_key,
     sessions_changed,
@@ -273,7 +274,7 @@
         try:
             await self._table.commit(
                 [Check(key, self._version)],
-                [Write(key, None), sessions_changed(self.id)],
+                end_session(self.id, by=self.id),
             )
         except (StoreConflictError, StoreUnavailableError) as error:
             _logger.warning("session row was not deleted: %s", error.message)
--- a/src/carobspur/session_row.py
+++ b/src/carobspur/session_row.py
@@ -10,6 +10,7 @@
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 SESSION_PREFIX = "session/"
+ENDED_PREFIX = "ended/"
 SESSIONS_CHANGED_KEY = "sessions-changed"
 EPOCH_KEY = "epoch"
 RETRY_DELAY_S = 0.1
@@ -56,6 +57,25 @@
     return Write(SESSIONS_CHANGED_KEY, msgspec.json.encode(by))
 
 
+def ended_key(session: str) -> str:
+    """Return the key of the row that says that a session's journal may be swept."""
+    return ENDED_PREFIX + session
+
+
+def end_session(session: str, *, by: str) -> list[Write]:
+    """Return the writes that end a session.
+
+    Args:
+        session: Id of the session.
+        by: Id of the session that ends it.
+    """
+    return [
+        Write(session_key(session), None),
+        Write(ended_key(session), msgspec.json.encode(by)),
+        sessions_changed(by),
+    ]
+
+
 def decode_session(row: Row) -> SessionRow:
     """Read a session's row."""
     return msgspec.json.decode(row.value, type=SessionRow)
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -28,6 +28,7 @@
     StoreUnavailableError,
 )
 from .journal import Record
+from .journal_sweep import JournalSweep
 from .lease_watch import LeaseWatch
 from .objects import Objects
 from .placement import Placement, shard_of
@@ -35,7 +36,12 @@
 from .recovery import Recovery
 from .session import Session
 from .session_list import SessionList
-from .session_row import decode_session, session_key, sessions_changed
+from .session_row import (
+    decode_session,
+    end_session,
+    session_key,
+    sessions_changed,
+)
 from .shard_rows import (
     SHARD_PREFIX,
     ShardRow,
@@ -102,6 +108,7 @@
         self._list = SessionList(table, clock, own=session.id, rescan_s=rescan_s)
         self._leases = LeaseWatch(table, clock, lease_s)
         self._placement = Placement(shards)
+        self._sweep = JournalSweep(table, clock, session, period_s=rescan_s)
         self._owned: set[int] = set()
         self._moving: set[int] = set()
         self._gone_s: dict[str, float] = {}
@@ -158,6 +165,7 @@
             if not self._leaving:
                 await self._hand_over_some()
                 await self._checkpoints.step()
+                await self._sweep.step(self._list.staying)
 
     async def leave(self) -> None:
         """Hand every shard over to the others; returns when none is held.
@@ -216,7 +224,7 @@
         try:
             await self._session.commit(
                 checks=[Check(row.key, row.version)],
-                writes=[Write(row.key, None), sessions_changed(self._session.id)],
+                writes=end_session(silent.id, by=self._session.id),
             )
         except StoreConflictError:
             return
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -165,7 +165,7 @@
         return any(
             record["type"] == "intended" and record["program"] == program
             for row in rows
-            for record in _value(row)
+            for record in _value(row)["records"]
         )
 
     def _engines_run(self, calls: int) -> bool:
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -409,6 +409,30 @@
 
         run_virtual(scenario)
 
+    def test_journals_of_ended_sessions_are_deleted_and_nothing_is_lost(self) -> None:
+        async def scenario() -> None:
+            cluster = Cluster()
+            for _ in range(3):
+                await cluster.add()
+            await cluster.until_served()
+            for number in range(300):
+                await cluster.find(f"p{number}").start(f"p{number}")
+            cluster.kill(cluster.holders[0])
+            leaver = cluster.holders.pop(0)
+            await leaver.keeper.leave()
+            await leaver.session.close()
+            last = cluster.holders[0].session.id
+            await asyncio.sleep(200 * LEASE_S)
+            rows = await cluster.table.scan("journal/")
+            self.assertEqual({row.key.split("/")[1] for row in rows} - {last}, set())
+            self.assertEqual(await cluster.table.scan("ended/"), [])
+            cluster.kill(cluster.holders[0])
+            heir = await cluster.add()
+            await cluster.until_served()
+            self.assertEqual(len(heir.book), 300)
+
+        run_virtual(scenario)
+
 
 class PlacementTest(unittest.TestCase):
     def test_changes_give_what_a_full_comparison_gives(self) -> None:
