Histories move to objects by segments; conversations keep their prefix

Cause: a program's whole text stayed in memory and went into every checkpoint, and each turn hashed all earlier turns again. Older calls move to immutable objects whose key names program and numbers: their content is the same whoever writes it, so a repeated or doubtful put does no harm, and the state keeps only keys and the newest calls. The key of a conversation is kept in the program and extended by each turn once. Ruled out: a reference in each stored call (440 calls x 720 programs are some 140 MB of small structures alone, by estimate); rewriting one object per program (910,000 tokens each time).

--- /dev/null
+++ b/experiments/history.py
@@ -0,0 +1,55 @@
+"""Cost of a long program's history: time of each turn's key, bytes of state.
+
+Compares reading all turns again at each turn with the kept prefix, and the encoded
+state with and without old calls in objects, up to the longest program expected. Run
+with ``PYTHONPATH=src:. python experiments/history.py``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+from tests.test_history import a_book, finished
+
+from carobspur.history import Histories, is_long, model_prefix
+from carobspur_standins.objects import MemoryObjects
+
+TURNS = (55, 110, 220, 440)
+BYTES_PER_TURN = 9_000
+
+
+async def _measure(turns: int, *, spills: bool, keeps: bool) -> tuple[float, int]:
+    """Return seconds spent on keys over all turns, and bytes of the state."""
+    objects = MemoryObjects()
+    book, program = a_book()
+    spent_s = 0.0
+    for number in range(1, turns + 1):
+        book.apply(finished(number, size=BYTES_PER_TURN))
+        start_s = time.perf_counter()
+        if not keeps:
+            program.prefixes.clear()
+        model_prefix(program, "model")
+        spent_s += time.perf_counter() - start_s
+        if spills and is_long(program):
+            await Histories(objects).spill(program)
+    return spent_s, len(msgspec.json.encode(program))
+
+
+def main() -> None:
+    """Print the table."""
+    print(
+        "turns  last-turn key: all again, kept (us a turn)  state bytes: all, spilled"
+    )
+    for turns in TURNS:
+        again_s, whole = asyncio.run(_measure(turns, spills=False, keeps=False))
+        kept_s, small = asyncio.run(_measure(turns, spills=True, keeps=True))
+        print(
+            f"{turns:5d} {again_s / turns * 1e6:12.0f} {kept_s / turns * 1e6:8.0f} "
+            f"{whole:12d} {small:8d}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -41,10 +41,12 @@
     ProgramBook,
     ProgramReport,
     Replay,
+    ReplaySpilled,
     RunNext,
     SettleIntent,
     StoredCall,
     admit_call,
+    replay,
     report,
 )
 from .verdict import RAN, verdict_from_name
@@ -179,6 +181,8 @@
                 raise ConflictError("the call is under way with other content")
             if running is None:
                 admission = admit_call(program, request.number, digest)
+                if isinstance(admission, ReplaySpilled):
+                    admission = await self._spilled(program, request.number, digest)
                 if isinstance(admission, Replay):
                     return _answer(admission.call, is_replayed=True)
                 running = self._launch(program, request, digest, admission)
@@ -194,13 +198,18 @@
         )
         return await self.run_call(request, on_text)
 
-    def show(
+    async def _spilled(self, program: Program, number: int, digest: str) -> Replay:
+        stored = await self._tools.histories.call(program, number)
+        return replay(program, stored, digest)
+
+    async def show(
         self, requester: Requester, program: str, *, with_history: bool
     ) -> ProgramReport:
         """Return what a caller is told of a program."""
         self._require_owner(program)
         found = self._program(requester, program)
-        return report(found, with_history=with_history)
+        history = await self._tools.histories.calls(found) if with_history else []
+        return report(found, history=history)
 
     async def end_program(
         self, requester: Requester, program: str, reason: str
--- a/src/carobspur/checkpoints.py
+++ b/src/carobspur/checkpoints.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .errors import StoreError
+from .history import Histories, is_long
 from .journal import Record
 from .objects import Objects
 from .placement import shard_of
@@ -47,7 +48,8 @@
         interval_commits: Commits between two checkpoints of a shard.
     """
 
-    __slots__ = ("_book", "_held", "_interval_commits", "_objects", "_puts")
+    __slots__ = ("_book", "_grown", "_held", "_histories", "_interval_commits")
+    __slots__ += ("_objects", "_puts")
     __slots__ += ("_session", "_shards")
 
     def __init__(
@@ -65,6 +67,8 @@
         self._shards = shards
         self._interval_commits = interval_commits
         self._held: dict[int, HeldShard] = {}
+        self._histories = Histories(objects)
+        self._grown: set[str] = set()
         self._puts = 0
 
     def __repr__(self) -> str:
@@ -72,6 +76,7 @@
 
     def hold(self, number: int, row: ShardRow) -> None:
         """Take up a shard whose row was written as this session's own."""
+        self._grown.update(program.id for program in self.programs_of(number))
         self._held[number] = HeldShard(row, row.spans[-1].first)
 
     def note(self, records: list[Record]) -> None:
@@ -80,6 +85,7 @@
             held = self._held.get(shard_of(record.program, self._shards))
             if held is not None:
                 held.is_dirty = True
+                self._grown.add(record.program)
 
     def programs_of(self, number: int) -> list[Program]:
         """Return the programs of a shard."""
@@ -120,10 +126,24 @@
         for since, number in due[:MAX_CHECKPOINTS_PER_STEP]:
             if since <= limit:
                 await self._checkpoint(number)
+        await self._spill_some()
         if self._held:
             floor = min(held.since for held in self._held.values())
             self._session.release_journal(floor)
 
+    async def _spill_some(self) -> None:
+        """Move older calls of programs with long histories to objects."""
+        grown, self._grown = self._grown, set()
+        for name in grown:
+            program = self._book.find(name)
+            if program is None or not is_long(program):
+                continue
+            try:
+                await self._histories.spill(program)
+            except StoreError as error:
+                self._grown.add(name)
+                _logger.warning("history of %s was not moved: %s", name, error.message)
+
     async def _checkpoint(self, number: int) -> None:
         held = self._held[number]
         old = held.row.snapshot
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -18,6 +18,7 @@
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import CallError, NotFoundError
+from .history import Histories
 from .holder import CacheHolder
 from .inventory import Inventory
 from .journal import CallFinished, CallIntended, CallOutcome
@@ -144,6 +145,7 @@
         pool: Endpoints.
         endpoints: Client of the endpoints.
         holder: Keeps and releases engines' caches.
+        histories: Reads programs' histories.
         data_centre: Where the scheduler stands.
     """
 
@@ -154,6 +156,7 @@
     pool: EndpointPool
     endpoints: Endpoints
     holder: CacheHolder
+    histories: Histories
     data_centre: str
 
     @asynccontextmanager
@@ -252,7 +255,7 @@
             outcome=outcome,
         )
         await self.session.commit([record])
-        return context.program.calls[request.number - 1]
+        return context.program.stored(request.number)
 
 
 class CallKind(Protocol):
--- a/src/carobspur/history.py
+++ b/src/carobspur/history.py
@@ -1,48 +1,140 @@
-"""The conversation of a program with one model, and the key engines know it by."""
+"""Histories of programs: conversations with models, and old calls in objects.
 
-from __future__ import annotations
+A finished call never changes, so an object that holds some calls of a program has the
+same content whoever writes it: its key names the program and the numbers. The program's
+state keeps the keys and the newest calls only.
+"""
 
-from dataclasses import dataclass
+from __future__ import annotations
 
 import msgspec
 
 from .endpoints import GenerateResult, ModelInput, extend_prefix_key
-from .programs import Program, StoredCall
+from .errors import StoreError
+from .objects import Objects
+from .programs import Prefix, Program, Segment, StoredCall
 
+HISTORY_PREFIX = "history/"
+SPILL_BYTES = 32 << 10
+KEPT_CALLS = 4
 
-@dataclass(frozen=True, slots=True)
-class ModelHistory:
-    """The answered turns of a program with one model.
 
-    Attributes:
-        key: Key by which engines know the whole text; empty for no turns.
-        tokens: Length of the text.
-        turns: The turns in order.
+def model_prefix(program: Program, model: str) -> Prefix:
+    """Return the conversation of a program with one model.
+
+    Only calls since the last time are looked at; the result is kept in the program.
     """
+    prefix = program.prefixes.get(model, Prefix())
+    newest = program.next_number - 1
+    if prefix.upto == newest:
+        return prefix
+    key, tokens = prefix.key, prefix.tokens
+    for call in program.calls[max(0, prefix.upto - program.spilled) :]:
+        if not _is_turn(call, model):
+            continue
+        key = extend_prefix_key(key, _prompt(call), _answer(call))
+        tokens += call.outcome.input_tokens + call.outcome.output_tokens
+    program.prefixes[model] = Prefix(key, tokens, newest)
+    return program.prefixes[model]
+
+
+def is_long(program: Program) -> bool:
+    """Return whether calls of a program should move to an object."""
+    calls = program.calls[:-KEPT_CALLS]
+    return sum(_size(call) for call in calls) >= SPILL_BYTES
+
+
+class Histories:
+    """Reads histories, and moves their older parts to objects.
+
+    Args:
+        objects: The object store.
+    """
+
+    __slots__ = ("_objects",)
+
+    def __init__(self, objects: Objects) -> None:
+        self._objects = objects
+
+    def __repr__(self) -> str:
+        return "Histories()"
 
-    key: str
-    tokens: int
-    turns: list[StoredCall]
+    async def calls(self, program: Program) -> list[StoredCall]:
+        """Return all finished calls of a program.
 
-    def text(self) -> str:
-        """Return the whole text."""
+        Raises:
+            StoreError: A part can't be read, or is missing.
+        """
+        segments, newest = list(program.segments), list(program.calls)
+        found: list[StoredCall] = []
+        for segment in segments:
+            found.extend(await self._read(segment))
+        return found + newest
+
+    async def call(self, program: Program, number: int) -> StoredCall:
+        """Return one finished call that is in an object.
+
+        Raises:
+            StoreError: It can't be read, or is missing.
+        """
+        for segment in program.segments:
+            if segment.first <= number <= segment.last:
+                return (await self._read(segment))[number - segment.first]
+        return program.stored(number)
+
+    async def text(self, program: Program, model: str) -> str:
+        """Return the whole text of a program's conversation with a model.
+
+        Raises:
+            StoreError: A part can't be read, or is missing.
+        """
         parts = []
-        for turn in self.turns:
-            parts.append(_prompt(turn))
-            parts.append(_answer(turn))
+        for call in await self.calls(program):
+            if _is_turn(call, model):
+                parts.append(_prompt(call))
+                parts.append(_answer(call))
         return " ".join(parts)
 
+    async def spill(self, program: Program) -> None:
+        """Move all but the newest calls to an object; the store must answer first.
 
-def model_history(program: Program, model: str) -> ModelHistory:
-    """Return the answered turns of a program with one model."""
-    key, tokens, turns = "", 0, []
-    for call in program.calls:
-        if call.endpoint != model or call.outcome.cause:
-            continue
-        key = extend_prefix_key(key, _prompt(call), _answer(call))
-        tokens += call.outcome.input_tokens + call.outcome.output_tokens
-        turns.append(call)
-    return ModelHistory(key, tokens, turns)
+        Raises:
+            StoreError: The object may not be stored; the program is unchanged.
+        """
+        calls = program.calls[:-KEPT_CALLS]
+        if not calls:
+            return
+        for model in {call.endpoint for call in calls if _is_of_model(call)}:
+            model_prefix(program, model)
+        first, last = calls[0].number, calls[-1].number
+        key = f"{HISTORY_PREFIX}{program.id}/{first:06d}-{last:06d}"
+        await self._objects.put(key, msgspec.json.encode(calls))
+        program.segments.append(Segment(key, first, last))
+        del program.calls[: len(calls)]
+
+    async def _read(self, segment: Segment) -> list[StoredCall]:
+        content = await self._objects.get(segment.key)
+        if content is None:
+            raise StoreError(f"the history {segment.key} is missing")
+        calls = msgspec.json.decode(content, type=list[StoredCall])
+        if [call.number for call in calls] != list(
+            range(segment.first, segment.last + 1)
+        ):
+            raise StoreError(f"the history {segment.key} is not whole")
+        return calls
+
+
+def _size(call: StoredCall) -> int:
+    return len(call.input) + len(call.outcome.output)
+
+
+def _is_of_model(call: StoredCall) -> bool:
+    outcome = call.outcome
+    return not outcome.cause and bool(outcome.input_tokens or outcome.output_tokens)
+
+
+def _is_turn(call: StoredCall, model: str) -> bool:
+    return call.endpoint == model and not call.outcome.cause
 
 
 def _prompt(turn: StoredCall) -> str:
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -14,13 +14,13 @@
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
 from ..execution import CallContext, Toolbox
-from ..history import ModelHistory, model_history
+from ..history import model_prefix
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
 from ..metrics import PREFIX_TOKENS
 from ..pool import CachedPrefix, EndpointState
-from ..programs import StoredCall
+from ..programs import Prefix, StoredCall
 from ..routing import RouteRequest
 
 
@@ -41,7 +41,7 @@
         """Generate an answer and commit it; see :class:`..execution.CallKind`."""
         model = _model(context)
         content = decode_model_input(context.request.content)
-        history = model_history(context.program, model.name)
+        history = model_prefix(context.program, model.name)
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
@@ -70,7 +70,7 @@
         context: CallContext,
         model: Model,
         content: ModelInput,
-        history: ModelHistory,
+        history: Prefix,
     ) -> tuple[GenerateResult, EndpointState]:
         route = RouteRequest(
             program=context.program.id,
@@ -105,19 +105,19 @@
         engine: EndpointState,
         context: CallContext,
         order: GenerateRequest,
-        history: ModelHistory,
+        history: Prefix,
         model: Model,
     ) -> GenerateResult:
         """Send the new part only, and the whole history where it is missing."""
         cached = engine.prefixes.get((order.program, order.model))
         should_have_it = cached is not None and cached.key == history.key
         if history.key and not should_have_it:
-            order = _with_history(order, history)
+            order = await self._with_history(order, context)
         try:
             result = await self._send(engine, context, order, model)
         except PrefixLostError:
             engine.prefixes.pop((order.program, order.model), None)
-            order = _with_history(order, history)
+            order = await self._with_history(order, context)
             result = await self._send(engine, context, order, model)
         organisation = context.program.organisation
         found = min(result.cached_tokens, history.tokens)
@@ -125,6 +125,13 @@
         PREFIX_TOKENS.labels(organisation, "no").inc(history.tokens - found)
         return result
 
+    async def _with_history(
+        self, order: GenerateRequest, context: CallContext
+    ) -> GenerateRequest:
+        histories = self._tools.histories
+        text = await histories.text(context.program, order.model)
+        return msgspec.structs.replace(order, history=text)
+
     async def _send(
         self,
         engine: EndpointState,
@@ -143,7 +150,7 @@
         self,
         context: CallContext,
         engine: EndpointState,
-        history: ModelHistory,
+        history: Prefix,
         content: ModelInput,
         result: GenerateResult,
     ) -> None:
@@ -168,7 +175,3 @@
 
 def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
     return input_tokens * model.input_cost + output_tokens * model.output_cost
-
-
-def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
-    return msgspec.structs.replace(order, history=history.text())
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -33,6 +33,28 @@
     outcome: CallOutcome
 
 
+class Segment(msgspec.Struct, frozen=True):
+    """Calls of a program that moved to an object; numbers include both ends."""
+
+    key: str
+    first: int
+    last: int
+
+
+class Prefix(msgspec.Struct, frozen=True):
+    """A program's conversation with one model, up to one of its calls.
+
+    Attributes:
+        key: Key by which engines know the whole text; empty for no turns.
+        tokens: Length of the text.
+        upto: Number of the last call that it takes into account.
+    """
+
+    key: str = ""
+    tokens: int = 0
+    upto: int = 0
+
+
 class Program(msgspec.Struct):
     """A program as its records made it.
 
@@ -44,7 +66,9 @@
         started_s: Start, seconds since 1970.
         parent: Id of the program that started it, or empty.
         deadline_s: Seconds since 1970 by which it must end, or 0.
-        calls: Finished calls in order; call ``n`` stands at ``n - 1``.
+        segments: Where the oldest finished calls are, in order.
+        calls: Finished calls after those, in order.
+        prefixes: Conversations by model, so that they need not be read again.
         intent: A call that may not be repeated and has no outcome yet.
         ended: Whether it takes no more calls.
         end_reason: Why it ended.
@@ -59,7 +83,9 @@
     started_s: float
     parent: str = ""
     deadline_s: float = 0.0
+    segments: list[Segment] = []
     calls: list[StoredCall] = []
+    prefixes: dict[str, Prefix] = {}
     intent: CallIntended | None = None
     ended: bool = False
     end_reason: str = ""
@@ -69,7 +95,16 @@
     @property
     def next_number(self) -> int:
         """The number that the next new call must carry."""
-        return len(self.calls) + 1
+        return self.spilled + len(self.calls) + 1
+
+    @property
+    def spilled(self) -> int:
+        """Number of the last call that is in an object, or 0."""
+        return self.segments[-1].last if self.segments else 0
+
+    def stored(self, number: int) -> StoredCall:
+        """Return a finished call that is not in an object."""
+        return self.calls[number - self.spilled - 1]
 
 
 class ProgramReport(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -94,6 +129,11 @@
     call: StoredCall
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaySpilled:
+    """The call finished before; its stored answer must be read from an object."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunNext:
     """The call is the program's next one."""
@@ -106,7 +146,7 @@
     intent: CallIntended
 
 
-Admission: TypeAlias = Replay | RunNext | SettleIntent
+Admission: TypeAlias = Replay | ReplaySpilled | RunNext | SettleIntent
 
 
 def program_id(organisation: str, user: str, key: str) -> str:
@@ -155,11 +195,10 @@
         ConflictError: The number was used for another call, or leaves a gap.
         ProgramEndedError: The program takes no new calls.
     """
+    if 1 <= number <= program.spilled:
+        return ReplaySpilled()
     if 1 <= number < program.next_number:
-        stored = program.calls[number - 1]
-        if stored.digest != digest:
-            raise _conflict(program, f"call {number} had other content")
-        return Replay(stored)
+        return replay(program, program.stored(number), digest)
     if program.ended:
         raise ProgramEndedError(f"program {program.id} has ended: {program.end_reason}")
     if number != program.next_number:
@@ -171,6 +210,17 @@
     return SettleIntent(program.intent)
 
 
+def replay(program: Program, stored: StoredCall, digest: str) -> Replay:
+    """Return the replay of a finished call.
+
+    Raises:
+        ConflictError: The call had other content.
+    """
+    if stored.digest != digest:
+        raise _conflict(program, f"call {stored.number} had other content")
+    return Replay(stored)
+
+
 def _conflict(program: Program, reason: str) -> ConflictError:
     expected = program.next_number
     return ConflictError(
@@ -294,8 +344,8 @@
             program.end_reason = record.reason
 
 
-def report(program: Program, *, with_history: bool) -> ProgramReport:
-    """Return what a caller is told of a program."""
+def report(program: Program, *, history: list[StoredCall]) -> ProgramReport:
+    """Return what a caller is told of a program, with the calls given."""
     return ProgramReport(
         program=program.id,
         agent=program.agent,
@@ -306,5 +356,5 @@
         parent=program.parent,
         tokens_used=program.tokens_used,
         cost_units=program.attained_units,
-        history=list(program.calls) if with_history else [],
+        history=history,
     )
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -19,6 +19,7 @@
 from .errors import NotReadyError, SessionLostError
 from .execution import CallRequest, Requester, Toolbox
 from .health import health_routes
+from .history import Histories
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
 from .kernel import PluginKind, plugin
@@ -166,6 +167,7 @@
             pool=self._pool,
             endpoints=Endpoints(self._client),
             holder=holder,
+            histories=Histories(self._objects),
             data_centre=self._settings.instance.data_centre,
         )
         return CallService(
@@ -272,7 +274,7 @@
         return _answer_message(await self.calls.run_single(call, on_text))
 
     async def _show_program(self, request: Any, emit: Emit) -> Any:
-        found = self.calls.show(
+        found = await self.calls.show(
             self._requester(request.caller),
             request.program,
             with_history=request.with_history,
