Control serves its view until the other processes of its instance have ended

Now control waits until nobody has asked for 1 s, at most 90 s. Ruled out: an order among the three daemons (none knows when the others get SIGTERM).

--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -39,8 +39,11 @@
 from .settings import Settings
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
+from .view import VIEW_PERIOD_S
 
 LIVE_LIST_READS_PER_S = 50.0
+NOT_ASKED_S = 1.0
+STOP_LIMIT_S = 90.0
 
 _logger = logging.getLogger(__name__)
 
@@ -77,6 +80,7 @@
         self._loads = LoadReports()
         self._listed: list[ListedInstance] = []
         self._listed_s = float("-inf")
+        self._asked_s = float("-inf")
         self._heartbeats = Heartbeats(settings.instance.id)
         self._gossip = Gossip(random.Random(settings.instance.id))
         self._rounds = GossipRounds(
@@ -171,6 +175,7 @@
         """Serve the peer methods of a control process."""
 
         async def _get_view(request: Any, emit: Emit) -> Any:
+            self._asked_s = self._clock.monotonic()
             return self.view(request)
 
         async def _gossip(request: Any, emit: Emit) -> Any:
@@ -289,6 +294,17 @@
     def _load_period_s(self) -> float:
         return self._loads.ask_period_s(self._settings.control.poll_s)
 
+    async def until_not_asked(self) -> None:
+        """Wait until the other processes of the instance have ended, up to a limit.
+
+        They finish what is under way, and must learn of shards that move.
+        """
+        started_s = self._clock.monotonic()
+        while self._clock.monotonic() - started_s < STOP_LIMIT_S:
+            if self._clock.monotonic() - self._asked_s > NOT_ASKED_S:
+                return
+            await self._clock.sleep(VIEW_PERIOD_S)
+
     def _take_items(self) -> None:
         items = self._gossip.arrived()
         if not items:
@@ -369,6 +385,7 @@
         ):
             await stopping.wait()
             await _announce_leaving(control)
+            await control.until_not_asked()
         server.stop()
         server.close_connections()
     client.close()
