--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 import fire
@@ -37,6 +37,7 @@
 from .operators import operator_routes
 from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer, peer_client
 from .settings import Settings
+from .sweep import SWEEP_PERIOD_S, CacheSweep
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
 from .view import VIEW_PERIOD_S
@@ -102,6 +103,7 @@
             reports=self._loads,
             on_loads=self._publish_loads,
         )
+        self._sweep = CacheSweep(client, peers, shards=settings.scheduler.shards)
         self._reader = TableReader(
             table=table,
             configuration=self._configuration,
@@ -203,6 +205,10 @@
         )
         await write_instance(self._table, row)
 
+    def loops(self) -> list[Coroutine[Any, Any, None]]:
+        """Return everything that runs until it is cancelled."""
+        return [self.run(), self.run_gossip(), self.run_load(), self.run_sweep()]
+
     async def run(self) -> None:
         """Follow the table, where it is this process's turn, until cancelled."""
         is_announced = False
@@ -231,6 +237,16 @@
             await self.ask_loads()
             await self._clock.sleep(self._load_period_s)
 
+    async def run_sweep(self) -> None:
+        """Sweep the caches of engines until the task is cancelled."""
+        while True:
+            await self._clock.sleep(SWEEP_PERIOD_S)
+            await self._sweep.sweep(
+                self._loads.first_asked,
+                self._view.sessions.values,
+                self._view.shard_owners.values,
+            )
+
     async def follow(self) -> None:
         """Read the table if it is this process's turn, or what gossip left out."""
         await self._poll_live_list()
@@ -380,7 +396,7 @@
             [*health_routes(lambda: control.is_current), *operator_routes(control)]
         )
         async with (
-            background(control.run(), control.run_gossip(), control.run_load()),
+            background(*control.loops()),
             http_server(app, host, settings.control.port),
         ):
             await stopping.wait()
--- a/src/carobspur/endpoint_loads.py
+++ b/src/carobspur/endpoint_loads.py
@@ -144,6 +144,11 @@
             if is_first or self._is_old(address, period_s, now_s):
                 yield address
 
+    @property
+    def first_asked(self) -> list[str]:
+        """Endpoints that this process is the first to ask."""
+        return [address for address, is_first in self._share.items() if is_first]
+
     def ask_period_s(self, poll_s: float) -> float:
         """Return the time between two reports of an endpoint."""
         is_few = len(self._watched) <= FEW_ENDPOINTS
--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 import msgspec
 
@@ -94,6 +95,17 @@
             for key in held:
                 del engine.prefixes[key]
 
+    def release(self, address: str, programs: Iterable[str], *, fence: int) -> None:
+        """Release all that an engine keeps of some programs.
+
+        Args:
+            address: The engine.
+            programs: Programs that are gone.
+            fence: Fencing number of the order.
+        """
+        for program in programs:
+            self._order(address, HoldOrder(program, "", 0.0, fence))
+
     def _order(self, address: str, order: HoldOrder) -> None:
         task = asyncio.ensure_future(self._send(address, order))
         self._tasks.add(task)
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -74,6 +74,7 @@
 DRAIN = Method("drain", messages.Drain, messages.Empty)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
 GOSSIP = Method("gossip", messages.Gossip, messages.Gossip)
+SWEEP_CACHE = Method("sweep_cache", messages.SweepCache, messages.CacheSwept)
 RECONCILE = Method("reconcile", messages.Reconcile, messages.Reconciled)
 
 
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -203,3 +203,14 @@
 struct Reconciled {
   1: required list<GossipItem> items,
 }
+
+// Asks the owner of some programs, which an engine has in its cache, to release those
+// that are gone.
+struct SweepCache {
+  1: required string address,
+  2: required list<string> programs,
+}
+
+struct CacheSwept {
+  1: required i32 released,
+}
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -31,6 +31,7 @@
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
     START_PROGRAM,
+    SWEEP_CACHE,
     Emit,
     PeerServer,
     messages,
@@ -81,6 +82,7 @@
         self._book = ProgramBook()
         self._pool = EndpointPool()
         self._session: Session | None = None
+        self._holder: CacheHolder | None = None
         self._keeper: ShardKeeper | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
@@ -146,7 +148,7 @@
 
     def _build_calls(self, session: Session, dispatcher: Dispatcher) -> CallService:
         options = self._settings.scheduler
-        holder = CacheHolder(
+        self._holder = CacheHolder(
             self._client,
             plugin(PluginKind.HOLDS, options.holds)(),
             self._pool,
@@ -165,7 +167,7 @@
             dispatcher=dispatcher,
             pool=self._pool,
             endpoints=Endpoints(self._client),
-            holder=holder,
+            holder=self._holder,
             data_centre=self._settings.instance.data_centre,
         )
         return CallService(
@@ -215,6 +217,7 @@
         server.handle(SHOW_PROGRAM, self._show_program)
         server.handle(END_PROGRAM, self._end_program)
         server.handle(DRAIN, self._drain)
+        server.handle(SWEEP_CACHE, self._sweep_cache)
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -285,6 +288,22 @@
         )
         return messages.Empty()
 
+    async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
+        """Release what an engine keeps of own programs that are gone.
+
+        The highest fencing number of all sessions is used, since an engine may keep
+        one for all its senders; a late order costs no more than a recomputed prefix.
+        """
+        gone = [item for item in request.programs if self._is_gone(item)]
+        fence = max((item.epoch for item in self._view.sessions), default=0)
+        if self._holder is not None:
+            self._holder.release(request.address, gone, fence=fence)
+        return messages.CacheSwept(released=len(gone))
+
+    def _is_gone(self, program: str) -> bool:
+        found = self._book.find(program)
+        return self._owns(program) and (found is None or found.ended)
+
     async def _drain(self, request: Any, emit: Emit) -> Any:
         if request.leaving:
             await self.leave()
--- /dev/null
+++ b/src/carobspur/sweep.py
@@ -0,0 +1,108 @@
+"""Finds engine memory of programs that are gone.
+
+The control process that asks an engine for its load also asks, now and then, what the
+engine holds in its cache, and tells the owners of these programs. An owner releases
+what belongs to programs that have ended or that it does not know. Nothing depends on
+cache events, which come late or never, and nothing is decided here: who owns a program
+is decided by leases, so that several sweeps at once do no harm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from .engine_messages import CachedHistory
+from .errors import CarobspurError
+from .gossip_rounds import PeerCaller
+from .http import HttpClient, HttpRequest
+from .peers import SWEEP_CACHE, messages
+from .placement import shard_of
+
+SWEEP_PERIOD_S = 30.0
+LIST_TIMEOUT_S = 5.0
+MAX_PROGRAMS = 2000
+
+_logger = logging.getLogger(__name__)
+
+
+def by_owner(
+    programs: Iterable[str], shard_owners: Mapping[int, str], shards: int
+) -> dict[str, list[str]]:
+    """Return programs by the session that owns them; those of nobody are left out."""
+    found: dict[str, list[str]] = defaultdict(list)
+    for program in programs:
+        owner = shard_owners.get(shard_of(program, shards))
+        if owner:
+            found[owner].append(program)
+    return found
+
+
+class CacheSweep:
+    """Asks engines what they hold and tells the owners.
+
+    Args:
+        client: HTTP client towards engines.
+        peers: Calls schedulers.
+        shards: Number of shards.
+    """
+
+    __slots__ = ("_client", "_peers", "_shards")
+
+    def __init__(self, client: HttpClient, peers: PeerCaller, *, shards: int) -> None:
+        self._client = client
+        self._peers = peers
+        self._shards = shards
+
+    async def sweep(
+        self,
+        addresses: Iterable[str],
+        sessions: Mapping[str, Any],
+        shard_owners: Mapping[int, str],
+    ) -> int:
+        """Sweep some engines once.
+
+        Args:
+            addresses: The engines.
+            sessions: Live sessions by id, as ``SessionInfo`` messages.
+            shard_owners: Session that holds each shard.
+
+        Returns:
+            How many programs were released.
+        """
+        sweeps = (self._sweep(x, sessions, shard_owners) for x in addresses)
+        return sum(await asyncio.gather(*sweeps))
+
+    async def _sweep(
+        self,
+        address: str,
+        sessions: Mapping[str, Any],
+        shard_owners: Mapping[int, str],
+    ) -> int:
+        released = 0
+        try:
+            programs = await self._held_programs(address)
+            for owner, owned in by_owner(programs, shard_owners, self._shards).items():
+                if owner in sessions:
+                    released += await self._tell(sessions[owner], address, owned)
+        except (CarobspurError, msgspec.MsgspecError) as error:
+            _logger.info("%s was not swept: %s", address, error)
+        return released
+
+    async def _held_programs(self, address: str) -> list[str]:
+        request = HttpRequest("GET", f"{address}/v1/cache", timeout_s=LIST_TIMEOUT_S)
+        response = await self._client.fetch(request)
+        if response.status != 200:
+            return []
+        found = msgspec.json.decode(response.body, type=list[CachedHistory])
+        return sorted({item.program for item in found})
+
+    async def _tell(self, owner: Any, address: str, programs: list[str]) -> int:
+        message = messages.SweepCache(address=address, programs=programs[:MAX_PROGRAMS])
+        result = await self._peers.call(owner.host, owner.port, SWEEP_CACHE, message)
+        return result.released
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,70 @@
+"""Items, digests and heartbeats, without any process."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from carobspur.gossip import MAX_ITEM_BYTES, Gossip, Item, item_message
+from carobspur.heartbeats import SUSPECT_AFTER_S, Heartbeats
+
+
+def mend(one: Gossip, other: Gossip, rounds: int) -> None:
+    """Run rounds of digests and reconciliation between two stores."""
+    for _ in range(rounds):
+        mending = one.reconcile(other.summaries(one.store.digest))
+        if mending is not None:
+            other.take(mending.items)
+            one.take(other.wanted(mending.wanted))
+
+
+class ItemsTest(unittest.TestCase):
+    def test_older_items_change_nothing(self) -> None:
+        rng = random.Random(1)
+        for _ in range(200):
+            gossip = Gossip(rng)
+            items = [Item("k", n, None if n % 3 == 2 else b"%d" % n) for n in range(6)]
+            rng.shuffle(items)
+            gossip.take(map(item_message, items))
+            self.assertEqual(gossip.store.get("k"), Item("k", 5, None))
+
+    def test_a_deletion_wins_over_its_row(self) -> None:
+        gossip = Gossip(random.Random(1))
+        gossip.put(Item("k", 7, None))
+        self.assertFalse(gossip.put(Item("k", 7, b"row")))
+        self.assertTrue(gossip.put(Item("k", 8, b"row")))
+
+    def test_digests_mend_any_difference(self) -> None:
+        rng = random.Random(2)
+        one, other = Gossip(rng), Gossip(rng)
+        for n in range(500):
+            one.put(Item(f"a{n}", n, b"one"))
+            other.put(Item(f"b{n}", n, b"other"))
+            one.put(Item(f"c{n}", n, b"old"))
+            other.put(Item(f"c{n}", n + 1, b"new"))
+        mend(one, other, 200)
+        self.assertEqual(one.store.digest, other.store.digest)
+        self.assertEqual(one.store.get("c3").value, b"new")
+
+    def test_messages_are_bounded(self) -> None:
+        gossip = Gossip(random.Random(1))
+        for n in range(1000):
+            gossip.put(Item(f"k{n}", n, b"x" * 100))
+        sent = sum(len(item.value) + len(item.key) for item in gossip.fresh())
+        self.assertLessEqual(sent, MAX_ITEM_BYTES)
+
+
+class HeartbeatsTest(unittest.TestCase):
+    def test_a_silent_instance_is_suspected_and_heard_again(self) -> None:
+        one, other = Heartbeats("one"), Heartbeats("other")
+        other.beat()
+        one.watch(["other"], 0.0)
+        one.take(other.encode(), 1.0)
+        self.assertFalse(one.is_silent("other", 1.0 + SUSPECT_AFTER_S))
+        one.take(other.encode(), 5.0)
+        self.assertTrue(one.is_silent("other", 1.1 + SUSPECT_AFTER_S))
+        restarted = Heartbeats("other")
+        restarted.take(one.encode(), 8.0)
+        restarted.beat()
+        one.take(restarted.encode(), 9.0)
+        self.assertFalse(one.is_silent("other", 9.0))
--- /dev/null
+++ b/tests/test_sweep.py
@@ -0,0 +1,135 @@
+"""Engine memory of programs that are gone comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+
+from carobspur.endpoints import GenerateRequest
+from carobspur.http import HttpError, HttpRequest, HttpResponse
+from carobspur.sweep import SWEEP_PERIOD_S, by_owner
+from carobspur.verdict import NOT_RUN
+
+from . import builders
+from .virtual import run_virtual
+from .world import World
+
+BACK_WITHIN_S = SWEEP_PERIOD_S + 5
+PROMPT = {"prompt": "what do we pay for this", "max_tokens": 4}
+
+
+class LosesReleases:
+    """HTTP client whose hold orders are lost while it is told so."""
+
+    def __init__(self, inner: object) -> None:
+        self._inner = inner
+        self.is_losing = False
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        """Send a request, or lose it."""
+        if self.is_losing and request.url.endswith("/v1/holds"):
+            raise HttpError("lost", verdict=NOT_RUN)
+        return await self._inner.fetch(request)
+
+
+def cached(world: World) -> set[str]:
+    """Return the programs that any engine has in its cache."""
+    return {
+        history.program
+        for engine in world.engines.values()
+        for history in engine.cache.histories
+    }
+
+
+def start_sweeps(world: World) -> None:
+    """Run the sweeps of all instances."""
+    for node in world.nodes.values():
+        node.tasks.append(asyncio.ensure_future(node.control.run_sweep()))
+
+
+async def run_programs(world: World, count: int) -> list[str]:
+    """Start programs and run a model call of each."""
+    programs = [await world.start_program(f"k{n}") for n in range(count)]
+    for program in programs:
+        reply = await world.call(program, 1, "model", PROMPT)
+        assert reply.status == 200, reply.body
+    return programs
+
+
+class SweepTest(unittest.TestCase):
+    def test_lost_releases_are_made_up_for(self) -> None:
+        async def scenario() -> None:
+            world = World()
+            world.client = losing = LosesReleases(world.client)
+            await world.start(3)
+            programs = await run_programs(world, 12)
+            self.assertEqual(cached(world), set(programs))
+            losing.is_losing = True
+            for program in programs[:8]:
+                await world.ask("DELETE", f"/v1/programs/{program}")
+            await asyncio.sleep(5)
+            losing.is_losing = False
+            self.assertEqual(cached(world), set(programs))
+            start_sweeps(world)
+            await asyncio.sleep(BACK_WITHIN_S)
+            self.assertEqual(cached(world), set(programs[8:]))
+
+        run_virtual(scenario)
+
+    def test_program_ends_after_its_scheduler_was_killed(self) -> None:
+        async def scenario() -> None:
+            world = await World().start(3)
+            programs = await run_programs(world, 12)
+            owner = world.owner_of(programs[0])
+            start_sweeps(world)
+            world.kill(owner)
+            await asyncio.sleep(10)
+            for program in programs:
+                reply = await world.ask("DELETE", f"/v1/programs/{program}")
+                self.assertEqual(reply.status, 204, reply.body)
+            await asyncio.sleep(BACK_WITHIN_S)
+            self.assertEqual(cached(world), set())
+
+        run_virtual(scenario)
+
+    def test_unknown_programs_are_released(self) -> None:
+        async def scenario() -> None:
+            world = await World().start(3)
+            for url in builders.ENGINE_URLS:
+                body = GenerateRequest(
+                    "p-lost.1", "p-lost", "model", "", 0, "", "a b c", 4
+                )
+                request = HttpRequest(
+                    "POST",
+                    f"{url}/v1/generate",
+                    body=msgspec.json.encode(body),
+                    on_data=lambda data: None,
+                )
+                await world.client.fetch(request)
+            self.assertEqual(cached(world), {"p-lost"})
+            start_sweeps(world)
+            await asyncio.sleep(BACK_WITHIN_S)
+            self.assertEqual(cached(world), set())
+
+        run_virtual(scenario)
+
+    def test_a_vanished_caller_holds_nothing(self) -> None:
+        async def scenario() -> None:
+            world = await World().start(3)
+            await run_programs(world, 6)
+            await asyncio.sleep(120)
+            held_s = [
+                history.held_s
+                for engine in world.engines.values()
+                for history in engine.cache.histories
+            ]
+            self.assertEqual(set(held_s), {0.0})
+
+        run_virtual(scenario)
+
+    def test_programs_are_told_to_their_owners(self) -> None:
+        found = by_owner(["a", "b", "c"], {0: "s1"}, 1)
+        self.assertEqual(found, {"s1": ["a", "b", "c"]})
+        self.assertEqual(by_owner(["a"], {}, 1), {})
