Calls wait for the engine with their history; the queue costs the same at any length

The dispatcher sorted all waiters at each event and counted an organisation by scanning. Before the guard in _place the test of cancelled calls counted -1 waiting and leaked a place; a queue for each organisation let the second one past the predicted wait.

--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -15,7 +15,7 @@
 
 from .budgets import Budgets, Reservation
 from .clock import Clock
-from .dispatch import Dispatcher
+from .dispatch import Dispatcher, Urgency
 from .endpoints import Endpoints
 from .errors import CallError, NotFoundError
 from .holder import CacheHolder
@@ -185,14 +185,19 @@
         if not candidates:
             raise NotFoundError(f"no endpoint serves {route.model!r}")
         async with self.dispatcher.slot(
-            route,
-            candidates,
-            organisation=context.program.organisation,
-            rank=context.rank,
-            attained_units=context.program.attained_units,
+            route, candidates, urgency=self._urgency(context)
         ) as endpoint:
             yield endpoint
 
+    def _urgency(self, context: CallContext) -> Urgency:
+        program = context.program
+        return Urgency(
+            organisation=program.organisation,
+            rank=context.rank,
+            attained_units=program.attained_units,
+            program_age_s=max(0.0, self.clock.wall() - program.started_s),
+        )
+
     async def send(
         self,
         context: CallContext,
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -80,6 +80,7 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
+            weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
             call_id=context.call_id,
--- a/src/carobspur/plugins/routing_baselines.py
+++ b/src/carobspur/plugins/routing_baselines.py
@@ -7,7 +7,7 @@
 from ..kernel import PluginKind, register
 from ..placement import first
 from ..pool import EndpointState
-from ..routing import RouteRequest
+from ..routing import QueueOrder, RouteChoice, RouteRequest, Send, WaitFor
 
 
 def _open(endpoints: Sequence[EndpointState], now_s: float) -> list[EndpointState]:
@@ -19,19 +19,20 @@
     """Takes the endpoints in turn."""
 
     __slots__ = ("_turn",)
+    order = QueueOrder.ARRIVAL
 
     def __init__(self) -> None:
         self._turn = 0
 
     def choose(
         self, request: RouteRequest, endpoints: Sequence[EndpointState], now_s: float
-    ) -> EndpointState | None:
-        """Return the next endpoint that may take a call, or ``None``."""
+    ) -> RouteChoice:
+        """Return the next endpoint that may take a call."""
         found = _open(endpoints, now_s)
         if not found:
-            return None
+            return WaitFor()
         self._turn += 1
-        return found[self._turn % len(found)]
+        return Send(found[self._turn % len(found)])
 
 
 @register(PluginKind.ROUTING, "least_loaded")
@@ -39,16 +40,16 @@
     """Takes the endpoint with the fewest calls under way."""
 
     __slots__ = ()
+    order = QueueOrder.ARRIVAL
 
     def choose(
         self, request: RouteRequest, endpoints: Sequence[EndpointState], now_s: float
-    ) -> EndpointState | None:
-        """Return the least loaded endpoint that may take a call, or ``None``."""
-        return min(
-            _open(endpoints, now_s),
-            key=lambda item: (item.in_flight + item.load.waiting, item.address),
-            default=None,
-        )
+    ) -> RouteChoice:
+        """Return the least loaded endpoint that may take a call."""
+        found = _open(endpoints, now_s)
+        if not found:
+            return WaitFor()
+        return Send(min(found, key=_load))
 
 
 @register(PluginKind.ROUTING, "sticky")
@@ -56,17 +57,23 @@
     """Takes the same endpoint for all calls of a program."""
 
     __slots__ = ()
+    order = QueueOrder.ARRIVAL
 
     def choose(
         self, request: RouteRequest, endpoints: Sequence[EndpointState], now_s: float
-    ) -> EndpointState | None:
-        """Return the program's endpoint once it may take a call, or ``None``."""
+    ) -> RouteChoice:
+        """Return the program's endpoint once it may take a call."""
         usable = {
             item.address: item
             for item in endpoints
             if not item.is_leaving and item.breaker.allows(now_s)
         }
         chosen = first(request.program, usable)
-        if chosen is None or not usable[chosen].may_take(now_s):
-            return None
-        return usable[chosen]
+        if chosen is None:
+            return WaitFor()
+        endpoint = usable[chosen]
+        return Send(endpoint) if endpoint.may_take(now_s) else WaitFor(endpoint)
+
+
+def _load(endpoint: EndpointState) -> tuple[int, str]:
+    return (endpoint.in_flight + endpoint.load.waiting, endpoint.address)
--- a/src/carobspur/plugins/routing_finish.py
+++ b/src/carobspur/plugins/routing_finish.py
@@ -6,31 +6,66 @@
 
 from ..kernel import PluginKind, register
 from ..pool import EndpointState
-from ..routing import RouteRequest, run_seconds
+from ..routing import (
+    QueueOrder,
+    RouteChoice,
+    RouteRequest,
+    Send,
+    WaitFor,
+    fetch_seconds,
+    has_prefix,
+    run_seconds,
+)
 
 OTHER_DATA_CENTRE_S = 0.002
+HOME_S = 0.05
 
 
 @register(PluginKind.ROUTING, "finish")
 class FinishRouting:
-    """Sends a call where it should finish first."""
+    """Sends a call where it should finish first, all costs counted.
+
+    The cost of an endpoint is the predicted finish there, and what the call does to
+    others: a history that is computed again stops all calls of that engine's batch.
+    A call waits for a busy engine where that costs less than going elsewhere.
+    """
 
     __slots__ = ()
+    order = QueueOrder.PROGRAM
 
     def choose(
         self, request: RouteRequest, endpoints: Sequence[EndpointState], now_s: float
-    ) -> EndpointState | None:
-        """Return the endpoint with the earliest predicted finish, or ``None``."""
-        return min(
-            (item for item in endpoints if item.may_take(now_s)),
-            key=lambda item: (_finish_s(item, request), item.address),
-            default=None,
-        )
+    ) -> RouteChoice:
+        """Return the endpoint of least cost, or to wait for it."""
+        best = None
+        best_cost = (float("inf"), "")
+        for item in endpoints:
+            if item.is_leaving or not item.breaker.allows(now_s):
+                continue
+            cost = (_cost_s(item, request), item.address)
+            if cost < best_cost:
+                best, best_cost = item, cost
+        if best is None:
+            return WaitFor()
+        return Send(best) if best.may_take(now_s) else WaitFor(best)
 
 
-def _finish_s(endpoint: EndpointState, request: RouteRequest) -> float:
-    distance_s = 0.0
+def _cost_s(endpoint: EndpointState, request: RouteRequest) -> float:
+    weights = request.weights
+    fetch_s = fetch_seconds(endpoint, request)
+    seconds = _wait_s(endpoint) + run_seconds(endpoint, request)
     if endpoint.data_centre != request.data_centre:
-        distance_s = OTHER_DATA_CENTRE_S
-    waiting_s = endpoint.work_s / max(1, endpoint.window)
-    return waiting_s + run_seconds(endpoint, request) + distance_s
+        seconds += OTHER_DATA_CENTRE_S
+    if not has_prefix(endpoint, request):
+        seconds += HOME_S * len(endpoint.prefixes) / max(1, endpoint.window)
+    others_s = fetch_s * endpoint.in_flight
+    return weights.latency * (seconds + others_s) + weights.wasted_cache * fetch_s
+
+
+def _wait_s(endpoint: EndpointState) -> float:
+    """Return the predicted wait for a place, by our calls under way and waiting."""
+    ahead = endpoint.in_flight + endpoint.ahead - endpoint.window + 1
+    if ahead <= 0 or not endpoint.in_flight:
+        return 0.0
+    service_s = endpoint.work_s / endpoint.in_flight
+    return ahead * service_s / endpoint.window
--- a/src/carobspur/pool.py
+++ b/src/carobspur/pool.py
@@ -84,6 +84,8 @@
         checks_fencing: Whether it refuses orders with an old fencing number.
         in_flight: Calls of this scheduler that are under way there.
         work_s: Predicted time of the calls that are under way there.
+        wanted: Calls of this scheduler that wait for this endpoint.
+        ahead: Those of them that come before the call that is placed now.
         load: Its last report.
         is_leaving: Whether it takes no new calls.
         prefixes: Histories it should have in its cache, by program and model.
@@ -99,6 +101,8 @@
     checks_fencing: bool = False
     in_flight: int = 0
     work_s: float = 0.0
+    wanted: int = 0
+    ahead: int = 0
     load: LoadReport = LoadReport()
     is_leaving: bool = False
     prefixes: dict[tuple[str, str], CachedPrefix] = field(default_factory=dict)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,159 @@
+"""The queue: order, counts, waiting for one endpoint, cancellation."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+from typing import Any
+
+from carobspur.clock import LoopClock
+from carobspur.dispatch import Dispatcher, Urgency
+from carobspur.errors import OverloadedError
+from carobspur.kernel import PluginKind, load_plugins, plugin
+from carobspur.pool import CachedPrefix, EndpointState
+from carobspur.routing import RouteRequest
+from carobspur.verdict import NOT_RUN
+
+from .virtual import run_virtual
+
+load_plugins()
+
+CALL_S = 1.0
+
+
+def some_engines(number: int, *, window: int = 1) -> list[EndpointState]:
+    return [
+        EndpointState(
+            f"http://10.0.0.{n}:1",
+            "dc-1",
+            window=window,
+            prefill_tokens_per_s=1000.0,
+            decode_tokens_per_s=50.0,
+        )
+        for n in range(number)
+    ]
+
+
+class Queueing:
+    """A dispatcher whose calls take a second each and are noted as they start."""
+
+    def __init__(
+        self, engines: Sequence[EndpointState], *, routing: str = "finish"
+    ) -> None:
+        policy = plugin(PluginKind.ROUTING, routing)()
+        self.engines = engines
+        self.dispatcher = Dispatcher(clock=LoopClock(), policy=policy, max_waiting=9)
+        self.started: list[tuple[str, str]] = []
+
+    def call(
+        self, program: str, *, organisation: str = "a", tokens: int = 0, **urgency: Any
+    ) -> asyncio.Task[None]:
+        key = f"{program}-key" if tokens else ""
+        request = RouteRequest(program, "model", key, tokens, output_tokens=50)
+        return asyncio.ensure_future(
+            self._run(request, Urgency(organisation, **urgency))
+        )
+
+    async def _run(self, request: RouteRequest, urgency: Urgency) -> None:
+        slot = self.dispatcher.slot(request, self.engines, urgency=urgency)
+        async with slot as engine:
+            self.started.append((request.program, engine.address))
+            await asyncio.sleep(CALL_S)
+
+    @property
+    def order(self) -> list[str]:
+        return [program for program, _ in self.started]
+
+
+class DispatchTest(unittest.TestCase):
+    def test_urgent_classes_and_old_programs_go_first(self) -> None:
+        async def scenario() -> None:
+            queueing = Queueing(some_engines(1))
+            tasks = [queueing.call("first")]
+            await asyncio.sleep(0)
+            tasks += [
+                queueing.call("low", rank=1),
+                queueing.call("young"),
+                queueing.call("old", program_age_s=5.0),
+            ]
+            await asyncio.gather(*tasks)
+            self.assertEqual(queueing.order, ["first", "old", "young", "low"])
+
+        run_virtual(scenario)
+
+    def test_low_class_is_not_starved(self) -> None:
+        async def scenario() -> None:
+            queueing = Queueing(some_engines(1))
+            tasks = [queueing.call("first"), queueing.call("low", rank=1)]
+            for number in range(30):
+                tasks.append(queueing.call(f"high-{number}"))
+                await asyncio.sleep(CALL_S)
+            await asyncio.gather(*tasks)
+            self.assertLess(queueing.order.index("low"), 15)
+
+        run_virtual(scenario)
+
+    def test_call_waits_for_the_engine_with_its_history_when_that_is_near(self) -> None:
+        for tokens, waits in ((100, False), (5000, True)):
+
+            async def scenario(tokens: int = tokens, waits: bool = waits) -> None:
+                home, other = some_engines(2)
+                queueing = Queueing([home, other])
+                busy = queueing.call("busy")
+                await asyncio.sleep(0)
+                home.prefixes[("p", "model")] = CachedPrefix("p-key", tokens, 0.0)
+                await asyncio.gather(queueing.call("p", tokens=tokens), busy)
+                expected = home if waits else other
+                self.assertEqual(queueing.started[-1], ("p", expected.address))
+                self.assertEqual((home.wanted, other.wanted), (0, 0))
+
+            run_virtual(scenario)
+
+    def test_one_busy_engine_does_not_block_calls_for_others(self) -> None:
+        async def scenario() -> None:
+            home, other = some_engines(2)
+            queueing = Queueing([home, other])
+            for number in range(5):
+                cached = CachedPrefix(f"p{number}-key", 9000, 0.0)
+                home.prefixes[(f"p{number}", "model")] = cached
+            tasks = [queueing.call(f"p{n}", tokens=9000) for n in range(5)]
+            await asyncio.sleep(0)
+            tasks.append(queueing.call("free"))
+            await asyncio.sleep(0)
+            self.assertEqual(queueing.order, ["p0", "free"])
+            await asyncio.gather(*tasks)
+
+        run_virtual(scenario)
+
+    def test_refusals_are_early_true_and_count_one_organisation(self) -> None:
+        async def scenario() -> None:
+            queueing = Queueing(some_engines(1))
+            tasks = [queueing.call(f"p{n}") for n in range(10)]
+            await asyncio.sleep(0)
+            with self.assertRaises(OverloadedError) as caught:
+                await queueing.call("one more")
+            self.assertEqual(caught.exception.verdict, NOT_RUN)
+            self.assertGreater(caught.exception.retry_after_s, 0)
+            with self.assertRaises(OverloadedError):
+                await queueing.call("late", organisation="b", max_wait_s=0.1, rank=1)
+            tasks.append(queueing.call("other", organisation="b"))
+            await asyncio.gather(*tasks)
+            self.assertEqual(len(queueing.started), 11)
+
+        run_virtual(scenario)
+
+    def test_cancelled_calls_leave_no_trace(self) -> None:
+        async def scenario() -> None:
+            engines = some_engines(1)
+            queueing = Queueing(engines)
+            tasks = [queueing.call(f"p{n}") for n in range(5)]
+            await asyncio.sleep(CALL_S / 2)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.assertEqual(queueing.dispatcher.waiting, 0)
+            self.assertEqual((engines[0].in_flight, engines[0].wanted), (0, 0))
+            self.assertEqual(engines[0].work_s, 0.0)
+
+        run_virtual(scenario)
