--- /dev/null
+++ b/src/carobspur/session_row.py
@@ -0,0 +1,111 @@
+"""Rows of sessions: the lease, fence and commit position of a scheduler."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .clock import Clock
+from .errors import StoreConflictError, StoreUnavailableError
+from .retry import Backoff
+from .table import ABSENT_VERSION, Check, Row, Table, Write
+
+SESSION_PREFIX = "session/"
+SESSIONS_CHANGED_KEY = "sessions-changed"
+EPOCH_KEY = "epoch"
+RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+
+
+class SessionRow(msgspec.Struct, frozen=True):
+    """Content of a session's row.
+
+    Attributes:
+        id: Id of the session, never used again.
+        epoch: Fencing number, higher than that of every earlier session.
+        instance: Id of the instance.
+        host: IP number of the scheduler.
+        port: Its port for peers.
+        data_centre: Where it stands.
+        commits: Number of commits that took effect.
+        leaving: Whether it is handing its shards over.
+        shards: Shards it holds, as a hint: their own rows decide.
+    """
+
+    id: str
+    epoch: int
+    instance: str
+    host: str
+    port: int
+    data_centre: str
+    commits: int = 0
+    leaving: bool = False
+    shards: list[int] = []
+
+
+def session_key(session: str) -> str:
+    """Return the key of a session's row."""
+    return SESSION_PREFIX + session
+
+
+def sessions_changed(by: str) -> Write:
+    """Return the write that goes with every change of which sessions there are.
+
+    Whoever keeps a list of sessions reads this one row, and all session rows only
+    after its version has changed.
+    """
+    return Write(SESSIONS_CHANGED_KEY, msgspec.json.encode(by))
+
+
+def decode_session(row: Row) -> SessionRow:
+    """Read a session's row."""
+    return msgspec.json.decode(row.value, type=SessionRow)
+
+
+async def create_session(
+    table: Table, clock: Clock, row: SessionRow
+) -> tuple[SessionRow, int, float]:
+    """Write the row of a new session.
+
+    Args:
+        table: The table service.
+        clock: Source of time.
+        row: The row; its id and epoch are filled in.
+
+    Returns:
+        The row as written, its version, and when its commit was sent.
+
+    Raises:
+        StoreUnavailableError: No answer; the row may have been written.
+    """
+    while True:
+        epoch, epoch_version = await _next_epoch(table)
+        row = msgspec.structs.replace(row, id=f"s{epoch:08d}", epoch=epoch)
+        key = session_key(row.id)
+        checks = [Check(EPOCH_KEY, epoch_version), Check(key, ABSENT_VERSION)]
+        writes = [
+            Write(EPOCH_KEY, msgspec.json.encode(epoch)),
+            Write(key, msgspec.json.encode(row)),
+            sessions_changed(row.id),
+        ]
+        sent_s = clock.monotonic()
+        try:
+            return row, await table.commit(checks, writes), sent_s
+        except StoreConflictError:
+            continue
+
+
+async def read_until_answered(table: Table, clock: Clock, session: str) -> Row | None:
+    """Return a session's row, asking again until the table answers."""
+    backoff = Backoff(first_s=RETRY_DELAY_S, max_s=MAX_RETRY_DELAY_S)
+    while True:
+        try:
+            return await table.read(session_key(session))
+        except StoreUnavailableError:
+            await clock.sleep(backoff.next_s())
+
+
+async def _next_epoch(table: Table) -> tuple[int, int]:
+    row = await table.read(EPOCH_KEY)
+    if row is None:
+        return 1, ABSENT_VERSION
+    return msgspec.json.decode(row.value, type=int) + 1, row.version
