Histories move by export and import; a taken over program finds its own

An endpoint that left an inventory and came back lost its count of calls under way; calls that waited never saw new endpoints; each call walked all endpoints to forget a prefix. Ruled out: moving each history at once to the least loaded engine (most never need it).

--- a/experiments/virtual_world.py
+++ b/experiments/virtual_world.py
@@ -26,12 +26,16 @@
 LOAD_LAG_S = 0.5
 MANY_UNITS = 1 << 50
 UNITS_WINDOW_S = 3600
-# Options of the plain balancers that the policy is compared with.
+# Options of the plain balancers that the policy is compared with; they tell engines
+# nothing. The middle three have one half of the policy each.
 PLAIN = "holds = none"
 POLICIES = {
     "round_robin": f"routing = round_robin\n{PLAIN}",
     "least_loaded": f"routing = least_loaded\n{PLAIN}",
     "sticky": f"routing = sticky\n{PLAIN}",
+    "sticky_releasing": "routing = sticky\nholds = cost",
+    "least_loaded_releasing": "routing = least_loaded\nholds = cost",
+    "finish_silent": f"routing = finish\n{PLAIN}",
     "finish": "routing = finish\nholds = cost",
 }
 
--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -7,14 +7,16 @@
 
 import msgspec
 
+from .engine_messages import KvImage
 from .errors import CarobspurError
 from .holds import HoldPolicy, Keep, Leave, Pause, Release
-from .http import HttpClient, HttpRequest
+from .http import HttpClient, HttpRequest, HttpResponse
 from .pool import EndpointPool, EndpointState
 from .programs import Program
 
 DEFAULT_PAUSE_S = 2.0
 ORDER_TIMEOUT_S = 2.0
+MOVE_TTL_S = 5.0
 PAUSE_SMOOTHING = 0.2
 
 _logger = logging.getLogger(__name__)
@@ -86,13 +88,49 @@
 
     def after_end(self, program: Program) -> None:
         """Release everything that engines keep of an ended program."""
-        for engine in self._pool:
-            held = [key for key in engine.prefixes if key[0] == program.id]
-            if held and self._policy.releases:
-                order = HoldOrder(program.id, "", 0.0, self._fence)
-                self._order(engine.address, order)
-            for key in held:
-                del engine.prefixes[key]
+        for engine in self._pool.homes(program.id):
+            self._release(engine, program.id)
+        self._pool.unsettle(program.id)
+
+    def after_move(self, program: str, former: EndpointState) -> None:
+        """Release what the engine keeps that had a program's history before."""
+        self._release(former, program)
+
+    async def bring(
+        self, program: str, model: str, key: str, engine: EndpointState
+    ) -> bool:
+        """Move a history by export and import to the engine of the next call.
+
+        Returns:
+            Whether the engine has it now.
+        """
+        home = self._pool.home(program, model)
+        if home is None or home is engine:
+            return False
+        try:
+            image = await self._export(home, KvImage(program, key))
+            if image is None:
+                return False
+            image = msgspec.structs.replace(image, ttl_s=MOVE_TTL_S, fence=self._fence)
+            response = await self._post(engine.address, "/v1/kv/import", image)
+        except CarobspurError as error:
+            _logger.info("history of %s was not moved: %s", program, error.message)
+            return False
+        return response.status < 300
+
+    async def _export(self, home: EndpointState, image: KvImage) -> KvImage | None:
+        response = await self._post(home.address, "/v1/kv/export", image)
+        if response.status != 200:
+            return None
+        return msgspec.json.decode(response.body, type=KvImage)
+
+    async def flush(self) -> None:
+        """Wait until all orders so far were sent."""
+        await asyncio.gather(*self._tasks)
+
+    def _release(self, engine: EndpointState, program: str) -> None:
+        if self._policy.releases:
+            self._order(engine.address, HoldOrder(program, "", 0.0, self._fence))
 
     def _order(self, address: str, order: HoldOrder) -> None:
         task = asyncio.ensure_future(self._send(address, order))
@@ -100,13 +138,18 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _send(self, address: str, order: HoldOrder) -> None:
+        try:
+            await self._post(address, "/v1/holds", order)
+        except CarobspurError as error:
+            _logger.info("hold order to %s failed: %s", address, error.message)
+
+    async def _post(
+        self, address: str, path: str, content: msgspec.Struct
+    ) -> HttpResponse:
         message = HttpRequest(
             "POST",
-            f"{address}/v1/holds",
-            body=msgspec.json.encode(order),
+            f"{address}{path}",
+            body=msgspec.json.encode(content),
             timeout_s=ORDER_TIMEOUT_S,
         )
-        try:
-            await self._client.fetch(message)
-        except CarobspurError as error:
-            _logger.info("hold order to %s failed: %s", address, error.message)
+        return await self._client.fetch(message)
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -72,6 +72,7 @@
         content: ModelInput,
         history: ModelHistory,
     ) -> tuple[GenerateResult, EndpointState]:
+        self._recall_home(context, history)
         route = RouteRequest(
             program=context.program.id,
             model=model.name,
@@ -80,6 +81,7 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
+            can_move=self._can_move(context),
             weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
@@ -98,9 +100,28 @@
             context.running.restart()
             return await self._generate_on(engine, context, order, history, model)
 
-        candidates = self._tools.pool.engines(context.inventory, model.name)
+        candidates = self._tools.pool.serving(context.inventory, model.name)
         return await self._tools.send(context, route, candidates, _send_to)
 
+    def _recall_home(self, context: CallContext, history: ModelHistory) -> None:
+        """After a takeover, take the engine of the last turn for the history's home."""
+        program, model = context.program.id, context.request.endpoint
+        if not history.turns or self._tools.pool.home(program, model) is not None:
+            return
+        engine = self._tools.pool.find(history.turns[-1].outcome.engine)
+        if engine is not None:
+            now_s = self._tools.clock.monotonic()
+            cached = CachedPrefix(history.key, history.tokens, now_s)
+            self._tools.pool.settle(program, model, engine, cached)
+
+    def _can_move(self, context: CallContext) -> bool:
+        """Return whether an engine that has the history can be asked to export it."""
+        program, model = context.program.id, context.request.endpoint
+        home = self._tools.pool.home(program, model)
+        if home is None:
+            return False
+        return home.breaker.allows(self._tools.clock.monotonic())
+
     async def _generate_on(
         self,
         engine: EndpointState,
@@ -113,11 +134,14 @@
         cached = engine.prefixes.get((order.program, order.model))
         should_have_it = cached is not None and cached.key == history.key
         if history.key and not should_have_it:
-            order = _with_history(order, history)
+            has_come = await self._tools.holder.bring(
+                order.program, order.model, history.key, engine
+            )
+            order = order if has_come else _with_history(order, history)
         try:
             result = await self._send(engine, context, order, model)
         except PrefixLostError:
-            engine.prefixes.pop((order.program, order.model), None)
+            self._tools.pool.unsettle(order.program)
             order = _with_history(order, history)
             result = await self._send(engine, context, order, model)
         organisation = context.program.organisation
@@ -152,10 +176,10 @@
         program, model = context.program, context.request.endpoint
         key = extend_prefix_key(history.key, content.prompt, result.text)
         tokens = history.tokens + count_tokens(content.prompt) + result.output_tokens
-        for other in self._tools.pool:
-            other.prefixes.pop((program.id, model), None)
-        now_s = self._tools.clock.monotonic()
-        engine.prefixes[(program.id, model)] = CachedPrefix(key, tokens, now_s)
+        cached = CachedPrefix(key, tokens, self._tools.clock.monotonic())
+        former = self._tools.pool.settle(program.id, model, engine, cached)
+        if former is not None:
+            self._tools.holder.after_move(program.id, former)
         self._tools.holder.after_call(program, model, engine, key, tokens)
 
 
--- a/src/carobspur/plugins/calls_service.py
+++ b/src/carobspur/plugins/calls_service.py
@@ -51,7 +51,7 @@
             output, endpoint = await self._tools.send(
                 context,
                 _route(context, service, self._tools),
-                self._tools.pool.replicas(service),
+                self._tools.pool.serving(context.inventory, service.name),
                 _send_to,
             )
             reservation.settle(service.cost)
@@ -95,7 +95,7 @@
 
     async def _run_once(self, context: CallContext, service: Service) -> CallOutcome:
         route = _route(context, service, self._tools)
-        replicas = self._tools.pool.replicas(service)
+        replicas = self._tools.pool.serving(context.inventory, service.name)
         order = _order(context, service, self._tools.session.epoch)
         async with self._tools.slot(context, route, replicas) as endpoint:
             intent = CallIntended(
--- a/src/carobspur/pool.py
+++ b/src/carobspur/pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from .inventory import Engine, Inventory, Service
@@ -115,24 +115,51 @@
 
 
 class EndpointPool:
-    """All endpoints of all inventories, by address."""
+    """All endpoints of all inventories, by address, and where histories are."""
 
-    __slots__ = ("_by_address",)
+    __slots__ = ("_by_address", "_gone", "_homes", "_lists")
 
     def __init__(self) -> None:
         self._by_address: dict[str, EndpointState] = {}
+        self._gone: dict[str, EndpointState] = {}
+        self._lists: dict[tuple[str, str], list[EndpointState]] = {}
+        self._homes: dict[str, dict[str, EndpointState]] = {}
 
     def __repr__(self) -> str:
         return f"EndpointPool({len(self._by_address)} endpoints)"
 
-    def __iter__(self) -> Iterable[EndpointState]:
+    def __iter__(self) -> Iterator[EndpointState]:
         return iter(self._by_address.values())
 
     def find(self, address: str) -> EndpointState | None:
         """Return the endpoint with this address, or ``None``."""
         return self._by_address.get(address)
 
-    def update(self, inventories: Iterable[Inventory], *, schedulers: int) -> None:
+    def home(self, program: str, model: str) -> EndpointState | None:
+        """Return the engine that should have a program's history, or ``None``."""
+        return self._homes.get(program, {}).get(model)
+
+    def homes(self, program: str) -> list[EndpointState]:
+        """Return all engines that should have histories of a program."""
+        return list(self._homes.get(program, {}).values())
+
+    def settle(
+        self, program: str, model: str, endpoint: EndpointState, cached: CachedPrefix
+    ) -> EndpointState | None:
+        """Note which engine has a program's history; return the one before, if any."""
+        former = self.home(program, model)
+        if former is not None:
+            former.prefixes.pop((program, model), None)
+        self._homes.setdefault(program, {})[model] = endpoint
+        endpoint.prefixes[(program, model)] = cached
+        return None if former is endpoint else former
+
+    def unsettle(self, program: str) -> None:
+        """Forget where a program's histories are."""
+        for model, endpoint in self._homes.pop(program, {}).items():
+            endpoint.prefixes.pop((program, model), None)
+
+    def update(self, inventories: Sequence[Inventory], *, schedulers: int) -> None:
         """Take the endpoints of new inventories; keep what is known of old ones.
 
         Args:
@@ -148,22 +175,57 @@
             for service in inventory.services:
                 for replica in service.replicas:
                     state = self._state(replica.address, replica.data_centre)
+                    state.data_centre = replica.data_centre
                     self._describe_service(state, service, schedulers)
                     fresh[replica.address] = state
+        self._gone = {a: x for a, x in self._gone.items() if x.in_flight}
+        for address, state in self._by_address.items():
+            if address not in fresh:
+                self._remove(state)
         self._by_address = fresh
-
-    def engines(self, inventory: Inventory, model: str) -> list[EndpointState]:
-        """Return the engines that serve a model."""
-        addresses = [item.address for item in inventory.engines_for(model)]
-        return [self._by_address[a] for a in addresses if a in self._by_address]
-
-    def replicas(self, service: Service) -> list[EndpointState]:
-        """Return the replicas of a service."""
-        addresses = [item.address for item in service.replicas]
+        self._renew_lists(inventories)
+
+    def _renew_lists(self, inventories: Sequence[Inventory]) -> None:
+        """Change the lists in place, so that calls that wait see it."""
+        by_name = {item.organisation: item for item in inventories}
+        for (organisation, name), states in self._lists.items():
+            inventory = by_name.get(organisation)
+            states[:] = [] if inventory is None else self._serving(inventory, name)
+
+    def _remove(self, state: EndpointState) -> None:
+        """Take an endpoint out: queued calls and histories look elsewhere."""
+        state.is_leaving = True
+        self._gone[state.address] = state
+        for program, model in list(state.prefixes):
+            homes = self._homes.get(program, {})
+            if homes.get(model) is state:
+                del homes[model]
+            if not homes:
+                self._homes.pop(program, None)
+        state.prefixes.clear()
+
+    def serving(self, inventory: Inventory, name: str) -> list[EndpointState]:
+        """Return the endpoints of a model or service.
+
+        The list follows later updates; it must not be changed.
+        """
+        key = (inventory.organisation, name)
+        if key not in self._lists:
+            self._lists[key] = self._serving(inventory, name)
+        return self._lists[key]
+
+    def _serving(self, inventory: Inventory, name: str) -> list[EndpointState]:
+        addresses = [item.address for item in inventory.engines_for(name)]
+        service = inventory.service(name)
+        if service is not None:
+            addresses = [item.address for item in service.replicas]
         return [self._by_address[a] for a in addresses if a in self._by_address]
 
     def _state(self, address: str, data_centre: str) -> EndpointState:
         known = self._by_address.get(address)
+        if known is None and address in self._gone:
+            known = self._gone.pop(address)
+            known.is_leaving = False
         return known or EndpointState(address, data_centre, window=1)
 
     @staticmethod
@@ -179,7 +241,6 @@
     def _describe_service(
         state: EndpointState, service: Service, schedulers: int
     ) -> None:
-        state.data_centre = service.replicas[0].data_centre
         state.window = _share(service.in_flight, schedulers)
         state.checks_fencing = service.checks_fencing
 
--- /dev/null
+++ b/tests/test_holder.py
@@ -0,0 +1,125 @@
+"""Histories in engines: moves, releases, and endpoints that go away."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from carobspur.holder import CacheHolder
+from carobspur.kernel import PluginKind, load_plugins, plugin
+from carobspur.pool import CachedPrefix, EndpointPool, EndpointState
+from carobspur.programs import Program
+from carobspur_standins.app import FaultKind, FaultOrder, InProcessClient
+from carobspur_standins.engine import ModelEngine
+
+from . import builders
+from .virtual import run_virtual
+from .world import World
+
+load_plugins()
+
+HOME_URL, OTHER_URL = builders.ENGINE_URLS
+KEY = "history-key"
+MODEL = "model"
+
+
+class Caches:
+    """Two engines, the first of which has a program's history, and a holder."""
+
+    def __init__(self, *, holds: str = "cost") -> None:
+        self.engines = {url: ModelEngine() for url in builders.ENGINE_URLS}
+        self.engines[HOME_URL].cache.put("p", KEY, 500)
+        self.client = InProcessClient(self.engines)
+        self.pool = EndpointPool()
+        self.pool.update([builders.an_inventory()], schedulers=1)
+        policy = plugin(PluginKind.HOLDS, holds)()
+        self.holder = CacheHolder(self.client, policy, self.pool, fence=1)
+        self.settle(HOME_URL)
+
+    def state(self, url: str) -> EndpointState:
+        state = self.pool.find(url)
+        assert state is not None
+        return state
+
+    def settle(self, url: str) -> EndpointState | None:
+        cached = CachedPrefix(KEY, 500, 0.0)
+        return self.pool.settle("p", MODEL, self.state(url), cached)
+
+    def kept(self, url: str) -> int:
+        return self.engines[url].cache.used
+
+
+class HolderTest(unittest.TestCase):
+    def test_history_moves_and_the_old_copy_is_released(self) -> None:
+        async def scenario() -> None:
+            caches = Caches()
+            other = caches.state(OTHER_URL)
+            self.assertTrue(await caches.holder.bring("p", MODEL, KEY, other))
+            former = caches.settle(OTHER_URL)
+            self.assertIs(former, caches.state(HOME_URL))
+            caches.holder.after_move("p", former)
+            await caches.holder.flush()
+            self.assertEqual((caches.kept(HOME_URL), caches.kept(OTHER_URL)), (0, 500))
+
+        run_virtual(scenario)
+
+    def test_move_that_fails_leaves_the_old_copy(self) -> None:
+        for url in builders.ENGINE_URLS:
+
+            async def scenario(url: str = url) -> None:
+                caches = Caches()
+                caches.client.faults(url).set(FaultOrder(FaultKind.DOWN))
+                other = caches.state(OTHER_URL)
+                self.assertFalse(await caches.holder.bring("p", MODEL, KEY, other))
+                self.assertEqual(caches.kept(HOME_URL), 500)
+
+            run_virtual(scenario)
+
+    def test_ended_program_is_released_unless_the_policy_is_silent(self) -> None:
+        for holds, left in (("cost", 0), ("none", 500)):
+
+            async def scenario(holds: str = holds, left: int = left) -> None:
+                caches = Caches(holds=holds)
+                program = Program("p", "o", "u", "quote", started_s=0.0)
+                caches.holder.after_end(program)
+                await caches.holder.flush()
+                self.assertEqual(caches.kept(HOME_URL), left)
+                self.assertIsNone(caches.pool.home("p", MODEL))
+
+            run_virtual(scenario)
+
+    def test_removed_endpoint_keeps_no_histories_and_takes_no_calls(self) -> None:
+        async def scenario() -> None:
+            inventory = builders.an_inventory()
+            caches = Caches()
+            home, other = caches.state(HOME_URL), caches.state(OTHER_URL)
+            home.in_flight = 1
+            serving = caches.pool.serving(inventory, MODEL)
+            fewer = msgspec.structs.replace(inventory, engines=inventory.engines[1:])
+            caches.pool.update([fewer], schedulers=1)
+            self.assertFalse(home.may_take(0.0))
+            self.assertIsNone(caches.pool.home("p", MODEL))
+            self.assertEqual(serving, [other])
+            caches.pool.update([inventory], schedulers=1)
+            self.assertIs(caches.pool.find(HOME_URL), home)
+            self.assertEqual((home.in_flight, home.is_leaving), (1, False))
+            self.assertEqual(serving, [home, other])
+
+        run_virtual(scenario)
+
+
+class MovedProgramTest(unittest.TestCase):
+    def test_taken_over_program_finds_its_history(self) -> None:
+        async def scenario() -> None:
+            world = await World().start(3)
+            program = await world.start_program("k1")
+            content = {"prompt": "what do we pay", "max_tokens": 4}
+            await world.call(program, 1, MODEL, content)
+            world.kill(world.owner_of(program))
+            reply = await world.call(program, 2, MODEL, content)
+            self.assertEqual(reply.status, 200, reply.body)
+            recomputed = sum(x.recomputed_tokens for x in world.engines.values())
+            self.assertEqual(recomputed, 0)
+
+        run_virtual(scenario)
