Refuse new programs by predicted wait; loss of an engine under load is measured

Cause: over 100 % load each caller waited, and nobody was told early. The first call of a program is now refused where the predicted wait is over a fifth of its agent's objective, or over its deadline; a program that has run something only by its deadline.

--- a/src/carobspur/dispatch.py
+++ b/src/carobspur/dispatch.py
@@ -37,7 +37,6 @@
     Attributes:
         organisation: Whose call it is.
         rank: Rank of its class; lower ranks go first.
-        attained_units: Cost units its program has used so far.
         program_age_s: Time since its program's start.
         max_wait_s: Longest predicted wait at which the call is taken; ``None`` for
             any wait.
@@ -45,7 +44,6 @@
 
     organisation: str
     rank: int = 0
-    attained_units: int = 0
     program_age_s: float = 0.0
     max_wait_s: float | None = None
 
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -29,6 +29,7 @@
 from .verdict import MAY_HAVE_RUN, RAN, verdict_name
 
 MAX_SENDS = 3
+FIRST_WAIT_SHARE = 0.2
 
 Result = TypeVar("Result")
 OnText = Callable[[int, str], None]
@@ -191,11 +192,12 @@
 
     def _urgency(self, context: CallContext) -> Urgency:
         program = context.program
+        now_s = self.clock.wall()
         return Urgency(
             organisation=program.organisation,
             rank=context.rank,
-            attained_units=program.attained_units,
-            program_age_s=max(0.0, self.clock.wall() - program.started_s),
+            program_age_s=max(0.0, now_s - program.started_s),
+            max_wait_s=_max_wait_s(context, now_s),
         )
 
     async def send(
@@ -279,6 +281,23 @@
         """
 
 
+def _max_wait_s(context: CallContext, now_s: float) -> float | None:
+    """Return the longest predicted wait with which a call is worth taking.
+
+    A program that has run something is stopped by its deadline only: what it used is
+    lost with it. So is a sub-agent. One that has run nothing is refused where its objective is out of
+    reach, which costs nobody anything.
+    """
+    program = context.program
+    most_s = program.deadline_s - now_s if program.deadline_s else None
+    has_run = bool(program.calls or program.parent)
+    if has_run or program.agent == SINGLE_CALL_AGENT:
+        return most_s
+    agent = context.inventory.agent(program.agent)
+    first_s = FIRST_WAIT_SHARE * agent.objective_s
+    return first_s if most_s is None else min(first_s, most_s)
+
+
 def failure_outcome(error: CallError) -> CallOutcome:
     """Return the outcome that stores a failure which is final."""
     return CallOutcome(
--- a/src/carobspur_standins/app.py
+++ b/src/carobspur_standins/app.py
@@ -128,16 +128,23 @@
         standins: Stand-ins by base URL.
     """
 
-    __slots__ = ("_faults", "_standins")
+    __slots__ = ("_faults", "_serving", "_standins")
 
     def __init__(self, standins: Mapping[str, Standin]) -> None:
         self._standins = dict(standins)
+        self._serving: dict[str, set[asyncio.Task[HttpResponse]]] = {}
         self._faults = {url: Faults() for url in standins}
 
     def faults(self, url: str) -> Faults:
         """Return the faults of one stand-in."""
         return self._faults[url]
 
+    def kill(self, url: str) -> None:
+        """End a stand-in: its connections break, new ones are refused."""
+        del self._standins[url]
+        for task in self._serving.get(url, set()):
+            task.cancel()
+
     async def fetch(self, request: HttpRequest) -> HttpResponse:
         """Answer as :class:`carobspur.http.HttpClient` does."""
         parts = urlsplit(request.url)
@@ -153,9 +160,16 @@
             request.headers,
             request.body or b"",
         )
-        serving = answer(self._standins[url], self._faults[url], asked, emit)
+        answering = answer(self._standins[url], self._faults[url], asked, emit)
+        serving = asyncio.ensure_future(answering)
+        self._serving.setdefault(url, set()).add(serving)
         try:
             response = await asyncio.wait_for(serving, request.timeout_s)
+        except asyncio.CancelledError:
+            if url in self._standins:
+                raise
+            message = f"{url}: connection lost"
+            raise HttpError(message, verdict=MAY_HAVE_RUN) from None
         except TimeoutError as error:
             raise HttpError(
                 f"{url}: no answer in {request.timeout_s} s",
@@ -165,6 +179,8 @@
         except _NoAnswerError as error:
             verdict = MAY_HAVE_RUN if error.was_sent else NOT_RUN
             raise HttpError(f"{url}: connection lost", verdict=verdict) from error
+        finally:
+            self._serving[url].discard(serving)
         body = b"".join(pieces) + response.body
         if request.on_data is not None and response.body:
             request.on_data(response.body)
