Policies are compared with real processes too

Cause: virtual time has no processor time and no sockets in it. Ruled out: changing the policy of one running deployment (caches and learned state of one policy would reach the next); so each policy has its own, runs take turns.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 from urllib.error import URLError
 from urllib.request import urlopen
 
@@ -43,12 +44,13 @@
 port = {scheduler}
 metrics_port = {metrics}
 lease_s = {lease_s}
+{scheduler_options}
 [control]
 port = {control}
 peer_port = {control_peer}
 poll_s = 0.1
 [logs]
-level = info
+level = {log_level}
 """
 
 
@@ -116,11 +118,22 @@
     Args:
         directory: Where settings and logs go.
         lease_s: Lease time of the schedulers' sessions.
+        scheduler_options: Further lines of the section ``[scheduler]``.
+        log_level: Lowest level that is logged.
     """
 
-    def __init__(self, directory: Path, *, lease_s: float = 2.0) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        *,
+        lease_s: float = 2.0,
+        scheduler_options: str = "",
+        log_level: str = "info",
+    ) -> None:
         self._directory = directory
         self._lease_s = lease_s
+        self._scheduler_options = scheduler_options
+        self._log_level = log_level
         self._taken: set[int] = set()
         self._processes: list[Process] = []
         self._forgotten: list[Process] = []
@@ -190,6 +203,8 @@
                 control=instance.control_port,
                 control_peer=instance.control_peer_port,
                 lease_s=self._lease_s,
+                scheduler_options=self._scheduler_options,
+                log_level=self._log_level,
             )
         )
         for role in ("control", "scheduler", "entry"):
@@ -278,9 +293,9 @@
 
 
 @contextmanager
-def deployment(directory: Path, *, lease_s: float = 2.0) -> Iterator[Deployment]:
+def deployment(directory: Path, **options: Any) -> Iterator[Deployment]:
     """Own a deployment; all its processes are stopped at the end."""
-    found = Deployment(directory, lease_s=lease_s)
+    found = Deployment(directory, **options)
     try:
         yield found
     finally:
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -285,8 +285,8 @@
     """Return the longest predicted wait with which a call is worth taking.
 
     A program that has run something is stopped by its deadline only: what it used is
-    lost with it. So is a sub-agent. One that has run nothing is refused where its objective is out of
-    reach, which costs nobody anything.
+    lost with it. So is a sub-agent. One that has run nothing is refused where its
+    objective is out of reach, which costs nobody anything.
     """
     program = context.program
     most_s = program.deadline_s - now_s if program.deadline_s else None
