--- a/src/carobspur/history.py
+++ b/src/carobspur/history.py
@@ -28,13 +28,14 @@
     newest = program.next_number - 1
     if prefix.upto == newest:
         return prefix
-    key, tokens = prefix.key, prefix.tokens
+    key, tokens, engine = prefix.key, prefix.tokens, prefix.engine
     for call in program.calls[max(0, prefix.upto - program.spilled) :]:
         if not _is_turn(call, model):
             continue
         key = extend_prefix_key(key, _prompt(call), _answer(call))
         tokens += call.outcome.input_tokens + call.outcome.output_tokens
-    program.prefixes[model] = Prefix(key, tokens, newest)
+        engine = call.outcome.engine
+    program.prefixes[model] = Prefix(key, tokens, newest, engine)
     return program.prefixes[model]
 
 
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -48,11 +48,13 @@
         key: Key by which engines know the whole text; empty for no turns.
         tokens: Length of the text.
         upto: Number of the last call that it takes into account.
+        engine: Address of the engine that ran the last turn.
     """
 
     key: str = ""
     tokens: int = 0
     upto: int = 0
+    engine: str = ""
 
 
 class Program(msgspec.Struct):
