--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,7 +10,13 @@
 from urllib.request import Request, urlopen
 
 from caller import Caller
-from deployment import Deployment, ProcessDiedError, deployment, example_inventory
+from deployment import (
+    PLATFORM_KEY,
+    Deployment,
+    ProcessDiedError,
+    deployment,
+    example_inventory,
+)
 
 from carobspur.inventory import Inventory, encode_inventory
 
@@ -128,8 +134,8 @@
         running.start_instance(f"instance-{number}", f"ar-centro-{number}")
     running.wait_ready()
     control = running.instances[0].control_url
-    for inventory, prefix in zip(inventories, ("oro", "jalbandi"), strict=True):
-        import_inventory(control, inventory, f"{prefix}-example-operator")
+    for inventory in inventories:
+        import_inventory(control, inventory, PLATFORM_KEY)
     url = running.instances[0].entry_url
     for script, prefix in ((ORO, "oro"), (JALBANDI, "jalbandi")):
         key = f"{prefix}-example-caller"
--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -12,13 +12,15 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from hashlib import sha256
 from pathlib import Path
 from urllib.error import URLError
 from urllib.request import urlopen
 
 import msgspec
 
-from carobspur.inventory import Inventory, parse_inventory
+from carobspur.inventory import Inventory
+from carobspur.inventory_checks import parse_inventory
 
 HOST = "127.0.0.1"
 LOWEST_PORT = 20_000
@@ -27,6 +29,7 @@
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
 EXAMPLES = Path(__file__).parent
+PLATFORM_KEY = "platform-example-key"
 
 _SETTINGS = """\
 [instance]
@@ -47,6 +50,7 @@
 port = {control}
 peer_port = {control_peer}
 poll_s = 0.1
+platform_key_sha256 = {platform_key_sha256}
 [logs]
 level = info
 """
@@ -184,6 +188,7 @@
                 control=instance.control_port,
                 control_peer=instance.control_peer_port,
                 lease_s=self._lease_s,
+                platform_key_sha256=sha256(PLATFORM_KEY.encode()).hexdigest(),
             )
         )
         for role in ("control", "scheduler", "entry"):
--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -15,6 +15,7 @@
     ConflictError,
     EndpointRejectedError,
     EndpointTimeoutError,
+    ForbiddenError,
     LimitReachedError,
     NotFoundError,
     NotOwnerError,
@@ -29,7 +30,7 @@
     RunningCall,
     Toolbox,
 )
-from .inventory import Agent, Inventory
+from .inventory import Agent, Inventory, Role
 from .journal import ProgramEnded, ProgramStarted, Record
 from .kernel import PluginKind, plugin
 from .logs import call_fields
@@ -47,6 +48,7 @@
     admit_call,
     report,
 )
+from .rules import may_stop
 from .verdict import RAN, verdict_from_name
 
 SINGLE_CALL_LIMITS = Agent(SINGLE_CALL_AGENT, "", max_calls=1)
@@ -207,7 +209,7 @@
     ) -> None:
         """End a program and the sub-agents that are known here; idempotent."""
         with self._working_on(program):
-            found = self._program(requester, program)
+            found = self._stoppable(requester, program)
             ended = [found, *self._book.children(found.id)]
             records: list[Record] = []
             for item in ended:
@@ -303,7 +305,24 @@
         PROGRAM_OBJECTIVE.labels(program.organisation, agent.name, is_met).inc()
 
     def _program(self, requester: Requester, program: str) -> Program:
-        return self._book.get(program, requester.organisation, requester.user)
+        is_caller = requester.role == Role.CALLER
+        user = requester.user if is_caller else None
+        return self._book.get(program, requester.organisation, user)
+
+    def _stoppable(self, requester: Requester, program: str) -> Program:
+        """Return a program if the organisation's rules let the requester stop it."""
+        found = self._book.get(program, requester.organisation, None)
+        rules = self._inventories(found.organisation).rules
+        allowed = may_stop(
+            rules,
+            role=requester.role,
+            user=requester.user,
+            program_user=found.user,
+        )
+        if not allowed:
+            self._program(requester, program)
+            raise ForbiddenError(f"the rules let no {requester.role} stop this program")
+        return found
 
     def _require_owner(self, program: str) -> None:
         if self._tools.session.is_lost or not self._owns(program):
--- /dev/null
+++ b/src/carobspur/claims.py
@@ -0,0 +1,168 @@
+"""Claims: which endpoint addresses and keys the organisations' inventories list.
+
+Each address and each key's digest has a row that says what it is and how many
+inventories list it. An import reads and rewrites only the rows of what it adds,
+changes or drops, in its own transaction. All imports check the same head row, so two
+organisations that race for an address get one winner, and no import reads the other
+organisations' inventories.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+
+import msgspec
+
+from .inventory import Inventory
+from .inventory_checks import Fault
+from .table import Row, Table, Write
+
+CLAIM_PREFIX = "inventory/claim/"
+
+
+class ClaimKind(StrEnum):
+    """What is claimed."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+    KEY = "key"
+
+
+class ClaimFacts(msgspec.Struct, frozen=True):
+    """What all inventories that list a thing must agree on.
+
+    Attributes:
+        kind: What it is.
+        shared: Whether several organisations may list it.
+        data_centre: Where it stands.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+        kv_tokens: Capacity of an engine's prefix cache, in tokens.
+        in_flight: Calls that it runs at once.
+    """
+
+    kind: ClaimKind
+    shared: bool = False
+    data_centre: str = ""
+    checks_fencing: bool = False
+    kv_tokens: int = 0
+    in_flight: int = 0
+
+
+class ClaimRow(msgspec.Struct, frozen=True):
+    """Content of a claim's row; ``organisations`` is how many list the thing."""
+
+    facts: ClaimFacts
+    organisations: int
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """A claim of one inventory, with the place where it stands there."""
+
+    place: str
+    facts: ClaimFacts
+
+
+class ClaimPlan(msgspec.Struct, frozen=True):
+    """What an import must write, or why it is refused."""
+
+    writes: list[Write] = []
+    faults: list[Fault] = []
+
+
+def claims_of(inventory: Inventory | None) -> dict[str, Listed]:
+    """Return the claims of an inventory by the keys of their rows."""
+    found: dict[str, Listed] = {}
+    if inventory is None:
+        return found
+    for index, key in enumerate(inventory.keys):
+        listed = Listed(f"keys[{index}].sha256", ClaimFacts(ClaimKind.KEY))
+        found[f"{CLAIM_PREFIX}key/{key.sha256}"] = listed
+    for index, engine in enumerate(inventory.engines):
+        facts = ClaimFacts(
+            ClaimKind.ENGINE,
+            shared=True,
+            data_centre=engine.data_centre,
+            checks_fencing=engine.checks_fencing,
+            kv_tokens=engine.kv_tokens,
+            in_flight=engine.in_flight,
+        )
+        found[_address_key(engine.address)] = Listed(f"engines[{index}]", facts)
+    for index, service in enumerate(inventory.services):
+        for position, replica in enumerate(service.replicas):
+            facts = ClaimFacts(
+                ClaimKind.SERVICE,
+                shared=service.shared,
+                data_centre=replica.data_centre,
+                checks_fencing=service.checks_fencing,
+                in_flight=service.in_flight,
+            )
+            place = f"services[{index}].replicas[{position}]"
+            found[_address_key(replica.address)] = Listed(place, facts)
+    return found
+
+
+async def plan_claims(
+    table: Table, before: Inventory | None, after: Inventory
+) -> ClaimPlan:
+    """Return what a change of an organisation's inventory does to the claims.
+
+    Args:
+        table: The table service.
+        before: The organisation's inventory in force, or ``None``.
+        after: The one to put in force.
+    """
+    old, new = claims_of(before), claims_of(after)
+    changed = [
+        key
+        for key in sorted(old.keys() | new.keys())
+        if key not in old or key not in new or old[key].facts != new[key].facts
+    ]
+    rows = await asyncio.gather(*(table.read(key) for key in changed))
+    plan = ClaimPlan()
+    for key, row in zip(changed, rows, strict=True):
+        _plan_one(plan, key, row, is_listed=key in old, wanted=new.get(key))
+    return plan
+
+
+def _plan_one(
+    plan: ClaimPlan,
+    key: str,
+    row: Row | None,
+    *,
+    is_listed: bool,
+    wanted: Listed | None,
+) -> None:
+    claim = None if row is None else msgspec.json.decode(row.value, type=ClaimRow)
+    others = max(0, (claim.organisations if claim else 0) - is_listed)
+    if wanted is not None and others > 0:
+        reason = _refusal(claim.facts, wanted.facts)
+        if reason:
+            plan.faults.append(Fault(wanted.place, reason))
+            return
+    facts = claim.facts if wanted is None else wanted.facts
+    count = others + (wanted is not None)
+    value = msgspec.json.encode(ClaimRow(facts, count)) if count else None
+    plan.writes.append(Write(key, value))
+
+
+def _refusal(theirs: ClaimFacts, ours: ClaimFacts) -> str:
+    """Return why others' claim rules ours out; empty where it does not."""
+    if theirs.kind == ClaimKind.KEY:
+        return "this key is in use; make a new one"
+    if theirs.kind != ours.kind or not theirs.shared:
+        return f"the address is another organisation's {theirs.kind}"
+    if not ours.shared:
+        return "other organisations list the address as shared"
+    wrong = [
+        f"{name} is {getattr(theirs, name)!r} there"
+        for name in ("data_centre", "checks_fencing", "kv_tokens", "in_flight")
+        if getattr(theirs, name) != getattr(ours, name)
+    ]
+    if not wrong:
+        return ""
+    return f"other organisations share this {theirs.kind}: {', '.join(wrong)}"
+
+
+def _address_key(address: str) -> str:
+    return f"{CLAIM_PREFIX}address/{address}"
--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -13,7 +13,7 @@
 from tornado.httpclient import HTTPClient, HTTPError, HTTPRequest
 
 from .errors import CarobspurError, RequestError
-from .inventory import parse_inventory
+from .inventory_checks import parse_inventory
 from .problem import Problem
 from .settings import Settings
 
--- a/src/carobspur/configuration.py
+++ b/src/carobspur/configuration.py
@@ -1,30 +1,49 @@
 """Inventories in the table: numbered changes, in force once and for all.
 
 ``inventory/head`` holds the revision. A change rewrites it with a version check,
-writes the organisation's row, and adds a row to the change log; so two operators who
-race get one winner, and every process follows by reading the changes it lacks.
+writes the organisation's row, and adds rows to the change log and to the applied
+change ids; so two operators who race get one winner, a change that is sent again
+after a lost answer applies once, and every process follows by reading the changes it
+lacks.
 """
 
 from __future__ import annotations
 
+import re
+from dataclasses import dataclass
+
 import msgspec
 
-from .errors import InventoryConflictError, StoreConflictError, StoreError
+from .claims import plan_claims
+from .differences import difference
+from .errors import (
+    ConflictError,
+    InventoryConflictError,
+    RequestError,
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
 from .inventory import Inventory, inventory_digest
+from .inventory_checks import inventory_error
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 HEAD_KEY = "inventory/head"
 ORGANISATION_PREFIX = "inventory/organisation/"
 CHANGE_PREFIX = "inventory/change/"
+APPLIED_PREFIX = "inventory/applied/"
 MAX_IMPORT_TRIES = 20
+DEFAULT_HISTORY_LENGTH = 50
+RETRY_AFTER_S = 2.0
+_CHANGE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,99}\Z")
 _REVISION_DIGITS = 12
 
 
 class AppliedChange(msgspec.Struct, frozen=True):
-    """A change that an operator made; ``id`` makes it idempotent."""
+    """Row of an applied change's id: what it put in force, and when."""
 
-    id: str
     revision: int
+    digest: str
 
 
 class OrganisationRow(msgspec.Struct, frozen=True):
@@ -34,13 +53,11 @@
         revision: System-wide revision of its last change.
         digest: Digest of the inventory.
         inventory: The inventory.
-        last_change: Id and revision of the last change.
     """
 
     revision: int
     digest: str
     inventory: Inventory
-    last_change: AppliedChange
 
 
 class ChangeRow(msgspec.Struct, frozen=True):
@@ -83,6 +100,11 @@
     return ORGANISATION_PREFIX + organisation
 
 
+def applied_key(organisation: str, change: str) -> str:
+    """Return the key of an applied change id's row."""
+    return f"{APPLIED_PREFIX}{organisation}/{change}"
+
+
 def _decode_row(row: Row | None) -> OrganisationRow | None:
     if row is None:
         return None
@@ -115,11 +137,27 @@
         rows = await self._table.scan(ORGANISATION_PREFIX)
         return [msgspec.json.decode(row.value, type=OrganisationRow) for row in rows]
 
-    async def changes(self, organisation: str) -> list[ChangeRow]:
-        """Return the log of one organisation's changes, oldest first."""
-        rows = await self._table.scan(CHANGE_PREFIX)
-        changes = [msgspec.json.decode(row.value, type=ChangeRow) for row in rows]
-        return [item for item in changes if item.organisation == organisation]
+    async def changes(
+        self, organisation: str, *, limit: int = DEFAULT_HISTORY_LENGTH
+    ) -> list[ChangeRow]:
+        """Return the last changes of one organisation, oldest first.
+
+        Each change names the organisation's one before it, so only its own are read.
+
+        Args:
+            organisation: Name of the organisation.
+            limit: Most changes to return.
+        """
+        current = await self.organisation(organisation)
+        revision = 0 if current is None else current.revision
+        found: list[ChangeRow] = []
+        while revision and len(found) < limit:
+            row = await self._table.read(change_key(revision))
+            if row is None:
+                break
+            found.append(msgspec.json.decode(row.value, type=ChangeRow))
+            revision = found[-1].before
+        return found[::-1]
 
     async def changed_since(self, revision: int, head: int) -> list[str]:
         """Return the organisations that changed after a revision.
@@ -158,94 +196,97 @@
 
         Raises:
             InventoryConflictError: Another change came first.
+            ConflictError: The change id stands for another inventory.
+            InventoryError: It lists what is another organisation's.
             StoreUnavailableError: No answer; asking again with the same id is safe.
         """
+        if not _CHANGE_ID.match(change):
+            raise RequestError("a change id has 1 to 100 letters, digits, '-_.'")
+        change_made = _Change(inventory, inventory_digest(inventory), change, operator)
         for _ in range(MAX_IMPORT_TRIES):
-            stored = await self._table.read(organisation_key(inventory.organisation))
-            current = _decode_row(stored)
-            if current is not None and current.last_change.id == change:
-                done = current.last_change.revision
-                return ImportResult(done, current.digest, changed=False)
-            revision = 0 if current is None else current.revision
-            if revision != expected:
-                raise _conflict(expected, current, inventory)
-            version = ABSENT_VERSION if stored is None else stored.version
+            done = await self._applied(change_made)
+            if done is not None:
+                return ImportResult(done.revision, done.digest, changed=False)
             try:
-                return await self._write(
-                    inventory, version, revision, change, operator, now_s
-                )
+                return await self._apply(change_made, expected, now_s)
             except StoreConflictError:
                 continue
+            except StoreUnavailableError as error:
+                raise StoreUnavailableError(
+                    f"{error.message}; asking again with change id {change!r} is safe",
+                    verdict=error.verdict,
+                    retry_after_s=RETRY_AFTER_S,
+                ) from error
         raise StoreError("too many operators change inventories at once")
 
-    async def _write(
-        self,
-        inventory: Inventory,
-        version: int,
-        before: int,
-        change: str,
-        operator: str,
-        now_s: float,
+    async def _applied(self, change: _Change) -> AppliedChange | None:
+        """Return what this change did, if it was applied before."""
+        row = await self._table.read(applied_key(change.organisation, change.id))
+        if row is None:
+            return None
+        done = msgspec.json.decode(row.value, type=AppliedChange)
+        if done.digest != change.digest:
+            raise ConflictError(
+                f"change id {change.id!r} made revision {done.revision}, of another "
+                "inventory; use a new id for a new change"
+            )
+        return done
+
+    async def _apply(
+        self, change: _Change, expected: int, now_s: float
     ) -> ImportResult:
         head = await self._table.read(HEAD_KEY)
-        head_version = ABSENT_VERSION if head is None else head.version
+        stored = await self._table.read(organisation_key(change.organisation))
+        current = _decode_row(stored)
+        before = 0 if current is None else current.revision
+        if before != expected:
+            raise _conflict(expected, current, change.inventory)
+        in_force = None if current is None else current.inventory
+        claims = await plan_claims(self._table, in_force, change.inventory)
+        if claims.faults:
+            raise inventory_error(claims.faults)
         revision = 1 if head is None else msgspec.json.decode(head.value, type=int) + 1
-        digest = inventory_digest(inventory)
-        organisation = inventory.organisation
-        row = OrganisationRow(
-            revision, digest, inventory, AppliedChange(change, revision)
-        )
-        log = ChangeRow(organisation, revision, before, digest, operator, change, now_s)
         await self._table.commit(
             [
-                Check(HEAD_KEY, head_version),
-                Check(organisation_key(organisation), version),
-            ],
-            [
-                Write(HEAD_KEY, msgspec.json.encode(revision)),
-                Write(organisation_key(organisation), msgspec.json.encode(row)),
-                Write(change_key(revision), msgspec.json.encode(log)),
+                Check(HEAD_KEY, _version(head)),
+                Check(organisation_key(change.organisation), _version(stored)),
+                Check(applied_key(change.organisation, change.id), ABSENT_VERSION),
             ],
+            [*change.writes(revision, before, now_s), *claims.writes],
         )
-        return ImportResult(revision, digest, changed=True)
+        return ImportResult(revision, change.digest, changed=True)
+
 
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """A change that an operator wants to make."""
 
-class Difference(msgspec.Struct, frozen=True):
-    """One difference between two inventories."""
+    inventory: Inventory
+    digest: str
+    id: str
+    operator: str
 
-    place: str
-    before: str
-    after: str
+    @property
+    def organisation(self) -> str:
+        """Whose inventory it is."""
+        return self.inventory.organisation
 
+    def writes(self, revision: int, before: int, now_s: float) -> list[Write]:
+        """Return the rows that put it in force."""
+        name, digest = self.organisation, self.digest
+        row = OrganisationRow(revision, digest, self.inventory)
+        log = ChangeRow(name, revision, before, digest, self.operator, self.id, now_s)
+        applied = AppliedChange(revision, digest)
+        return [
+            Write(HEAD_KEY, msgspec.json.encode(revision)),
+            Write(organisation_key(name), msgspec.json.encode(row)),
+            Write(change_key(revision), msgspec.json.encode(log)),
+            Write(applied_key(name, self.id), msgspec.json.encode(applied)),
+        ]
 
-def difference(before: Inventory | None, after: Inventory) -> list[Difference]:
-    """Return the items that two inventories do not share.
 
-    Args:
-        before: The inventory in force, or ``None``.
-        after: The one to compare it with.
-    """
-    found = []
-    old = {} if before is None else _items(before)
-    new = _items(after)
-    for place in sorted(old.keys() | new.keys()):
-        if old.get(place) != new.get(place):
-            found.append(Difference(place, old.get(place, ""), new.get(place, "")))
-    return found
-
-
-def _items(inventory: Inventory) -> dict[str, str]:
-    """Return every item of an inventory as JSON, by its place."""
-    found = {}
-    for section, content in msgspec.to_builtins(inventory).items():
-        if not isinstance(content, list):
-            found[section] = msgspec.json.encode(content, order="sorted").decode()
-            continue
-        for index, item in enumerate(content):
-            name = item.get("name", str(index))
-            text = msgspec.json.encode(item, order="sorted").decode()
-            found[f"{section}/{name}"] = text
-    return found
+def _version(row: Row | None) -> int:
+    return ABSENT_VERSION if row is None else row.version
 
 
 def _conflict(
@@ -255,6 +296,7 @@
     before = None if current is None else current.inventory
     differences = difference(before, inventory)
     return InventoryConflictError(
-        f"the inventory is at revision {revision}, not {expected}",
+        f"the inventory is at revision {revision}, not {expected}; look at the "
+        "difference, then import again with that revision",
         detail=msgspec.json.encode(differences).decode(),
     )
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -26,8 +26,8 @@
     instance_key,
     usable_instances,
 )
-from .operators import operator_routes
-from .peers import GET_VIEW, Emit, PeerServer, messages
+from .operator_actions import operator_routes
+from .peers import GET_VIEW, Emit, PeerServer, messages, peer_client
 from .session import SESSION_PREFIX, SessionRow, decode_session
 from .settings import Settings
 from .shards import SHARD_PREFIX, ShardRow, shard_number
@@ -97,6 +97,11 @@
         """Reads and changes inventories."""
         return self._configuration
 
+    @property
+    def table(self) -> Table:
+        """The table service."""
+        return self._table
+
     @property
     def revision(self) -> int:
         """Inventory revision in force here; -1 before the first read."""
@@ -244,7 +249,7 @@
             name = row.inventory.organisation
             self._inventories[name] = row.inventory
             self._revisions[name] = row.revision
-        self._revision = max([head, *(row.revision for row in rows)])
+        self._revision = head
         _logger.info("inventory revision %d is in force", self._revision)
 
     async def _poll_live_list(self) -> None:
@@ -335,15 +340,19 @@
     server.handle(GET_VIEW, _get_view)
     host = settings.instance.host
     server.listen(settings.control.peer_port, host)
-    app = tornado.web.Application(
-        [*health_routes(lambda: control.is_current), *operator_routes(control)]
-    )
-    async with (
-        background(control.run(), control.run_load()),
-        http_server(app, host, settings.control.port),
-    ):
-        await stopping.wait()
-        await _announce_leaving(control)
+    async with peer_client() as peers:
+        routes = operator_routes(
+            control, peers, platform_key_sha256=settings.control.platform_key_sha256
+        )
+        app = tornado.web.Application(
+            [*health_routes(lambda: control.is_current), *routes]
+        )
+        async with (
+            background(control.run(), control.run_load()),
+            http_server(app, host, settings.control.port),
+        ):
+            await stopping.wait()
+            await _announce_leaving(control)
     server.stop()
     server.close_connections()
     client.close()
--- /dev/null
+++ b/src/carobspur/differences.py
@@ -0,0 +1,60 @@
+"""Differences between two inventories, item by item."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from .inventory import Inventory
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """One difference: an item as JSON before and after; empty where it is absent."""
+
+    place: str
+    before: str
+    after: str
+
+
+def difference(before: Inventory | None, after: Inventory) -> list[Difference]:
+    """Return the items that two inventories do not share.
+
+    Args:
+        before: The inventory in force, or ``None``.
+        after: The one to compare it with.
+    """
+    found = []
+    old = {} if before is None else _items(before)
+    new = _items(after)
+    for place in sorted(old.keys() | new.keys()):
+        if old.get(place) != new.get(place):
+            found.append(Difference(place, old.get(place, ""), new.get(place, "")))
+    return found
+
+
+def _items(inventory: Inventory) -> dict[str, str]:
+    """Return every item of an inventory as JSON, by its place."""
+    found = {}
+    sections = msgspec.to_builtins(inventory)
+    rules = sections.pop("rules")
+    sections.update((f"rules/{name}", content) for name, content in rules.items())
+    for section, content in sections.items():
+        if not isinstance(content, list):
+            found[section] = _text(content)
+            continue
+        for item in content:
+            found[f"{section}/{_name(item)}"] = _text(item)
+    return found
+
+
+def _name(item: dict[str, Any]) -> str:
+    """Return what tells an item from the others of its section."""
+    if "window_s" in item:
+        owner = item["user"] or "organisation"
+        return f"{owner}/{item['window_s']}s"
+    return str(item.get("name") or item.get("role"))
+
+
+def _text(content: Any) -> str:
+    return msgspec.json.encode(content, order="sorted").decode()
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -19,7 +19,7 @@
 from .endpoints import Endpoints
 from .errors import CallError, NotFoundError
 from .holder import CacheHolder
-from .inventory import Inventory
+from .inventory import Inventory, Role
 from .journal import CallFinished, CallIntended, CallOutcome
 from .pool import EndpointPool, EndpointState
 from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
@@ -36,10 +36,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Requester:
-    """Who asks, as the entry process established it."""
+    """Who asks, as entry or control established it from a key."""
 
     organisation: str
     user: str
+    role: Role = Role.CALLER
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/inventory.py
+++ b/src/carobspur/inventory.py
@@ -1,23 +1,40 @@
 """What one organisation owns: places, models, engines, services, agents, rules.
 
 An inventory is one JSON document an organisation, exported by its asset register
-and imported whole. It is checked whole: every fault is named with its place.
+and imported whole. Its numbers carry :class:`Bounds`; ``inventory_checks`` enforces
+them when a document is imported, not when a stored one is read, so that a later
+release with narrower bounds still reads what an earlier one accepted.
 """
 
 from __future__ import annotations
 
 import hashlib
-import hmac
+from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, TypeVar
+from typing import Annotated
 
 import msgspec
 
-from .errors import InventoryError, NotFoundError
+from .errors import NotFoundError
 
-MAX_NAME_LENGTH = 100
+_MAX_UNITS = 1 << 50
 
-Item = TypeVar("Item", bound=msgspec.Struct)
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Smallest and largest value that an imported number may have."""
+
+    low: float
+    high: float
+
+
+TokenCount = Annotated[int, Bounds(1, 1 << 40)]
+TokenRate = Annotated[float, Bounds(0.1, 1e9)]
+CallCount = Annotated[int, Bounds(1, 1_000_000)]
+Duration = Annotated[float, Bounds(0.01, 30 * 86_400)]
+Cost = Annotated[int, Bounds(0, 1 << 30)]
+Share = Annotated[float, Bounds(0.01, 0.999_999)]
+Weight = Annotated[float, Bounds(0, 1000)]
 
 
 class Role(StrEnum):
@@ -70,10 +87,10 @@
     """
 
     name: str
-    context_tokens: int
-    input_cost: int = 1
-    output_cost: int = 1
-    timeout_s: float = 120.0
+    context_tokens: TokenCount
+    input_cost: Cost = 1
+    output_cost: Cost = 1
+    timeout_s: Duration = 120.0
 
 
 class Engine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -95,11 +112,11 @@
     address: str
     data_centre: str
     models: list[str]
-    kv_tokens: int
-    in_flight: int = 8
+    kv_tokens: TokenCount
+    in_flight: CallCount = 8
     checks_fencing: bool = False
-    prefill_tokens_per_s: float = 5000.0
-    decode_tokens_per_s: float = 50.0
+    prefill_tokens_per_s: TokenRate = 5000.0
+    decode_tokens_per_s: TokenRate = 50.0
 
 
 class Replica(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -122,6 +139,7 @@
         timeout_s: Seconds a call may take.
         cost: Cost units of one call.
         in_flight: Calls that one replica takes at once.
+        shared: Whether other organisations may list the same replicas.
     """
 
     name: str
@@ -130,9 +148,10 @@
     repeatable: bool = False
     has_lookup: bool = False
     checks_fencing: bool = False
-    timeout_s: float = 10.0
-    cost: int = 1
-    in_flight: int = 32
+    timeout_s: Duration = 10.0
+    cost: Cost = 1
+    in_flight: CallCount = 32
+    shared: bool = False
 
 
 class Agent(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -150,11 +169,11 @@
 
     name: str
     priority_class: str
-    max_calls: int = 500
-    max_tokens: int = 1_000_000
-    max_time_s: float = 3600.0
-    objective_s: float = 30.0
-    objective_share: float = 0.95
+    max_calls: CallCount = 500
+    max_tokens: TokenCount = 1_000_000
+    max_time_s: Duration = 3600.0
+    objective_s: Duration = 30.0
+    objective_share: Share = 0.95
 
 
 class Allowance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -167,8 +186,8 @@
             the whole organisation.
     """
 
-    units: int
-    window_s: int
+    units: Annotated[int, Bounds(0, _MAX_UNITS)]
+    window_s: Annotated[int, Bounds(1, 366 * 86_400)]
     user: str = ""
 
 
@@ -181,7 +200,7 @@
     """
 
     name: str
-    rank: int
+    rank: Annotated[int, Bounds(-1000, 1000)]
 
 
 class StopRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -196,6 +215,13 @@
     own_only: bool = True
 
 
+def _usual_stop_rules() -> list[StopRule]:
+    return [
+        StopRule(Role.CALLER, own_only=True),
+        StopRule(Role.OPERATOR, own_only=False),
+    ]
+
+
 class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What an organisation cares for more.
 
@@ -204,15 +230,21 @@
         wasted_cache: Weight of wasted cache.
     """
 
-    latency: float = 1.0
-    wasted_cache: float = 1.0
+    latency: Weight = 1.0
+    wasted_cache: Weight = 1.0
 
 
 class Rules(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Rules on top of the inventory."""
+    """Rules on top of the inventory.
+
+    Attributes:
+        classes: Priority classes of programs.
+        stop: Who may stop programs; whoever no entry allows may not.
+        weights: What the organisation cares for more.
+    """
 
     classes: list[PriorityClass] = []
-    stop: list[StopRule] = []
+    stop: list[StopRule] = msgspec.field(default_factory=_usual_stop_rules)
     weights: Weights = Weights()
 
 
@@ -252,60 +284,6 @@
         """Return the engines that serve a model."""
         return [item for item in self.engines if model in item.models]
 
-    def key_for(self, secret: str) -> Key | None:
-        """Return the key with this secret, or ``None``."""
-        digest = hashlib.sha256(secret.encode()).hexdigest()
-        for item in self.keys:
-            if hmac.compare_digest(item.sha256, digest):
-                return item
-        return None
-
-
-class Fault(msgspec.Struct, frozen=True):
-    """One fault of an inventory: its place and what is wrong there."""
-
-    place: str
-    reason: str
-
-
-_LISTS: dict[str, type[msgspec.Struct]] = {
-    "keys": Key,
-    "data_centres": DataCentre,
-    "models": Model,
-    "engines": Engine,
-    "services": Service,
-    "agents": Agent,
-    "allowances": Allowance,
-}
-
-
-def parse_inventory(document: bytes) -> Inventory:
-    """Read and check an inventory.
-
-    Args:
-        document: JSON text.
-
-    Returns:
-        The inventory.
-
-    Raises:
-        InventoryError: It has faults; ``detail`` is the JSON list of all of them.
-    """
-    try:
-        raw = msgspec.json.decode(document)
-    except msgspec.DecodeError as error:
-        raise _refusal([Fault("document", f"not JSON: {error}")]) from error
-    if not isinstance(raw, dict):
-        raise _refusal([Fault("document", "expected an object")])
-    faults = _shape_faults(raw)
-    if faults:
-        raise _refusal(faults)
-    inventory = msgspec.convert(raw, Inventory)
-    faults = _reference_faults(inventory)
-    if faults:
-        raise _refusal(faults)
-    return inventory
-
 
 def encode_inventory(inventory: Inventory) -> bytes:
     """Return an inventory as canonical JSON: equal content, equal bytes."""
@@ -315,119 +293,3 @@
 def inventory_digest(inventory: Inventory) -> str:
     """Return the SHA-256 of the canonical JSON, hexadecimal."""
     return hashlib.sha256(encode_inventory(inventory)).hexdigest()
-
-
-def _refusal(faults: list[Fault]) -> InventoryError:
-    lines = "; ".join(f"{fault.place}: {fault.reason}" for fault in faults)
-    detail = msgspec.json.encode(faults).decode()
-    return InventoryError(f"inventory refused: {lines}", detail=detail)
-
-
-def _shape_faults(raw: dict[str, Any]) -> list[Fault]:
-    faults = []
-    for name, cls in _LISTS.items():
-        items = raw.get(name, [])
-        if not isinstance(items, list):
-            faults.append(Fault(name, "expected a list"))
-            continue
-        for index, item in enumerate(items):
-            faults.extend(_convert_faults(item, cls, f"{name}[{index}]"))
-    faults.extend(_convert_faults(raw.get("rules", {}), Rules, "rules"))
-    rest = {
-        key: value for key, value in raw.items() if key not in _LISTS and key != "rules"
-    }
-    faults.extend(_convert_faults(rest, Inventory, "document"))
-    return faults
-
-
-def _convert_faults(item: Any, cls: type[msgspec.Struct], place: str) -> list[Fault]:
-    try:
-        msgspec.convert(item, cls)
-    except msgspec.ValidationError as error:
-        reason, _, path = str(error).partition(" - at `$")
-        return [Fault(place + path.rstrip("`"), reason)]
-    return []
-
-
-def _reference_faults(inventory: Inventory) -> list[Fault]:
-    return [
-        *_name_faults(inventory),
-        *_endpoint_faults(inventory),
-        *_agent_faults(inventory),
-    ]
-
-
-def _name_faults(inventory: Inventory) -> list[Fault]:
-    faults = []
-    if not _is_name(inventory.organisation):
-        faults.append(Fault("organisation", "expected letters, digits, '-' or '_'"))
-    for name in ("keys", "data_centres", "models", "engines", "services", "agents"):
-        seen: set[str] = set()
-        for index, item in enumerate(getattr(inventory, name)):
-            place = f"{name}[{index}].name"
-            if not _is_name(item.name):
-                faults.append(Fault(place, f"{item.name!r} is not a name"))
-            if item.name in seen:
-                faults.append(Fault(place, f"{item.name!r} stands twice"))
-            seen.add(item.name)
-    both = {m.name for m in inventory.models} & {s.name for s in inventory.services}
-    faults.extend(
-        Fault("services", f"{name!r} is a model too") for name in sorted(both)
-    )
-    return faults
-
-
-def _endpoint_faults(inventory: Inventory) -> list[Fault]:
-    faults = []
-    places = {item.name for item in inventory.data_centres}
-    models = {item.name for item in inventory.models}
-    for index, engine in enumerate(inventory.engines):
-        place = f"engines[{index}]"
-        faults.extend(_place_faults(place, engine.data_centre, places))
-        faults.extend(_address_faults(place, engine.address))
-        for model in engine.models:
-            if model not in models:
-                faults.append(Fault(f"{place}.models", f"no model {model!r}"))
-    for index, service in enumerate(inventory.services):
-        if not service.replicas:
-            faults.append(Fault(f"services[{index}].replicas", "none is given"))
-        for position, replica in enumerate(service.replicas):
-            place = f"services[{index}].replicas[{position}]"
-            faults.extend(_place_faults(place, replica.data_centre, places))
-            faults.extend(_address_faults(place, replica.address))
-    return faults
-
-
-def _place_faults(place: str, data_centre: str, known: set[str]) -> list[Fault]:
-    if data_centre in known:
-        return []
-    return [Fault(f"{place}.data_centre", f"no data centre {data_centre!r}")]
-
-
-def _address_faults(place: str, address: str) -> list[Fault]:
-    if address.startswith(("http://", "https://")):
-        return []
-    return [Fault(f"{place}.address", f"{address!r}: expected http://IP:port")]
-
-
-def _agent_faults(inventory: Inventory) -> list[Fault]:
-    faults = []
-    classes = {item.name for item in inventory.rules.classes}
-    for index, agent in enumerate(inventory.agents):
-        if agent.priority_class not in classes:
-            faults.append(
-                Fault(
-                    f"agents[{index}].priority_class",
-                    f"no class {agent.priority_class!r} in rules.classes",
-                )
-            )
-    for index, allowance in enumerate(inventory.allowances):
-        if allowance.units < 0 or allowance.window_s <= 0:
-            faults.append(Fault(f"allowances[{index}]", "units or window too small"))
-    return faults
-
-
-def _is_name(text: str) -> bool:
-    return 0 < len(text) <= MAX_NAME_LENGTH and all(
-        c.isalnum() or c in "-_." for c in text
-    )
--- /dev/null
+++ b/src/carobspur/operator_actions.py
@@ -0,0 +1,151 @@
+"""HTTP for operators: status, programs, drain, and all operators' routes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from .errors import NotFoundError, NotReadyError, RequestError
+from .forward import Forwarder
+from .inventory import Role
+from .operators import (
+    READERS,
+    DifferenceHandler,
+    HistoryHandler,
+    InventoryHandler,
+    OperatorContext,
+    OperatorHandler,
+    RulesHandler,
+)
+from .peers import DRAIN, END_PROGRAM, SHOW_PROGRAM, messages
+from .placement import shard_of
+from .status import status_report
+
+FORWARD_LIMIT_S = 2.0
+
+
+class DrainResult(msgspec.Struct, frozen=True):
+    """Answer to a drain or undrain."""
+
+    instance: str
+    leaving: bool
+
+
+class OwnerView:
+    """Finds programs' owners in a control process's own state.
+
+    Args:
+        control: The control process's state.
+    """
+
+    __slots__ = ("_control",)
+
+    def __init__(self, control: Any) -> None:
+        self._control = control
+
+    def owner_of(self, program: str) -> Any | None:
+        """Return the session of the scheduler that owns a program."""
+        owners = self._control.shard_owners
+        if not owners:
+            return None
+        owner = owners.get(shard_of(program, len(owners)))
+        return next((s for s in self._control.sessions if s.id == owner), None)
+
+
+class StatusHandler(OperatorHandler):
+    """Shows the state of the system."""
+
+    async def get(self, organisation: str) -> None:
+        """Answer with the status."""
+        self.operator_key(organisation, *READERS)
+        self.send(await status_report(self.control, self._context.peers, organisation))
+
+
+class ProgramHandler(OperatorHandler):
+    """Shows and stops an organisation's programs."""
+
+    async def get(self, organisation: str, program: str) -> None:
+        """Answer with a program, its history left out."""
+        key = self.operator_key(organisation, *READERS)
+        request = messages.ShowProgram(
+            caller=_requester(organisation, key.name, key.role),
+            program=program,
+            with_history=False,
+        )
+        found = await self._ask(program, SHOW_PROGRAM, request)
+        self.set_header("Content-Type", "application/json")
+        self.finish(found.document)
+
+    async def delete(self, organisation: str, program: str) -> None:
+        """Stop a program, if the organisation's rules let this key do so."""
+        key = self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
+        request = messages.EndProgram(
+            caller=_requester(organisation, key.name, key.role),
+            program=program,
+            reason=f"stopped by {key.role} {key.name}",
+        )
+        await self._ask(program, END_PROGRAM, request)
+        self.set_status(204)
+        self.finish()
+
+    async def _ask(self, program: str, method: Any, request: Any) -> Any:
+        forwarder = Forwarder(
+            self._context.peers,
+            OwnerView(self.control),
+            self.control.clock,
+            limit_s=FORWARD_LIMIT_S,
+        )
+        return await forwarder.ask(program, method, request)
+
+
+class DrainHandler(OperatorHandler):
+    """Drains an instance of its programs, or lets it take programs again."""
+
+    async def post(self, instance: str, action: str) -> None:
+        """Tell the instance's scheduler."""
+        self.require_platform_operator()
+        sessions = [s for s in self.control.sessions if s.instance == instance]
+        if not sessions:
+            known = ", ".join(sorted({s.instance for s in self.control.sessions}))
+            raise NotFoundError(f"no live instance {instance!r}; live: {known}")
+        if len(sessions) > 1:
+            raise NotReadyError(
+                f"{instance} has an old session that has not lapsed yet",
+                retry_after_s=5.0,
+            )
+        leaving = action == "drain"
+        others = {s.instance for s in self.control.sessions if not s.leaving}
+        if leaving and not others - {instance}:
+            raise RequestError(f"{instance} is the last instance that takes programs")
+        request = messages.Drain(leaving=leaving)
+        target = sessions[0]
+        await self._context.peers.call(target.host, target.port, DRAIN, request)
+        self.send(DrainResult(instance, leaving))
+
+
+def _requester(organisation: str, name: str, role: Role) -> Any:
+    return messages.Caller(organisation=organisation, user=name, role=role.value)
+
+
+def operator_routes(
+    control: Any, peers: Any, *, platform_key_sha256: str = ""
+) -> list[tuple[str, type, dict[str, Any]]]:
+    """Return the operators' routes.
+
+    Args:
+        control: The control process's state.
+        peers: Client of our own processes.
+        platform_key_sha256: Digest of the platform operators' key; empty for none.
+    """
+    options = {"context": OperatorContext(control, peers, platform_key_sha256)}
+    prefix = r"/v1/organisations/([^/]+)"
+    return [
+        (prefix + r"/inventory", InventoryHandler, options),
+        (prefix + r"/inventory/difference", DifferenceHandler, options),
+        (prefix + r"/inventory/history", HistoryHandler, options),
+        (prefix + r"/rules", RulesHandler, options),
+        (prefix + r"/status", StatusHandler, options),
+        (prefix + r"/programs/([^/]+)", ProgramHandler, options),
+        (r"/v1/instances/([^/]+)/(drain|undrain)", DrainHandler, options),
+    ]
--- a/src/carobspur/operators.py
+++ b/src/carobspur/operators.py
@@ -1,132 +1,181 @@
-"""HTTP for operators: inventory, its history, and the state of the system."""
+"""HTTP for operators: who may ask, the inventory, its history and the rules."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from .configuration import difference
-from .errors import ForbiddenError, RequestError, UnauthenticatedError
-from .inventory import Inventory, Key, Role, parse_inventory
+from .configuration import DEFAULT_HISTORY_LENGTH, OrganisationRow
+from .differences import difference
+from .errors import (
+    ConflictError,
+    ForbiddenError,
+    InventoryConflictError,
+    NotFoundError,
+    NotReadyError,
+    RequestError,
+    UnauthenticatedError,
+)
+from .inventory import Inventory, Key, Role
+from .inventory_checks import parse_inventory
+from .keys import KeyIndex, secret_digest
 from .problem import ProblemHandler, bearer_secret
 
-BOOTSTRAP_OPERATOR = "bootstrap"
+PLATFORM_OPERATOR = "platform"
+MAX_HISTORY_LENGTH = 1000
+READERS = (Role.OPERATOR, Role.VIEWER)
 
 
-class EndpointStatus(msgspec.Struct, frozen=True):
-    """An engine's load as this control process last saw it."""
-
-    address: str
-    reachable: bool
-    running: int
-    waiting: int
-    kv_used_tokens: int
-    kv_capacity_tokens: int
-
-
-class InstanceStatusReport(msgspec.Struct, frozen=True):
-    """A usable instance with the shards that its scheduler holds."""
-
-    id: str
-    data_centre: str
-    shards: int
-    leaving: bool
+class InventoryReport(msgspec.Struct, frozen=True):
+    """An inventory in force with its revision."""
 
+    revision: int
+    inventory: Inventory
 
-class StatusReport(msgspec.Struct, frozen=True):
-    """What ``carobspur status`` shows."""
 
-    instance: str
-    revision: int
-    is_current: bool
-    instances: list[InstanceStatusReport]
-    endpoints: list[EndpointStatus]
+@dataclass(slots=True)
+class OperatorContext:
+    """What the operators' handlers share.
 
+    Attributes:
+        control: The control process's state.
+        peers: Client of our own processes, or ``None`` where there is none.
+        platform_key_sha256: Digest of the platform operators' key; empty for none.
+    """
 
-class InventoryReport(msgspec.Struct, frozen=True):
-    """An inventory in force with its revision."""
+    control: Any
+    peers: Any = None
+    platform_key_sha256: str = ""
+    _keys: KeyIndex = field(default_factory=KeyIndex)
+    _keys_revision: int = -1
 
-    revision: int
-    inventory: Inventory
+    @property
+    def keys(self) -> KeyIndex:
+        """Keys of the revision in force."""
+        if self._keys_revision != self.control.revision:
+            self._keys = KeyIndex.of(self.control.inventories.values())
+            self._keys_revision = self.control.revision
+        return self._keys
 
 
 class OperatorHandler(ProblemHandler):
     """A handler that knows the operator's key."""
 
-    def initialize(self, control: Any) -> None:
-        """Take the control process's state."""
-        self._control = control
+    def initialize(self, context: OperatorContext) -> None:
+        """Take what the handlers share."""
+        self._context = context
+
+    @property
+    def control(self) -> Any:
+        """The control process's state."""
+        return self._context.control
 
     def operator_key(self, organisation: str, *roles: Role) -> Key:
         """Return the key of the request.
 
         Raises:
-            UnauthenticatedError: It is not known.
+            NotReadyError: No configuration has been read yet.
+            UnauthenticatedError: The key is not known.
             ForbiddenError: It is another organisation's, or its role is too small.
         """
-        secret = bearer_secret(self.request.headers.get("Authorization", ""))
-        for name, inventory in self._control.inventories.items():
-            key = inventory.key_for(secret) if secret else None
-            if key is None:
-                continue
-            if name != organisation or key.role not in roles:
-                raise ForbiddenError("this key does not allow that")
-            return key
-        raise UnauthenticatedError("the key is not known")
-
-    def send(self, content: Any) -> None:
+        if self.control.revision < 0:
+            raise NotReadyError("no configuration yet", retry_after_s=1.0)
+        owner = self._context.keys.find(self._secret())
+        if owner is None:
+            raise UnauthenticatedError("the key is not known")
+        if owner.organisation != organisation or owner.key.role not in roles:
+            raise ForbiddenError("this key does not allow that")
+        return owner.key
+
+    def is_platform_operator(self) -> bool:
+        """Return whether the request carries the platform operators' key."""
+        known = self._context.platform_key_sha256
+        secret = self._secret()
+        return bool(known and secret) and secret_digest(secret) == known
+
+    def require_platform_operator(self) -> None:
+        """Refuse the request unless it carries the platform operators' key.
+
+        Raises:
+            UnauthenticatedError: It does not.
+        """
+        if not self.is_platform_operator():
+            raise UnauthenticatedError("this needs the platform operators' key")
+
+    def inventory(self, organisation: str) -> Inventory:
+        """Return an organisation's inventory in force.
+
+        Raises:
+            NotFoundError: There is none.
+        """
+        found = self.control.inventories.get(organisation)
+        if found is None:
+            raise NotFoundError(f"no organisation {organisation!r}")
+        return found
+
+    def send(self, content: Any, status: int = 200) -> None:
         """Answer with JSON."""
+        self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(content))
 
+    def _secret(self) -> str:
+        return bearer_secret(self.request.headers.get("Authorization", ""))
+
 
 class InventoryHandler(OperatorHandler):
     """Shows and imports an organisation's inventory."""
 
     async def get(self, organisation: str) -> None:
         """Answer with what is in force."""
-        self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
-        row = await self._control.configuration.organisation(organisation)
+        self.operator_key(organisation, *READERS)
+        row = await _stored(self.control, organisation)
         self.send(InventoryReport(row.revision, row.inventory))
 
     async def put(self, organisation: str) -> None:
         """Put an inventory in force."""
+        operator = self._importer(organisation)
         inventory = parse_inventory(self.request.body)
         if inventory.organisation != organisation:
             raise RequestError(f"the inventory is {inventory.organisation!r}'s")
-        operator = self._operator_name(organisation, inventory)
-        change = self.request.headers.get("Carobspur-Change", "")
-        if not change:
-            raise RequestError("the header Carobspur-Change is missing")
-        result = await self._control.configuration.import_inventory(
-            inventory,
-            expected=self._expected_revision(),
-            change=change,
-            operator=operator,
-            now_s=self._control.clock.wall(),
-        )
-        await self._control.poll()
+        try:
+            result = await self.control.configuration.import_inventory(
+                inventory,
+                expected=self._expected_revision(),
+                change=self._change_id(),
+                operator=operator,
+                now_s=self.control.clock.wall(),
+            )
+        except InventoryConflictError as error:
+            if operator == PLATFORM_OPERATOR:
+                raise ConflictError(
+                    f"{organisation} is registered; only its operators may change it"
+                ) from error
+            raise
+        await self.control.poll()
         self.send(result)
 
-    def _operator_name(self, organisation: str, inventory: Inventory) -> str:
-        """Return who imports; the first inventory is allowed by its own key."""
-        if organisation in self._control.inventories:
+    def _importer(self, organisation: str) -> str:
+        """Return who imports; platform operators may only register organisations."""
+        if not self.is_platform_operator():
             return self.operator_key(organisation, Role.OPERATOR).name
-        secret = bearer_secret(self.request.headers.get("Authorization", ""))
-        key = inventory.key_for(secret) if secret else None
-        if key is None or key.role != Role.OPERATOR:
-            raise UnauthenticatedError(
-                "the first inventory must hold the operator's key"
-            )
-        return key.name
+        if self._expected_revision():
+            raise ForbiddenError("the platform's key only registers organisations")
+        return PLATFORM_OPERATOR
+
+    def _change_id(self) -> str:
+        change = self.request.headers.get("Carobspur-Change", "")
+        if not change:
+            raise RequestError("the header Carobspur-Change is missing")
+        return change
 
     def _expected_revision(self) -> int:
-        text = self.request.headers.get("If-Match", "")
-        try:
-            return int(text.strip('"'))
-        except ValueError:
-            raise RequestError("If-Match must carry the revision you saw") from None
+        text = self.request.headers.get("If-Match", "").strip('"')
+        if not text.isdecimal() or not text.isascii() or len(text) > 15:
+            raise RequestError("If-Match must carry the revision you saw")
+        return int(text)
 
 
 class DifferenceHandler(OperatorHandler):
@@ -134,9 +183,11 @@
 
     async def post(self, organisation: str) -> None:
         """Answer with the differences."""
-        self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
+        self.operator_key(organisation, *READERS)
         inventory = parse_inventory(self.request.body)
-        row = await self._control.configuration.organisation(organisation)
+        if inventory.organisation != organisation:
+            raise RequestError(f"the inventory is {inventory.organisation!r}'s")
+        row = await self.control.configuration.organisation(organisation)
         self.send(difference(None if row is None else row.inventory, inventory))
 
 
@@ -144,60 +195,27 @@
     """Shows an organisation's changes."""
 
     async def get(self, organisation: str) -> None:
-        """Answer with the change log."""
-        self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
-        self.send(await self._control.configuration.changes(organisation))
+        """Answer with the last entries of the change log, oldest first."""
+        self.operator_key(organisation, *READERS)
+        text = self.get_query_argument("limit", str(DEFAULT_HISTORY_LENGTH))
+        if not (text.isascii() and text.isdecimal() and len(text) < 6):
+            raise RequestError(f"limit: expected 1 to {MAX_HISTORY_LENGTH}")
+        limit = min(max(int(text), 1), MAX_HISTORY_LENGTH)
+        changes = self.control.configuration.changes(organisation, limit=limit)
+        self.send(await changes)
 
 
-class StatusHandler(OperatorHandler):
-    """Shows the state of the system as this process sees it."""
+class RulesHandler(OperatorHandler):
+    """Shows an organisation's rules in force."""
 
     def get(self, organisation: str) -> None:
-        """Answer with the status."""
-        self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
-        control = self._control
-        owners = list(control.shard_owners.values())
-        instances = [
-            InstanceStatusReport(
-                item.instance, item.data_centre, owners.count(item.id), item.leaving
-            )
-            for item in control.sessions
-        ]
-        own = {e.address for e in control.inventories[organisation].engines}
-        endpoints = [
-            EndpointStatus(
-                address,
-                load is not None,
-                load.running if load else 0,
-                load.waiting if load else 0,
-                load.kv_used_tokens if load else 0,
-                load.kv_capacity_tokens if load else 0,
-            )
-            for address, (_, load) in control.loads.items()
-            if address in own
-        ]
-        self.send(
-            StatusReport(
-                control.instance_id,
-                control.revision,
-                control.is_current,
-                instances,
-                endpoints,
-            )
-        )
-
+        """Answer with the rules."""
+        self.operator_key(organisation, *READERS)
+        self.send(self.inventory(organisation).rules)
 
-def operator_routes(control: Any) -> list[tuple[str, type, dict[str, Any]]]:
-    """Return the operators' routes.
 
-    Args:
-        control: The control process's state.
-    """
-    options = {"control": control}
-    prefix = r"/v1/organisations/([^/]+)"
-    return [
-        (prefix + r"/inventory", InventoryHandler, options),
-        (prefix + r"/inventory/difference", DifferenceHandler, options),
-        (prefix + r"/inventory/history", HistoryHandler, options),
-        (prefix + r"/status", StatusHandler, options),
-    ]
+async def _stored(control: Any, organisation: str) -> OrganisationRow:
+    row = await control.configuration.organisation(organisation)
+    if row is None:
+        raise NotFoundError(f"no organisation {organisation!r}")
+    return row
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -72,6 +72,7 @@
 SHOW_PROGRAM = Method("show_program", messages.ShowProgram, messages.ProgramDocument)
 END_PROGRAM = Method("end_program", messages.EndProgram, messages.Empty)
 DRAIN = Method("drain", messages.Drain, messages.Empty)
+GET_STATUS = Method("get_status", messages.GetStatus, messages.SchedulerStatus)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
 
 
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -29,9 +29,11 @@
 }
 
 // Who asks, as the entry process established it from the caller's key.
+// role is the key's; a caller's where it is left out.
 struct Caller {
   1: required string organisation,
   2: required string user,
+  3: optional string role,
 }
 
 struct StartProgram {
@@ -102,6 +104,19 @@
   1: required bool leaving,
 }
 
+// What a scheduler is at, for operators of one organisation or of the platform.
+struct GetStatus {
+  1: required string organisation,
+}
+
+struct SchedulerStatus {
+  1: required i64 revision,
+  2: required bool ready,
+  3: required bool leaving,
+  4: required i32 shards,
+  5: required i32 programs,
+}
+
 // Asks a control process for its view; the inventories are left out of the answer
 // where the asker already has this revision.
 struct GetView {
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -202,18 +202,16 @@
         """Return a program, or ``None``."""
         return self._programs.get(program)
 
-    def get(self, program: str, organisation: str, user: str) -> Program:
-        """Return a program if this user may see it.
+    def get(self, program: str, organisation: str, user: str | None) -> Program:
+        """Return a program if this user, or with ``None`` the organisation, may.
 
         Raises:
             NotFoundError: There is no such program for this user.
         """
         found = self._programs.get(program)
-        is_own = found is not None and (found.organisation, found.user) == (
-            organisation,
-            user,
-        )
-        if not is_own:
+        if found is None or found.organisation != organisation:
+            raise NotFoundError(f"no program {program!r}")
+        if user is not None and found.user != user:
             raise NotFoundError(f"no program {program!r}")
         return found
 
--- /dev/null
+++ b/src/carobspur/rules.py
@@ -0,0 +1,20 @@
+"""Decisions that an organisation's rules make."""
+
+from __future__ import annotations
+
+from .inventory import Role, Rules
+
+
+def may_stop(rules: Rules, *, role: Role, user: str, program_user: str) -> bool:
+    """Return whether someone may stop a program of their organisation.
+
+    Args:
+        rules: The organisation's rules in force.
+        role: Role of the key that asks.
+        user: The user that the key speaks for.
+        program_user: The user that the program runs for.
+    """
+    for rule in rules.stop:
+        if rule.role == role:
+            return not rule.own_only or user == program_user
+    return False
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -21,12 +21,14 @@
 from .health import health_routes
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
+from .inventory import Role
 from .kernel import PluginKind, plugin
 from .metrics import PROGRAMS, SHARDS
 from .objects import HttpObjects, Objects
 from .peers import (
     DRAIN,
     END_PROGRAM,
+    GET_STATUS,
     RUN_CALL,
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
@@ -84,6 +86,7 @@
         self._keeper: ShardKeeper | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
+        self._draining: asyncio.Future[None] | None = None
 
     @property
     def session(self) -> Session | None:
@@ -215,6 +218,7 @@
         server.handle(SHOW_PROGRAM, self._show_program)
         server.handle(END_PROGRAM, self._end_program)
         server.handle(DRAIN, self._drain)
+        server.handle(GET_STATUS, self._get_status)
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -276,13 +280,32 @@
         return messages.Empty()
 
     async def _drain(self, request: Any, emit: Emit) -> Any:
+        if self._keeper is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
         if request.leaving:
-            await self.leave()
+            self._draining = asyncio.ensure_future(self._keeper.leave())
+        else:
+            await self._keeper.stay()
         return messages.Empty()
 
+    async def _get_status(self, request: Any, emit: Emit) -> Any:
+        mine = [
+            item
+            for item in self._book.programs
+            if item.organisation == request.organisation and not item.ended
+        ]
+        keeper = self._keeper
+        return messages.SchedulerStatus(
+            revision=self._view.revision,
+            ready=self._view.is_ready and keeper is not None,
+            leaving=keeper is not None and keeper.is_leaving,
+            shards=0 if keeper is None else len(keeper.owned),
+            programs=len(mine),
+        )
+
 
 def _requester(caller: Any) -> Requester:
-    return Requester(caller.organisation, caller.user)
+    return Requester(caller.organisation, caller.user, Role(caller.role or Role.CALLER))
 
 
 def _text_emitter(emit: Emit) -> Any:
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -273,9 +273,9 @@
         self._wake.set()
         return await asyncio.shield(pending.done)
 
-    def announce_leaving(self) -> None:
-        """Mark the session as leaving from the next commit on."""
-        self._row = msgspec.structs.replace(self._row, leaving=True)
+    def announce_leaving(self, *, leaving: bool = True) -> None:
+        """Mark the session as leaving, or as staying, from the next commit on."""
+        self._row = msgspec.structs.replace(self._row, leaving=leaving)
         self._wake.set()
 
     async def close(self) -> None:
--- a/src/carobspur/settings.py
+++ b/src/carobspur/settings.py
@@ -85,10 +85,17 @@
     return text
 
 
+def _sha256(text: str) -> str:
+    if text and (len(text) != 64 or set(text) - set("0123456789abcdef")):
+        raise ValueError(text)
+    return text
+
+
 NAME = Rule(_name, "letters, digits, '-', '_' or '.'")
 IP_NUMBER = Rule(_ip, "an IP number")
 BASE_URL = Rule(_base_url, "http(s)://IP:port")
 FILE = Rule(_file, "a file that exists, or nothing")
+SHA256 = Rule(_sha256, "64 lower-case hexadecimal digits, or nothing")
 PORT = _integer(0, MAX_PORT, "port")
 
 
@@ -150,11 +157,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlSettings:
-    """Section ``[control]``: configuration, membership and endpoint load."""
+    """Section ``[control]``: configuration, membership and endpoint load.
+
+    Attributes:
+        platform_key_sha256: Digest of the key that registers organisations and
+            drains instances; without it, nobody can do either here.
+    """
 
     port: int = _key(PORT)
     peer_port: int = _key(PORT)
     poll_s: float = _key(_number(0.05, 60, "s"), 0.5)
+    platform_key_sha256: str = _key(SHA256, "")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -218,6 +218,11 @@
         """Shards whose programs this process serves."""
         return frozenset(self._owned - self._moving)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this scheduler is handing its shards over."""
+        return self._leaving
+
     @property
     def view(self) -> TableView | None:
         """What the last scan showed, or ``None`` before the first."""
@@ -270,7 +275,7 @@
         self._leaving = True
         self._session.announce_leaving()
         await self._session.commit()
-        while self._owned and not self._session.is_lost:
+        while self._leaving and self._owned and not self._session.is_lost:
             await self.watch()
             idle = [n for n in self._owned if not self._is_busy(n)]
             targets = self._targets()
@@ -281,6 +286,12 @@
             if self._owned:
                 await self._clock.sleep(self._leases.lease_s / 100)
 
+    async def stay(self) -> None:
+        """Take shards again after :meth:`leave`."""
+        self._leaving = False
+        self._session.announce_leaving(leaving=False)
+        await self._session.commit()
+
     def _targets(self) -> list[str]:
         if self._view is None:
             return []
--- /dev/null
+++ b/src/carobspur/status.py
@@ -0,0 +1,206 @@
+"""The state of the system as operators are shown it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from .budgets import BUDGET_PREFIX, BudgetRow
+from .errors import CarobspurError
+from .inventory import Inventory
+from .peers import GET_STATUS, messages
+from .table import Table
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """An engine's load as this control process last saw it."""
+
+    name: str
+    address: str
+    reachable: bool
+    running: int = 0
+    waiting: int = 0
+    kv_used_tokens: int = 0
+    kv_capacity_tokens: int = 0
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """An instance, as its scheduler answered.
+
+    Attributes:
+        id: Its id.
+        data_centre: Where it stands.
+        state: ``ready``, ``not ready``, ``leaving``, or ``no answer``.
+        revision: Inventory revision in force there; -1 where it did not answer.
+        shards: Shards that its scheduler serves.
+        programs: The organisation's programs under way there.
+    """
+
+    id: str
+    data_centre: str
+    state: str
+    revision: int = -1
+    shards: int = 0
+    programs: int = 0
+
+
+class DataCentreStatus(msgspec.Struct, frozen=True):
+    """A data centre with how many of its instances are ready."""
+
+    name: str
+    instances: int
+    ready: int
+
+
+class BudgetStatus(msgspec.Struct, frozen=True):
+    """An allowance in its current window.
+
+    Attributes:
+        owner: The user, or ``organisation``.
+        window_s: Length of the window.
+        units: What may be spent in it.
+        spent: What schedulers reported as spent.
+        granted: What they hold to spend.
+    """
+
+    owner: str
+    window_s: int
+    units: int
+    spent: int
+    granted: int
+
+
+class StatusReport(msgspec.Struct, frozen=True):
+    """What ``carobspur status`` shows.
+
+    Attributes:
+        instance: Instance whose control process answers.
+        revision: System-wide revision in force there.
+        is_current: Whether that process knows that it is the latest.
+        organisation_revision: Revision of the organisation's last change.
+        unserved_shards: Shards that no live scheduler holds.
+    """
+
+    instance: str
+    revision: int
+    is_current: bool
+    organisation_revision: int
+    unserved_shards: int
+    data_centres: list[DataCentreStatus]
+    instances: list[InstanceStatus]
+    endpoints: list[EndpointStatus]
+    budgets: list[BudgetStatus]
+
+
+async def status_report(control: Any, peers: Any, organisation: str) -> StatusReport:
+    """Return the state of the system for one organisation.
+
+    Args:
+        control: The control process's state.
+        peers: Client of our own processes.
+        organisation: Whose programs, endpoints and budgets are shown.
+    """
+    inventory = control.inventories[organisation]
+    sessions = sorted(control.sessions, key=lambda item: item.instance)
+    instances = await asyncio.gather(
+        *(_ask_instance(peers, item, organisation) for item in sessions)
+    )
+    live = {item.id for item in sessions}
+    owners = control.shard_owners
+    budgets = await _budgets(control.table, inventory, control.clock.wall())
+    return StatusReport(
+        instance=control.instance_id,
+        revision=control.revision,
+        is_current=control.is_current,
+        organisation_revision=control.revisions.get(organisation, 0),
+        unserved_shards=sum(owner not in live for owner in owners.values()),
+        data_centres=_data_centres(instances),
+        instances=list(instances),
+        endpoints=_endpoints(control, inventory),
+        budgets=budgets,
+    )
+
+
+async def _ask_instance(peers: Any, session: Any, organisation: str) -> InstanceStatus:
+    request = messages.GetStatus(organisation=organisation)
+    asking = peers.call(
+        session.host, session.port, GET_STATUS, request, timeout_s=STATUS_TIMEOUT_S
+    )
+    try:
+        answer = await asking
+    except CarobspurError:
+        return InstanceStatus(session.instance, session.data_centre, "no answer")
+    state = "ready" if answer.ready else "not ready"
+    return InstanceStatus(
+        session.instance,
+        session.data_centre,
+        "leaving" if answer.leaving else state,
+        answer.revision,
+        answer.shards,
+        answer.programs,
+    )
+
+
+def _data_centres(instances: list[InstanceStatus]) -> list[DataCentreStatus]:
+    found = []
+    for name in sorted({item.data_centre for item in instances}):
+        here = [item for item in instances if item.data_centre == name]
+        ready = sum(item.state == "ready" for item in here)
+        found.append(DataCentreStatus(name, len(here), ready))
+    return found
+
+
+def _endpoints(control: Any, inventory: Inventory) -> list[EndpointStatus]:
+    found = []
+    for engine in inventory.engines:
+        _, load = control.loads.get(engine.address, (0.0, None))
+        if load is None:
+            found.append(EndpointStatus(engine.name, engine.address, reachable=False))
+            continue
+        found.append(
+            EndpointStatus(
+                engine.name,
+                engine.address,
+                reachable=True,
+                running=load.running,
+                waiting=load.waiting,
+                kv_used_tokens=load.kv_used_tokens,
+                kv_capacity_tokens=load.kv_capacity_tokens,
+            )
+        )
+    return found
+
+
+async def _budgets(
+    table: Table, inventory: Inventory, now_s: float
+) -> list[BudgetStatus]:
+    """Read an organisation's budget rows; those of past windows count as unspent."""
+    rows = await table.scan(f"{BUDGET_PREFIX}{inventory.organisation}/")
+    stored = {
+        row.key: msgspec.json.decode(row.value, type=BudgetRow, strict=False)
+        for row in rows
+    }
+    users = {key.split("/")[2] for key in stored} - {""}
+    found = []
+    for allowance in inventory.allowances:
+        owners = sorted(users) if allowance.user == "*" else [allowance.user]
+        for owner in owners:
+            key = f"{BUDGET_PREFIX}{inventory.organisation}/{owner}"
+            row = stored.get(f"{key}/{allowance.window_s}")
+            window = int(now_s // allowance.window_s)
+            if row is None or row.window != window:
+                row = BudgetRow(window)
+            found.append(
+                BudgetStatus(
+                    owner or "organisation",
+                    allowance.window_s,
+                    allowance.units,
+                    row.spent,
+                    sum(row.open.values()),
+                )
+            )
+    return found
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -11,6 +11,7 @@
 from .clock import Clock
 from .errors import CarobspurError, NotFoundError, NotReadyError, UnauthenticatedError
 from .inventory import Inventory, Key
+from .keys import KeyIndex
 from .metrics import REVISION
 from .peers import GET_VIEW, PeerClient, messages
 from .placement import shard_of
@@ -38,6 +39,7 @@
         "_clock",
         "_host",
         "_inventories",
+        "_keys",
         "_peers",
         "_port",
         "_received_s",
@@ -64,6 +66,7 @@
         self._revision = NO_REVISION
         self._received_s = 0.0
         self._inventories: dict[str, Inventory] = {}
+        self._keys = KeyIndex()
 
     def __repr__(self) -> str:
         return f"ViewClient(revision={self._revision})"
@@ -120,11 +123,10 @@
         """
         if self._view is None:
             raise NotReadyError("no configuration yet", retry_after_s=1.0)
-        for inventory in self._inventories.values():
-            key = inventory.key_for(secret)
-            if key is not None:
-                return inventory, key
-        raise UnauthenticatedError("the key is not known")
+        owner = self._keys.find(secret)
+        if owner is None:
+            raise UnauthenticatedError("the key is not known")
+        return self._inventories[owner.organisation], owner.key
 
     def owner_of(self, program: str) -> Any | None:
         """Return the ``SessionInfo`` of the scheduler that owns a program."""
@@ -153,6 +155,7 @@
         if view.inventories is not None:
             found = _decoder.decode(view.inventories)
             self._inventories = {item.organisation: item for item in found}
+            self._keys = KeyIndex.of(found)
         self._view = view
         self._revision = view.revision
         self._received_s = self._clock.monotonic()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -25,6 +25,7 @@
 ORGANISATION = "oro-recupero"
 CALLER_SECRET = "caller-secret"
 OPERATOR_SECRET = "operator-secret"
+PLATFORM_SECRET = "platform-secret"
 TABLE_URL = "http://10.0.0.1:1"
 OBJECTS_URL = "http://10.0.0.1:2"
 LIVE_LIST_URL = "http://10.0.0.1:3"
@@ -79,6 +80,7 @@
                 checks_fencing=checks_fencing,
                 timeout_s=5.0,
                 cost=10,
+                shared=True,
             ),
             Service(
                 "vault",
@@ -86,6 +88,7 @@
                 [Replica(PLAIN_URL, "dc-2")],
                 repeatable=True,
                 timeout_s=5.0,
+                shared=True,
             ),
         ],
         agents=[Agent("quote", "counter", max_calls=max_calls)],
@@ -95,7 +98,7 @@
         ],
         rules=Rules(
             classes=[PriorityClass("counter", 0)],
-            stop=[StopRule(Role.OPERATOR, own_only=False)],
+            stop=[StopRule(Role.CALLER), StopRule(Role.OPERATOR, own_only=False)],
         ),
     )
 
@@ -122,5 +125,6 @@
         [control]
         port = 4
         peer_port = 5
+        platform_key_sha256 = {digest_of(PLATFORM_SECRET)}
         """
     )
--- a/tests/world.py
+++ b/tests/world.py
@@ -27,7 +27,7 @@
 from carobspur.kernel import load_plugins
 from carobspur.membership import HttpLiveList
 from carobspur.objects import HttpObjects
-from carobspur.operators import operator_routes
+from carobspur.operator_actions import operator_routes
 from carobspur.peers import GET_VIEW, Method, PeerServer, decode, encode
 from carobspur.scheduler import Scheduler
 from carobspur.settings import Settings
@@ -285,7 +285,13 @@
             scheduler,
             entry,
             tornado.web.Application(caller_routes(entry)),
-            tornado.web.Application(operator_routes(control)),
+            tornado.web.Application(
+                operator_routes(
+                    control,
+                    self.peers,
+                    platform_key_sha256=settings.control.platform_key_sha256,
+                )
+            ),
             gate,
         )
         self.nodes[number] = node
@@ -383,10 +389,16 @@
         revision: int,
         change: str,
         node: int | None = None,
-        secret: str = builders.OPERATOR_SECRET,
+        secret: str = "",
     ) -> Reply:
-        """Put an inventory in force through an instance's control process."""
+        """Put an inventory in force through an instance's control process.
+
+        Without a secret, the platform's key makes the first import and the
+        organisation's operator key the later ones.
+        """
         number = node or min(self.nodes)
+        usual = builders.OPERATOR_SECRET if revision else builders.PLATFORM_SECRET
+        secret = secret or usual
         headers = {
             "Authorization": f"Bearer {secret}",
             "If-Match": f'"{revision}"',
@@ -396,6 +408,20 @@
         body = msgspec.to_builtins(inventory)
         return await _serve(self.nodes[number].operators, "PUT", path, body, headers)
 
+    async def operate(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        node: int | None = None,
+        secret: str = builders.OPERATOR_SECRET,
+    ) -> Reply:
+        """Send an operator's request to an instance's control process."""
+        app = self.nodes[node or min(self.nodes)].operators
+        headers = {"Authorization": f"Bearer {secret}"}
+        return await _serve(app, method, path, body, headers)
+
     def _view(self, settings: Settings) -> ViewClient:
         return ViewClient(
             self.peers,
