Command line: tables, JSON, exit codes, drain, programs, rules, keys

Cause: the command line knew four commands, printed only JSON, ended in tracebacks on wrong types, and ran a command before it had looked at the rest of the line, so a misspelt option came to light after the import. Problem documents that carry a detail could not be read back by any client (a union of raw JSON and null): the difference of a lost race never reached the operator.

Ruled out: parsing the line before fire does (its help would no longer match).

Conclusion: exit codes 0 done, 1 refused, 2 usage, 3 unreachable, 4 conflict.

--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -3,181 +3,257 @@
 from __future__ import annotations
 
 import os
+import secrets
 import sys
-import uuid
-from pathlib import Path
-from typing import Any
 
 import fire
 import msgspec
-from tornado.httpclient import HTTPClient, HTTPError, HTTPRequest
 
-from .errors import CarobspurError, RequestError
-from .inventory_checks import parse_inventory
-from .problem import Problem
+from .cli_inventory import InventoryCommands, RulesCommands
+from .cli_session import (
+    CONTROL_VARIABLE,
+    ORGANISATION_VARIABLE,
+    Job,
+    Session,
+    UsageError,
+    checked_name,
+    command,
+    run_job,
+)
+from .control_client import ControlUnreachableError
+from .differences import Difference
+from .errors import (
+    CarobspurError,
+    InventoryConflictError,
+    InventoryError,
+)
+from .inventory import Key, Role
+from .inventory_checks import Fault
+from .keys import secret_digest
 from .settings import Settings
-
-KEY_VARIABLE = "CAROBSPUR_KEY"
-CONTROL_VARIABLE = "CAROBSPUR_CONTROL"
-EXIT_FAILED = 1
+from .status import StatusReport
+from .tables import (
+    difference_text,
+    status_text,
+    table,
+)
+
+EXIT_REFUSED = 1
 EXIT_USAGE = 2
-TIMEOUT_S = 10.0
-
-
-class ControlClient:
-    """Talks to a control process for one organisation.
-
-    Args:
-        control: Address of a control process, ``http://IP:port``.
-        organisation: Name of the organisation.
-        key: The operator's secret key.
-    """
+EXIT_UNREACHABLE = 3
+EXIT_CONFLICT = 4
+SECRET_BYTES = 32
 
-    __slots__ = ("_control", "_key", "_organisation")
-
-    def __init__(self, control: str, organisation: str, key: str) -> None:
-        self._control = control
-        self._organisation = organisation
-        self._key = key
-
-    def ask(
-        self,
-        method: str,
-        path: str,
-        *,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> Any:
-        """Send a request and return the decoded JSON answer.
-
-        Raises:
-            RequestError: Control refused or can't be reached.
-        """
-        url = f"{self._control}/v1/organisations/{self._organisation}/{path}"
-        request = HTTPRequest(
-            url,
-            method=method,
-            body=body,
-            headers={"Authorization": f"Bearer {self._key}", **(headers or {})},
-            request_timeout=TIMEOUT_S,
-        )
-        client = HTTPClient()
-        try:
-            answer = client.fetch(request)
-        except HTTPError as error:
-            raise _refusal(error) from error
-        except OSError as error:
-            raise RequestError(f"{self._control} can't be reached: {error}") from error
-        finally:
-            client.close()
-        return msgspec.json.decode(answer.body)
-
-
-def _refusal(error: HTTPError) -> RequestError:
-    if error.response is None or not error.response.body:
-        return RequestError(f"no answer: {error}")
-    try:
-        problem = msgspec.json.decode(error.response.body, type=Problem)
-    except msgspec.MsgspecError:
-        return RequestError(f"control answered {error.code}")
-    detail = bytes(problem.detail).decode() if problem.detail else ""
-    return RequestError(f"{problem.cause}: {problem.title}", detail=detail)
 
+class ProgramCommands:
+    """Shows and stops programs of an organisation."""
 
-class InventoryCommands:
-    """Imports and shows the inventory of an organisation."""
+    def __init__(self, session: Session) -> None:
+        self._session = session
 
-    def __init__(self, client: ControlClient) -> None:
-        self._client = client
+    @command
+    def show(self, program: str) -> None:
+        """Show a program without its history.
 
-    def import_(self, file: str, revision: int = 0, change: str = "") -> Any:
-        """Put an inventory file in force.
+        Example:
+            carobspur program show p234950b9c6718c2e99d1ad7a1cc18079
 
         Args:
-            file: JSON file of the whole inventory.
-            revision: Revision of the organisation's inventory that you saw; 0 for
-                the first import.
-            change: Id of the change; give the same one again after a lost answer.
+            program: Id of the program.
         """
-        document = Path(file).read_bytes()
-        parse_inventory(document)
-        headers = {
-            "If-Match": f'"{revision}"',
-            "Carobspur-Change": change or uuid.uuid4().hex,
-        }
-        return self._client.ask("PUT", "inventory", body=document, headers=headers)
+        path = f"programs/{checked_name(program, 'program')}"
+        answer = self._session.ask("GET", path)
+        self._session.show(answer, lambda item: table(("", ""), list(item.items())))
 
-    def show(self) -> Any:
-        """Show the inventory in force with its revision."""
-        return self._client.ask("GET", "inventory")
+    @command
+    def stop(self, program: str) -> None:
+        """Stop a program and its sub-agents, if the rules let your key do so.
 
-    def diff(self, file: str) -> Any:
-        """Show how a file differs from the inventory in force.
+        Example:
+            carobspur program stop p234950b9c6718c2e99d1ad7a1cc18079
 
         Args:
-            file: JSON file of the whole inventory.
+            program: Id of the program.
         """
-        document = Path(file).read_bytes()
-        return self._client.ask("POST", "inventory/difference", body=document)
-
-    def history(self) -> Any:
-        """Show all changes of the inventory, oldest first."""
-        return self._client.ask("GET", "inventory/history")
+        name = checked_name(program, "program")
+        self._session.ask("DELETE", f"programs/{name}")
+        self._session.show({"stopped": name}, lambda item: f"{name} is stopped")
 
 
 class SettingsCommands:
     """Checks settings files."""
 
-    def check(self, file: str) -> str:
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    @command
+    def check(self, file: str) -> None:
         """Check a settings file and name every fault.
 
+        Example:
+            carobspur settings check instance.ini
+
         Args:
             file: The INI file.
         """
-        Settings.read(file)
-        return f"{file}: no faults"
+        Settings.read(str(file))
+        self._session.show({"faults": []}, lambda _: f"{file}: no faults")
+
+
+class KeyCommands:
+    """Makes keys."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    @command
+    def new(self, name: str, role: str = "caller", user: str = "") -> None:
+        """Make a secret key and print it with its entry for the inventory.
+
+        Example:
+            carobspur key new shops-2027 --role=caller
+
+        Args:
+            name: Name of the key, for people and logs.
+            role: caller, operator or viewer.
+            user: The only user it speaks for; empty for any.
+        """
+        roles = [item.value for item in Role]
+        if role not in roles:
+            raise UsageError(f"--role={role!r}: expected one of {', '.join(roles)}")
+        secret = secrets.token_urlsafe(SECRET_BYTES)
+        digest = secret_digest(secret)
+        key = Key(checked_name(name, "name"), digest, Role(role), str(user))
+        entry = msgspec.json.encode(key).decode()
+        self._session.show(
+            {"secret": secret, "entry": key},
+            lambda _: f"secret (shown only now): {secret}\ninventory entry: {entry}",
+        )
 
 
 class Commands:
     """Operates carobspur.
 
-    Args:
-        organisation: Name of the organisation.
-        control: Address of any control process, ``http://IP:port``; the default is
-            the environment variable CAROBSPUR_CONTROL.
+    Examples:
+        export CAROBSPUR_CONTROL=http://10.1.0.1:7304,http://10.1.0.2:7304
+        export CAROBSPUR_ORGANISATION=oro-recupero CAROBSPUR_KEY=...
+        carobspur status
+        carobspur inventory diff oro-recupero.json
+        carobspur inventory import oro-recupero.json --revision=7
 
-    The operator's key is read from the environment variable CAROBSPUR_KEY.
+    Exit codes: 0 done, 1 refused, 2 wrong command line, 3 control can't be reached,
+    4 somebody else's change came first.
+
+    Args:
+        organisation: Name of the organisation; default: CAROBSPUR_ORGANISATION.
+        control: Addresses of control processes, http://IP:port, with commas between;
+            default: CAROBSPUR_CONTROL.
+        json: Show answers as JSON.
     """
 
-    def __init__(self, organisation: str = "", control: str = "") -> None:
-        address = control or os.environ.get(CONTROL_VARIABLE, "")
-        client = ControlClient(
-            address.rstrip("/"), organisation, os.environ.get(KEY_VARIABLE, "")
+    def __init__(
+        self, organisation: str = "", control: str = "", json: bool = False
+    ) -> None:
+        session = Session(
+            organisation or os.environ.get(ORGANISATION_VARIABLE, ""),
+            control or os.environ.get(CONTROL_VARIABLE, ""),
+            json,
         )
-        self._client = client
-        self.inventory = InventoryCommands(client)
-        self.settings = SettingsCommands()
+        self._session = session
+        self.inventory = InventoryCommands(session)
+        self.rules = RulesCommands(session)
+        self.program = ProgramCommands(session)
+        self.settings = SettingsCommands(session)
+        self.key = KeyCommands(session)
+
+    @command
+    def status(self) -> None:
+        """Show instances, data centres, the revision in force, endpoints, budgets.
+
+        Example:
+            carobspur status --organisation=oro-recupero
+        """
+        answer = self._session.ask("GET", "status")
+        self._session.show(msgspec.convert(answer, StatusReport), status_text)
 
-    def status(self) -> Any:
-        """Show instances, shards, the revision in force, and endpoints."""
-        return self._client.ask("GET", "status")
+    @command
+    def drain(self, instance: str) -> None:
+        """Hand an instance's programs over to the others; needs the platform's key.
 
+        Example:
+            carobspur drain instance-3
 
-def _as_text(result: Any) -> Any:
-    if isinstance(result, (dict, list)):
-        return msgspec.json.format(msgspec.json.encode(result), indent=2).decode()
-    return result
+        Args:
+            instance: Id of the instance.
+        """
+        self._set_leaving(instance, "drain", "hands its programs over")
 
+    @command
+    def undrain(self, instance: str) -> None:
+        """Let a drained instance take programs again; needs the platform's key.
 
-def main() -> None:
-    """Entry point of ``carobspur``."""
+        Example:
+            carobspur undrain instance-3
+
+        Args:
+            instance: Id of the instance.
+        """
+        self._set_leaving(instance, "undrain", "takes programs again")
+
+    def _set_leaving(self, instance: str, action: str, effect: str) -> None:
+        name = checked_name(instance, "instance")
+        path = f"/v1/instances/{name}/{action}"
+        answer = self._session.ask_platform("POST", path, body=b"")
+        self._session.show(answer, lambda _: f"{name} {effect}")
+
+
+def _explain(error: CarobspurError) -> str:
+    """Return an error as text for people, with what to do next."""
+    match error:
+        case InventoryConflictError():
+            changes = msgspec.json.decode(error.detail, type=list[Difference])
+            return f"{error.message}\n{difference_text(changes)}"
+        case InventoryError() if error.detail:
+            faults = msgspec.json.decode(error.detail, type=list[Fault])
+            lines = [f"  {fault.place}: {fault.reason}" for fault in faults]
+            return "\n".join(["the inventory has faults; nothing changed:", *lines])
+        case _ if error.retry_after_s:
+            return f"{error.message}; try again in {error.retry_after_s:g} s"
+        case _:
+            return error.message
+
+
+def _exit_code(error: CarobspurError) -> int:
+    match error:
+        case UsageError():
+            return EXIT_USAGE
+        case ControlUnreachableError():
+            return EXIT_UNREACHABLE
+        case InventoryConflictError():
+            return EXIT_CONFLICT
+        case _:
+            return EXIT_REFUSED
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command line; return its exit code."""
     try:
-        fire.Fire(Commands, name="carobspur", serialize=_as_text)
+        job = fire.Fire(
+            Commands,
+            command=arguments,
+            name="carobspur",
+            serialize=lambda item: None if isinstance(item, Job) else item,
+        )
+        if isinstance(job, Job):
+            run_job(job)
     except CarobspurError as error:
-        print(error.message, file=sys.stderr)
-        if error.detail:
-            print(error.detail, file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-    except OSError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+        print(f"carobspur: {_explain(error)}", file=sys.stderr)
+        return _exit_code(error)
+    except fire.core.FireExit as stop:
+        return stop.code or 0
+    return 0
+
+
+def main() -> None:
+    """Entry point of ``carobspur``."""
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/src/carobspur/cli_session.py
@@ -0,0 +1,139 @@
+"""What the command line's commands share: options, the client, checked arguments."""
+
+from __future__ import annotations
+
+import functools
+import os
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from .control_client import ControlClient
+from .errors import CarobspurError
+from .tables import Renderer, json_text
+
+KEY_VARIABLE = "CAROBSPUR_KEY"
+CONTROL_VARIABLE = "CAROBSPUR_CONTROL"
+ORGANISATION_VARIABLE = "CAROBSPUR_ORGANISATION"
+CA_VARIABLE = "CAROBSPUR_CA"
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,99}\Z")
+
+
+class UsageError(CarobspurError):
+    """The command line itself is wrong."""
+
+    cause = "usage"
+
+
+class Job:
+    """A parsed command; it runs once the whole command line was understood.
+
+    Args:
+        act: Does what the command says.
+    """
+
+    __slots__ = ("_act",)
+
+    def __init__(self, act: Callable[[], None]) -> None:
+        self._act = act
+
+
+def run_job(job: Job) -> None:
+    """Run a parsed command."""
+    job._act()
+
+
+def command(method: Callable[..., None]) -> Callable[..., Job]:
+    """Return a method that gives a job in place of running at once.
+
+    ``fire`` calls a command before it looks at what is left of the command line; a
+    misspelt option must not find the command already done.
+    """
+
+    @functools.wraps(method)
+    def _parsed(*args: Any, **options: Any) -> Job:
+        return Job(functools.partial(method, *args, **options))
+
+    return _parsed
+
+
+class Session:
+    """What all commands share: options, the client, and how answers are shown.
+
+    Args:
+        organisation: Name of the organisation, or empty.
+        control: Addresses of control processes, separated by commas.
+        json: Whether answers are shown as JSON.
+    """
+
+    def __init__(self, organisation: Any, control: Any, json: Any) -> None:
+        self._organisation = organisation
+        self._control = str(control)
+        self._json = json is True
+
+    def show(self, content: Any, render: Renderer) -> None:
+        """Print an answer."""
+        print(json_text(content) if self._json else render(content))
+
+    def ask(self, method: str, path: str, **options: Any) -> Any:
+        """Ask control for something of the organisation."""
+        name = self._organisation
+        if not name:
+            raise UsageError(
+                f"no organisation: give --organisation or set {ORGANISATION_VARIABLE}"
+            )
+        return self.ask_for(checked_name(name, "organisation"), method, path, **options)
+
+    def ask_for(self, organisation: str, method: str, path: str, **options: Any) -> Any:
+        """Ask control for something of a named organisation."""
+        whole = f"/v1/organisations/{organisation}/{path}"
+        return self.ask_platform(method, whole, **options)
+
+    def ask_platform(self, method: str, path: str, **options: Any) -> Any:
+        """Ask control for something that is no organisation's."""
+        return self._client().ask(method, path, **options)
+
+    def _client(self) -> ControlClient:
+        addresses = [item.strip().rstrip("/") for item in self._control.split(",")]
+        if not all(item.startswith(("http://", "https://")) for item in addresses):
+            raise UsageError(
+                "no control address: give --control=http://IP:port (several with "
+                f"commas between) or set {CONTROL_VARIABLE}"
+            )
+        key = os.environ.get(KEY_VARIABLE, "")
+        if not key:
+            raise UsageError(f"no key: set {KEY_VARIABLE} to your operator key")
+        return ControlClient(addresses, key, ca_file=os.environ.get(CA_VARIABLE, ""))
+
+
+def read_file(file: Any) -> bytes:
+    """Return the content of a file that the command line names."""
+    path = Path(str(file))
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+
+
+def checked_name(value: Any, option: str) -> str:
+    """Return a name of the command line.
+
+    Raises:
+        UsageError: It has other letters than names have.
+    """
+    text = str(value)
+    if not _NAME.match(text):
+        raise UsageError(f"{option} {text!r}: expected letters, digits, '-', '_', '.'")
+    return text
+
+
+def checked_count(value: Any, option: str) -> int:
+    """Return a whole number of the command line, from 0.
+
+    Raises:
+        UsageError: It is something else.
+    """
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise UsageError(f"--{option}={value!r}: expected a whole number from 0")
+    return value
--- a/src/carobspur/problem.py
+++ b/src/carobspur/problem.py
@@ -11,6 +11,7 @@
 from .verdict import verdict_name
 
 PROBLEM_TYPE = "application/problem+json"
+_NO_DETAIL = msgspec.Raw()
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -31,7 +32,7 @@
     title: str
     verdict: str
     retry_after_s: float | None = None
-    detail: msgspec.Raw | None = None
+    detail: msgspec.Raw = _NO_DETAIL
 
 
 def problem_from(error: CarobspurError) -> Problem:
@@ -42,7 +43,7 @@
         title=error.message,
         verdict=verdict_name(error.verdict),
         retry_after_s=error.retry_after_s,
-        detail=msgspec.Raw(error.detail.encode()) if error.detail else None,
+        detail=msgspec.Raw(error.detail.encode()) if error.detail else _NO_DETAIL,
     )
 
 
--- /dev/null
+++ b/src/carobspur/tables.py
@@ -0,0 +1,182 @@
+"""Text tables of the command line's answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+from .configuration import ChangeRow
+from .differences import Difference
+from .inventory import Inventory, Rules
+from .operators import InventoryReport
+from .status import StatusReport
+
+SHOWN_DIGEST_LENGTH = 12
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return rows as text in columns, numbers to the right.
+
+    Args:
+        head: Names of the columns.
+        rows: Cells; each row as long as the head.
+    """
+    if not rows:
+        return "(none)"
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(name), *(len(row[column]) for row in cells))
+        for column, name in enumerate(head)
+    ]
+    numeric = [isinstance(cell, (int, float)) for cell in rows[0]]
+    lines = [_line(head, widths, numeric)]
+    lines.extend(_line(row, widths, numeric) for row in cells)
+    return "\n".join(lines)
+
+
+def inventory_text(report: InventoryReport) -> str:
+    """Return an inventory as text."""
+    found: Inventory = report.inventory
+    parts = [
+        f"{found.organisation}, revision {report.revision}",
+        _section("keys", found.keys, ("name", "role", "user")),
+        _section(
+            "models",
+            found.models,
+            ("name", "context_tokens", "input_cost", "timeout_s"),
+        ),
+        _section(
+            "engines",
+            found.engines,
+            ("name", "address", "data_centre", "kv_tokens", "in_flight"),
+        ),
+        _section(
+            "services",
+            found.services,
+            ("name", "kind", "repeatable", "checks_fencing", "timeout_s", "cost"),
+        ),
+        _section(
+            "agents",
+            found.agents,
+            ("name", "priority_class", "objective_s", "objective_share", "max_calls"),
+        ),
+        _section("allowances", found.allowances, ("user", "units", "window_s")),
+        rules_text(found.rules),
+    ]
+    return "\n\n".join(parts)
+
+
+def rules_text(rules: Rules) -> str:
+    """Return rules as text."""
+    weights = rules.weights
+    return "\n\n".join(
+        [
+            _section("priority classes", rules.classes, ("name", "rank")),
+            _section("who may stop programs", rules.stop, ("role", "own_only")),
+            f"weights\nlatency {weights.latency:g}, wasted cache "
+            f"{weights.wasted_cache:g}",
+        ]
+    )
+
+
+def difference_text(differences: list[Difference]) -> str:
+    """Return differences as lines: what is in force, then what the file has."""
+    lines = []
+    for item in differences:
+        lines.append(item.place)
+        if item.before:
+            lines.append(f"  - {item.before}")
+        if item.after:
+            lines.append(f"  + {item.after}")
+    return "\n".join(lines) or "no difference"
+
+
+def history_text(changes: list[ChangeRow]) -> str:
+    """Return a change log as a table."""
+    rows = [
+        (
+            item.revision,
+            datetime.fromtimestamp(item.at_s, UTC).strftime("%Y-%m-%d %H:%M:%SZ"),
+            item.operator,
+            item.change,
+            item.digest[:SHOWN_DIGEST_LENGTH],
+        )
+        for item in changes
+    ]
+    return table(("revision", "time", "operator", "change", "digest"), rows)
+
+
+def status_text(report: StatusReport) -> str:
+    """Return the state of the system as tables."""
+    current = "current" if report.is_current else "perhaps not current"
+    head = (
+        f"revision {report.revision} in force at {report.instance} ({current}); "
+        f"this organisation's last change is revision {report.organisation_revision}"
+    )
+    if report.unserved_shards:
+        head += f"\n{report.unserved_shards} shards have no live scheduler"
+    return "\n\n".join(
+        [
+            head,
+            _section(
+                "data centres", report.data_centres, ("name", "instances", "ready")
+            ),
+            _section(
+                "instances",
+                report.instances,
+                ("id", "data_centre", "state", "revision", "shards", "programs"),
+            ),
+            _section(
+                "endpoints",
+                report.endpoints,
+                (
+                    "name",
+                    "address",
+                    "reachable",
+                    "running",
+                    "waiting",
+                    "kv_used_tokens",
+                    "kv_capacity_tokens",
+                ),
+            ),
+            _section(
+                "budgets",
+                report.budgets,
+                ("owner", "window_s", "units", "spent", "granted"),
+            ),
+        ]
+    )
+
+
+def json_text(content: Any) -> str:
+    """Return content as indented JSON."""
+    return msgspec.json.format(msgspec.json.encode(content), indent=2).decode()
+
+
+Renderer = Callable[[Any], str]
+
+
+def _section(title: str, items: Sequence[Any], fields: Sequence[str]) -> str:
+    rows = [[_cell(getattr(item, name)) for name in fields] for item in items]
+    return f"{title}\n{table(fields, rows)}"
+
+
+def _cell(value: Any) -> object:
+    match value:
+        case bool():
+            return "yes" if value else "no"
+        case "":
+            return "-"
+        case _:
+            return value
+
+
+def _line(cells: Sequence[str], widths: Sequence[int], numeric: Sequence[bool]) -> str:
+    padded = [
+        cell.rjust(width) if is_number else cell.ljust(width)
+        for cell, width, is_number in zip(cells, widths, numeric, strict=True)
+    ]
+    return "  ".join(padded).rstrip()
