--- /dev/null
+++ b/src/carobspur/burn.py
@@ -0,0 +1,153 @@
+"""Service-level burn: how fast organisations use up what their objectives allow.
+
+An agent's objective says which share of its programs must end within its time. The
+rest is the error budget of a window; the burn rate is how fast it is used, 1 meaning
+that it lasts exactly the window.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from .inventory import Agent, Inventory
+
+BUCKET_S = 300
+SHORT_S = 3600
+LONG_S = 6 * 3600
+WINDOW_S = 7 * 86_400
+POINT_S = 3600
+
+
+class BurnSample(msgspec.Struct, frozen=True, array_like=True):
+    """Programs that ended in one bucket of time.
+
+    Attributes:
+        bucket: Number of the bucket since 1970.
+        organisation: Whose programs.
+        agent: Of which agent.
+        met: How many met the objective.
+        missed: How many did not.
+    """
+
+    bucket: int
+    organisation: str
+    agent: str
+    met: int
+    missed: int
+
+
+class BurnPoint(msgspec.Struct, frozen=True):
+    """Burn rate and error budget left at a time, for plots."""
+
+    at_s: float
+    rate: float
+    budget_left: float
+
+
+class AgentBurn(msgspec.Struct, frozen=True):
+    """Burn of one agent's objective.
+
+    Attributes:
+        agent: The agent.
+        objective_s: Time within which programs should end.
+        objective_share: Share of programs that must.
+        programs: Programs that ended in the window.
+        missed: Those that did not meet the objective.
+        budget_left: Share of the window's error budget that is left; negative where
+            more was used.
+        short_rate: Burn rate over the short window.
+        long_rate: Burn rate over the long window.
+        points: Burn rate of each hour of the window, oldest first.
+    """
+
+    agent: str
+    objective_s: float
+    objective_share: float
+    programs: int
+    missed: int
+    budget_left: float
+    short_rate: float
+    long_rate: float
+    points: list[BurnPoint]
+
+
+class BurnReport(msgspec.Struct, frozen=True):
+    """Burn of all agents of one organisation."""
+
+    organisation: str
+    at_s: float
+    window_s: int
+    short_s: int
+    long_s: int
+    agents: list[AgentBurn]
+
+
+def burn_report(
+    inventory: Inventory, samples: Iterable[BurnSample], now_s: float
+) -> BurnReport:
+    """Return the burn of an organisation's agents.
+
+    Args:
+        inventory: The organisation's inventory in force.
+        samples: Samples of all instances; other organisations' are passed over.
+        now_s: Seconds since 1970.
+    """
+    own = [item for item in samples if item.organisation == inventory.organisation]
+    agents = [
+        _agent_burn(agent, [item for item in own if item.agent == agent.name], now_s)
+        for agent in inventory.agents
+    ]
+    return BurnReport(inventory.organisation, now_s, WINDOW_S, SHORT_S, LONG_S, agents)
+
+
+def _agent_burn(agent: Agent, samples: list[BurnSample], now_s: float) -> AgentBurn:
+    allowed = 1.0 - agent.objective_share
+    programs, missed = _counts(samples, now_s - WINDOW_S, now_s)
+    return AgentBurn(
+        agent=agent.name,
+        objective_s=agent.objective_s,
+        objective_share=agent.objective_share,
+        programs=programs,
+        missed=missed,
+        budget_left=1.0 - _rate(programs, missed, allowed),
+        short_rate=_rate(*_counts(samples, now_s - SHORT_S, now_s), allowed),
+        long_rate=_rate(*_counts(samples, now_s - LONG_S, now_s), allowed),
+        points=_points(samples, allowed, programs, now_s),
+    )
+
+
+def _points(
+    samples: list[BurnSample], allowed: float, programs: int, now_s: float
+) -> list[BurnPoint]:
+    """Return the burn hour by hour; the budget is that of the whole window."""
+    ended: Counter[int] = Counter()
+    missed: Counter[int] = Counter()
+    last = int(now_s // POINT_S)
+    for item in samples:
+        hour = item.bucket * BUCKET_S // POINT_S
+        ended[hour] += item.met + item.missed
+        missed[hour] += item.missed
+    used = 0
+    points = []
+    for hour in range(last - WINDOW_S // POINT_S + 1, last + 1):
+        used += missed[hour]
+        rate = _rate(ended[hour], missed[hour], allowed)
+        left = 1.0 - _rate(programs, used, allowed)
+        points.append(BurnPoint(hour * POINT_S, rate, left))
+    return points
+
+
+def _counts(
+    samples: Sequence[BurnSample], from_s: float, to_s: float
+) -> tuple[int, int]:
+    buckets = range(int(from_s // BUCKET_S) + 1, int(to_s // BUCKET_S) + 1)
+    inside = [item for item in samples if item.bucket in buckets]
+    missed = sum(item.missed for item in inside)
+    return missed + sum(item.met for item in inside), missed
+
+
+def _rate(programs: int, missed: int, allowed: float) -> float:
+    return missed / programs / allowed if programs else 0.0
--- /dev/null
+++ b/src/carobspur/burn_recorder.py
@@ -0,0 +1,201 @@
+"""Keeps the samples for burn reports in the table.
+
+Instances keep nothing and are replaced, so once a minute each control process reads
+its own scheduler's counters and adds what is new to its instance's row of the day.
+The row also holds the counters as they were read, with the start time of the
+scheduler they belong to: a control process that starts anew counts nothing twice, and
+a scheduler that starts anew is counted from 0.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from .burn import BUCKET_S, WINDOW_S, BurnSample
+from .clock import Clock
+from .errors import CarobspurError, StoreConflictError, StoreUnavailableError
+from .http import HttpClient, HttpRequest
+from .table import ABSENT_VERSION, Check, Row, Table, Write
+
+BURN_PREFIX = "burn/"
+DAY_S = 86_400
+RECORD_PERIOD_S = 60.0
+OBJECTIVE_METRIC = "carobspur_program_objective_total"
+START_METRIC = "process_start_time_seconds"
+_TIMEOUT_S = 2.0
+
+_logger = logging.getLogger(__name__)
+
+
+class CounterTotal(msgspec.Struct, frozen=True, array_like=True):
+    """A scheduler's counter of ended programs."""
+
+    organisation: str
+    agent: str
+    met: bool
+    count: int
+
+
+class CounterReading(msgspec.Struct, frozen=True):
+    """All counters of one scheduler process.
+
+    Attributes:
+        started_s: Start of the process, seconds since 1970.
+        totals: Its counters.
+    """
+
+    started_s: float = 0.0
+    totals: list[CounterTotal] = []
+
+
+class BurnRow(msgspec.Struct, frozen=True):
+    """Samples of one instance and day, and the counters they came from."""
+
+    reading: CounterReading = CounterReading()
+    samples: list[BurnSample] = []
+
+
+def parse_counters(text: str) -> CounterReading:
+    """Return the counters of a scheduler's metrics text."""
+    started_s = 0.0
+    totals = []
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.name == START_METRIC:
+                started_s = sample.value
+            elif sample.name == OBJECTIVE_METRIC:
+                totals.append(_total(sample.labels, int(sample.value)))
+    return CounterReading(started_s, totals)
+
+
+def _total(labels: Mapping[str, str], count: int) -> CounterTotal:
+    met = labels["met"] == "yes"
+    return CounterTotal(labels["organisation"], labels["agent"], met, count)
+
+
+def add_reading(row: BurnRow, reading: CounterReading, bucket: int) -> BurnRow:
+    """Return a row with what a new reading adds to it.
+
+    Args:
+        row: The row as it stands.
+        reading: The scheduler's counters now.
+        bucket: Number of the bucket that new programs count for.
+    """
+    same = row.reading.started_s == reading.started_s
+    before = _by_series(row.reading.totals) if same else {}
+    samples = {(s.bucket, s.organisation, s.agent): s for s in row.samples}
+    for item in reading.totals:
+        added = item.count - before.get((item.organisation, item.agent, item.met), 0)
+        if added <= 0:
+            continue
+        key = (bucket, item.organisation, item.agent)
+        old = samples.get(key, BurnSample(*key, met=0, missed=0))
+        met = old.met + (added if item.met else 0)
+        missed = old.missed + (0 if item.met else added)
+        samples[key] = BurnSample(*key, met=met, missed=missed)
+    return BurnRow(reading, list(samples.values()))
+
+
+async def read_samples(table: Table, now_s: float) -> list[BurnSample]:
+    """Return the samples of all instances for the whole window."""
+    found: list[BurnSample] = []
+    today = int(now_s // DAY_S)
+    for day in range(today - WINDOW_S // DAY_S, today + 1):
+        for row in await table.scan(_day_prefix(day)):
+            found.extend(_decode(row).samples)
+    return found
+
+
+class BurnRecorder:
+    """Records the counters of one instance's scheduler.
+
+    Args:
+        table: The table service.
+        client: HTTP client.
+        clock: Source of time.
+        instance: Id of the instance.
+        metrics_url: Base URL of its scheduler's metrics.
+    """
+
+    __slots__ = ("_client", "_clock", "_instance", "_table", "_url")
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        client: HttpClient,
+        clock: Clock,
+        instance: str,
+        metrics_url: str,
+    ) -> None:
+        self._table = table
+        self._client = client
+        self._clock = clock
+        self._instance = instance
+        self._url = (
+            f"{metrics_url}/metrics?name[]={OBJECTIVE_METRIC}&name[]={START_METRIC}"
+        )
+
+    async def run(self) -> None:
+        """Record until the task is cancelled."""
+        while True:
+            try:
+                await self.record()
+            except CarobspurError as error:
+                _logger.info("burn was not recorded: %s", error.message)
+            await self._clock.sleep(RECORD_PERIOD_S)
+
+    async def record(self) -> None:
+        """Add what is new to the row of the day; nothing new, nothing written.
+
+        Raises:
+            CarobspurError: The counters or the row can't be read or written; what
+                is missing is added next time.
+        """
+        request = HttpRequest("GET", self._url, timeout_s=_TIMEOUT_S)
+        response = await self._client.fetch(request)
+        reading = parse_counters(response.body.decode())
+        now_s = self._clock.wall()
+        key = f"{_day_prefix(int(now_s // DAY_S))}{self._instance}"
+        stored = await self._table.read(key)
+        row = await self._current(key, stored)
+        fresh = add_reading(row, reading, int(now_s // BUCKET_S))
+        if fresh == row:
+            return
+        version = ABSENT_VERSION if stored is None else stored.version
+        write = Write(key, msgspec.json.encode(fresh))
+        await self._table.commit([Check(key, version)], [write])
+
+    async def _current(self, key: str, stored: Row | None) -> BurnRow:
+        """Return the row of the day; a new day goes on from the last day's reading."""
+        if stored is not None:
+            return _decode(stored)
+        day = int(key.split("/")[1])
+        await self._delete_expired(day)
+        last = await self._table.read(f"{_day_prefix(day - 1)}{self._instance}")
+        return BurnRow() if last is None else BurnRow(_decode(last).reading)
+
+    async def _delete_expired(self, day: int) -> None:
+        expired = await self._table.scan(_day_prefix(day - WINDOW_S // DAY_S - 1))
+        for row in expired:
+            check = Check(row.key, row.version)
+            try:
+                await self._table.commit([check], [Write(row.key, None)])
+            except (StoreConflictError, StoreUnavailableError):
+                _logger.info("%s is deleted by another instance", row.key)
+
+
+def _by_series(totals: Iterable[CounterTotal]) -> dict[tuple[str, str, bool], int]:
+    return {(t.organisation, t.agent, t.met): t.count for t in totals}
+
+
+def _day_prefix(day: int) -> str:
+    return f"{BURN_PREFIX}{day}/"
+
+
+def _decode(row: Row) -> BurnRow:
+    return msgspec.json.decode(row.value, type=BurnRow)
--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -5,6 +5,7 @@
 import os
 import secrets
 import sys
+from pathlib import Path
 
 import fire
 import msgspec
@@ -29,6 +30,7 @@
 )
 from .inventory import Key, Role
 from .inventory_checks import Fault
+from .kernel import PluginKind, load_plugins, plugin
 from .keys import secret_digest
 from .settings import Settings
 from .status import StatusReport
@@ -80,6 +82,32 @@
         self._session.show({"stopped": name}, lambda item: f"{name} is stopped")
 
 
+class ReportCommands:
+    """Reports on an organisation's programs."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    @command
+    def burn(self, plot: str = "") -> None:
+        """Show how fast each agent uses up its service-level objective.
+
+        A burn rate of 1 uses the error budget up in exactly the window.
+
+        Example:
+            carobspur report burn --plot=burn.png
+
+        Args:
+            plot: PNG file to draw burn rates and budgets into; none if empty.
+        """
+        load_plugins()
+        reporter = plugin(PluginKind.REPORTS, "burn")()
+        report = reporter.decode(self._session.ask("GET", "reports/burn"))
+        if plot != "":
+            reporter.plot(report, Path(str(plot)))
+        self._session.show(report, reporter.text)
+
+
 class SettingsCommands:
     """Checks settings files."""
 
@@ -163,6 +191,7 @@
         self.inventory = InventoryCommands(session)
         self.rules = RulesCommands(session)
         self.program = ProgramCommands(session)
+        self.report = ReportCommands(session)
         self.settings = SettingsCommands(session)
         self.key = KeyCommands(session)
 
@@ -249,6 +278,9 @@
     except CarobspurError as error:
         print(f"carobspur: {_explain(error)}", file=sys.stderr)
         return _exit_code(error)
+    except OSError as error:
+        print(f"carobspur: {error}", file=sys.stderr)
+        return EXIT_REFUSED
     except fire.core.FireExit as stop:
         return stop.code or 0
     return 0
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -10,6 +10,7 @@
 import msgspec
 import tornado.web
 
+from .burn_recorder import BurnRecorder
 from .clock import Clock, LoopClock
 from .configuration import Configuration
 from .daemon import background, http_server, run_daemon
@@ -340,6 +341,13 @@
     server.handle(GET_VIEW, _get_view)
     host = settings.instance.host
     server.listen(settings.control.peer_port, host)
+    recorder = BurnRecorder(
+        table=control.table,
+        client=client,
+        clock=clock,
+        instance=settings.instance.id,
+        metrics_url=f"http://{host}:{settings.scheduler.metrics_port}",
+    )
     async with peer_client() as peers:
         routes = operator_routes(
             control, peers, platform_key_sha256=settings.control.platform_key_sha256
@@ -348,7 +356,7 @@
             [*health_routes(lambda: control.is_current), *routes]
         )
         async with (
-            background(control.run(), control.run_load()),
+            background(control.run(), control.run_load(), recorder.run()),
             http_server(app, host, settings.control.port),
         ):
             await stopping.wait()
--- a/src/carobspur/health.py
+++ b/src/carobspur/health.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import tornado.web
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 
 Route = tuple[str, type, dict[str, Any]]
 
@@ -36,12 +36,14 @@
 
 
 class MetricsHandler(tornado.web.RequestHandler):
-    """Answers with all metrics in Prometheus' text format."""
+    """Answers with metrics in Prometheus' text format."""
 
     def get(self) -> None:
-        """Answer."""
+        """Answer with all metrics, or with those that ``name[]`` names."""
+        names = self.get_query_arguments("name[]")
+        registry = REGISTRY.restricted_registry(names) if names else REGISTRY
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(generate_latest())
+        self.write(generate_latest(registry))
 
 
 def health_routes(is_ready: Callable[[], bool]) -> list[Route]:
--- a/src/carobspur/operator_actions.py
+++ b/src/carobspur/operator_actions.py
@@ -1,4 +1,4 @@
-"""HTTP for operators: status, programs, drain, and all operators' routes."""
+"""HTTP for operators: status, programs, reports, drain, and all operators' routes."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from .errors import NotFoundError, NotReadyError, RequestError
 from .forward import Forwarder
 from .inventory import Role
+from .kernel import PluginKind, plugin, plugin_names
 from .operators import (
     READERS,
     DifferenceHandler,
@@ -99,6 +100,20 @@
         return await forwarder.ask(program, method, request)
 
 
+class ReportHandler(OperatorHandler):
+    """Collects a report of the plug-in that the path names."""
+
+    async def get(self, organisation: str, name: str) -> None:
+        """Answer with the report."""
+        self.operator_key(organisation, *READERS)
+        if name not in plugin_names(PluginKind.REPORTS):
+            raise NotFoundError(f"no report {name!r}")
+        inventory = self.inventory(organisation)
+        now_s = self.control.clock.wall()
+        reporter = plugin(PluginKind.REPORTS, name)()
+        self.send(await reporter.collect(self.control.table, inventory, now_s))
+
+
 class DrainHandler(OperatorHandler):
     """Drains an instance of its programs, or lets it take programs again."""
 
@@ -147,5 +162,6 @@
         (prefix + r"/rules", RulesHandler, options),
         (prefix + r"/status", StatusHandler, options),
         (prefix + r"/programs/([^/]+)", ProgramHandler, options),
+        (prefix + r"/reports/([^/]+)", ReportHandler, options),
         (r"/v1/instances/([^/]+)/(drain|undrain)", DrainHandler, options),
     ]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -127,6 +127,10 @@
             self.assertEqual(history.splitlines()[1].split()[0], "2")
             self.assertIn("clerk-1", ask(f"program show {control.program}"))
             self.assertIn("is stopped", ask(f"program stop {control.program}"))
+            plot = self._directory / "burn.png"
+            self.assertIn("burn 6 h", ask(f"report burn --plot={plot}"))
+            self.assertTrue(plot.exists())
+            fail("report burn --plot=/no/such/burn.png", 1)
             report = json.loads(ask(f"program show {control.program} --json"))
             self.assertEqual(report["end_reason"], "stopped by operator ops")
             fail("program show p1", 1)
