Keys by digest, and TLS towards callers, operators and between processes

Cause: finding whose key a secret is hashed once an organisation: 12.1 ms with 15,000 organisations; nothing was encrypted.

Ruled out: a slow hash (keys are random), a key file an instance (a second way of spreading); see docs/design/14-keys-and-tls.md.

The TLS test showed that a call on a connection that the peer had closed raised StreamClosedError; it is now peer_unreachable, not_run.

--- /dev/null
+++ b/experiments/key_lookup.py
@@ -0,0 +1,76 @@
+"""Time to find whose key a secret is, by organisations: a scan against the index.
+
+Run: PYTHONPATH=src .venv/bin/python experiments/key_lookup.py
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import time
+from collections.abc import Callable
+
+from carobspur.inventory import Inventory, Key, Role
+from carobspur.keys import KeyIndex, secret_digest
+
+SIZES = (100, 1500, 15_000)
+KEYS_PER_ORGANISATION = 3
+ROUNDS = 5
+CALLS = 20
+
+
+def inventories(count: int) -> list[Inventory]:
+    """Return organisations with keys only."""
+    return [
+        Inventory(
+            f"org-{number}",
+            keys=[
+                Key(f"key-{n}", secret_digest(f"secret-{number}-{n}"), Role.CALLER)
+                for n in range(KEYS_PER_ORGANISATION)
+            ],
+        )
+        for number in range(count)
+    ]
+
+
+def scan(organisations: list[Inventory], secret: str) -> Key | None:
+    """Find a key as it was done before: one hash an organisation."""
+    for inventory in organisations:
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        for key in inventory.keys:
+            if hmac.compare_digest(key.sha256, digest):
+                return key
+    return None
+
+
+def best_us(find: Callable[[], object]) -> float:
+    """Return the best mean of several rounds, in microseconds."""
+    best = float("inf")
+    for _ in range(ROUNDS):
+        began = time.perf_counter()
+        for _ in range(CALLS):
+            find()
+        best = min(best, (time.perf_counter() - began) / CALLS)
+    return best * 1e6
+
+
+def main() -> None:
+    """Print the table."""
+    print("organisations   scan us   index us   build ms   replace one us")
+    for count in SIZES:
+        found = inventories(count)
+        began = time.perf_counter()
+        index = KeyIndex.of(found)
+        build_ms = (time.perf_counter() - began) * 1e3
+        secret = f"secret-{count // 2}-1"
+        scan_us = best_us(lambda f=found, s=secret: scan(f, s))
+        index_us = best_us(lambda i=index, s=secret: i.find(s))
+        replace_us = best_us(lambda i=index, f=found: i.replace(f[0]))
+        print(
+            f"{count:13}  {scan_us:8.1f}  {index_us:9.2f}  {build_ms:9.1f}"
+            f"  {replace_us:15.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -39,6 +39,7 @@
     status_text,
     table,
 )
+from .tls import check_tls
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -124,7 +125,7 @@
         Args:
             file: The INI file.
         """
-        Settings.read(str(file))
+        check_tls(Settings.read(str(file)).tls)
         self._session.show({"faults": []}, lambda _: f"{file}: no faults")
 
 
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -33,6 +33,7 @@
 from .settings import Settings
 from .shards import SHARD_PREFIX, ShardRow, shard_number
 from .table import ABSENT_VERSION, Check, HttpTable, Row, Table, Write
+from .tls import peer_client_context, peer_server_context, public_server_context
 
 MAX_POLL_AGE_S = 10.0
 LOAD_TIMEOUT_S = 1.0
@@ -333,7 +334,7 @@
         live_list=HttpLiveList(client, platform.live_list_url),
         client=client,
     )
-    server = PeerServer()
+    server = PeerServer(ssl_options=peer_server_context(settings.tls))
 
     async def _get_view(request: Any, emit: Emit) -> Any:
         return control.view(request.known_revision)
@@ -348,7 +349,7 @@
         instance=settings.instance.id,
         metrics_url=f"http://{host}:{settings.scheduler.metrics_port}",
     )
-    async with peer_client() as peers:
+    async with peer_client(ssl_options=peer_client_context(settings.tls)) as peers:
         routes = operator_routes(
             control, peers, platform_key_sha256=settings.control.platform_key_sha256
         )
@@ -357,7 +358,12 @@
         )
         async with (
             background(control.run(), control.run_load(), recorder.run()),
-            http_server(app, host, settings.control.port),
+            http_server(
+                app,
+                host,
+                settings.control.port,
+                ssl_options=public_server_context(settings.tls),
+            ),
         ):
             await stopping.wait()
             await _announce_leaving(control)
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -37,6 +37,7 @@
 from .programs import call_id, program_id
 from .settings import Settings
 from .sse import Event, encode_event
+from .tls import peer_client_context, public_server_context
 from .view import ViewClient
 
 MAX_KEY_LENGTH = 200
@@ -435,7 +436,8 @@
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run the entry process until it is told to stop."""
     clock = LoopClock()
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         view = ViewClient(
             peers,
             clock=clock,
@@ -453,6 +455,7 @@
                 settings.instance.host,
                 settings.entry.port,
                 max_body_size=settings.entry.max_body_bytes,
+                ssl_options=public_server_context(tls),
             ),
         ):
             await stopping.wait()
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -307,16 +307,17 @@
         self._next_id += 1
         call_id = self._next_id
         pending = _PendingCall(method, on_part)
-        self._pending[call_id] = pending
-        _write_frame(
-            self._stream,
-            messages.Frame(
-                id=call_id,
-                kind=messages.FrameKind.REQUEST,
-                method=method.name,
-                body=encode(request),
-            ),
+        frame = messages.Frame(
+            id=call_id,
+            kind=messages.FrameKind.REQUEST,
+            method=method.name,
+            body=encode(request),
         )
+        try:
+            _write_frame(self._stream, frame)
+        except StreamClosedError as error:
+            raise PeerUnreachableError("the peer closed the connection") from error
+        self._pending[call_id] = pending
         try:
             return await asyncio.wait_for(pending.future, timeout_s)
         except (TimeoutError, asyncio.CancelledError) as error:
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -44,6 +44,7 @@
 from .settings import Settings
 from .shards import ShardKeeper
 from .table import HttpTable, Table
+from .tls import peer_client_context, peer_server_context
 from .view import ViewClient
 
 ROWS_PER_COMMIT = 2
@@ -333,7 +334,8 @@
     table = HttpTable(client, platform.table_url, timeout_s=platform.table_timeout_s)
     objects = HttpObjects(client, platform.objects_url)
     host = settings.instance.host
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         view = ViewClient(
             peers, clock=clock, host=host, port=settings.control.peer_port
         )
@@ -345,7 +347,7 @@
             client=client,
             view=view,
         )
-        server = PeerServer()
+        server = PeerServer(ssl_options=peer_server_context(tls))
         scheduler.register(server)
         server.listen(settings.scheduler.port, host)
         await _open(scheduler, settings.scheduler.port, clock, stopping)
--- a/src/carobspur/settings.py
+++ b/src/carobspur/settings.py
@@ -170,6 +170,23 @@
     platform_key_sha256: str = _key(SHA256, "")
 
 
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Section ``[tls]``; without it nothing is encrypted.
+
+    Attributes:
+        certificate: PEM file of this instance's certificate, which names its IP
+            number; with it callers and operators are served over HTTPS.
+        key: PEM file of the certificate's private key.
+        ca: PEM file of the authority that signs the instances' certificates and
+            nobody else's; with it our own processes check each other's certificates.
+    """
+
+    certificate: str = _key(FILE, "")
+    key: str = _key(FILE, "")
+    ca: str = _key(FILE, "")
+
+
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """Section ``[logs]``."""
@@ -186,6 +203,7 @@
     entry: EntrySettings
     scheduler: SchedulerSettings
     control: ControlSettings
+    tls: TlsSettings
     logs: LogSettings
 
     @classmethod
@@ -234,6 +252,7 @@
     "entry": EntrySettings,
     "scheduler": SchedulerSettings,
     "control": ControlSettings,
+    "tls": TlsSettings,
     "logs": LogSettings,
 }
 
--- /dev/null
+++ b/src/carobspur/tls.py
@@ -0,0 +1,82 @@
+"""TLS contexts from the settings, by the standard library."""
+
+from __future__ import annotations
+
+import ssl
+
+from .errors import SettingsError
+from .settings import TlsSettings
+
+
+def public_server_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context towards callers and operators; ``None`` for plain HTTP.
+
+    Raises:
+        SettingsError: A file is not what it should be.
+    """
+    if not settings.certificate:
+        return None
+    return _with_own_certificate(ssl.PROTOCOL_TLS_SERVER, settings)
+
+
+def peer_server_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context that accepts our own processes; ``None`` for plain TCP.
+
+    Raises:
+        SettingsError: A file is not what it should be.
+    """
+    if not settings.ca:
+        return None
+    context = _with_own_certificate(ssl.PROTOCOL_TLS_SERVER, settings)
+    context.verify_mode = ssl.CERT_REQUIRED
+    _trust(context, settings.ca)
+    return context
+
+
+def peer_client_context(settings: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context that connects to our own processes; ``None`` for plain TCP.
+
+    The other side's certificate must name the IP number that is connected to.
+
+    Raises:
+        SettingsError: A file is not what it should be.
+    """
+    if not settings.ca:
+        return None
+    context = _with_own_certificate(ssl.PROTOCOL_TLS_CLIENT, settings)
+    _trust(context, settings.ca)
+    return context
+
+
+def check_tls(settings: TlsSettings) -> None:
+    """Read all files that the settings name.
+
+    Raises:
+        SettingsError: One is not what it should be.
+    """
+    public_server_context(settings)
+    peer_server_context(settings)
+
+
+def _with_own_certificate(protocol: int, settings: TlsSettings) -> ssl.SSLContext:
+    if not settings.certificate or not settings.key:
+        raise SettingsError("[tls] certificate and key are needed together")
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(settings.certificate, settings.key)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(
+            f"[tls] certificate = {settings.certificate}, key = {settings.key}: "
+            f"not a certificate with its key: {error}"
+        ) from error
+    return context
+
+
+def _trust(context: ssl.SSLContext, ca: str) -> None:
+    try:
+        context.load_verify_locations(ca)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(
+            f"[tls] ca = {ca}: no certificates in it: {error}"
+        ) from error
