--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -29,6 +29,7 @@
 )
 from .operator_actions import operator_routes
 from .peers import GET_VIEW, Emit, PeerServer, messages, peer_client
+from .problem import NoSuchPathHandler
 from .session import SESSION_PREFIX, SessionRow, decode_session
 from .settings import Settings
 from .shards import SHARD_PREFIX, ShardRow, shard_number
@@ -354,7 +355,8 @@
             control, peers, platform_key_sha256=settings.control.platform_key_sha256
         )
         app = tornado.web.Application(
-            [*health_routes(lambda: control.is_current), *routes]
+            [*health_routes(lambda: control.is_current), *routes],
+            default_handler_class=NoSuchPathHandler,
         )
         async with (
             background(control.run(), control.run_load(), recorder.run()),
--- a/src/carobspur/endpoints.py
+++ b/src/carobspur/endpoints.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -26,13 +27,14 @@
 PREFIX_KEY_HEX_DIGITS = 32
 
 OnText = Callable[[str], None]
+OutputTokens = Annotated[int, msgspec.Meta(ge=1, le=1 << 31)]
 
 
 class ModelInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a caller sends a model: the new part of the conversation."""
 
     prompt: str
-    max_tokens: int = 64
+    max_tokens: OutputTokens = 64
 
 
 class GenerateRequest(msgspec.Struct, frozen=True):
--- a/src/carobspur/errors.py
+++ b/src/carobspur/errors.py
@@ -53,6 +53,13 @@
     default_verdict = NOT_RUN
 
 
+class BodyTooLargeError(RequestError):
+    """The request's body has more bytes than are taken."""
+
+    cause = "body_too_large"
+    status = 413
+
+
 class InventoryError(RequestError):
     """An inventory has faults; ``detail`` lists each with its place."""
 
--- a/src/carobspur/operators.py
+++ b/src/carobspur/operators.py
@@ -10,6 +10,7 @@
 from .configuration import DEFAULT_HISTORY_LENGTH, OrganisationRow
 from .differences import difference
 from .errors import (
+    BodyTooLargeError,
     ConflictError,
     ForbiddenError,
     InventoryConflictError,
@@ -25,6 +26,7 @@
 
 PLATFORM_OPERATOR = "platform"
 MAX_HISTORY_LENGTH = 1000
+MAX_INVENTORY_BYTES = 32 << 20
 READERS = (Role.OPERATOR, Role.VIEWER)
 
 
@@ -67,6 +69,11 @@
         """Take what the handlers share."""
         self._context = context
 
+    def prepare(self) -> None:
+        """Refuse bodies that no inventory can have."""
+        if len(self.request.body) > MAX_INVENTORY_BYTES:
+            raise BodyTooLargeError(f"over {MAX_INVENTORY_BYTES} bytes")
+
     @property
     def control(self) -> Any:
         """The control process's state."""
--- a/src/carobspur/problem.py
+++ b/src/carobspur/problem.py
@@ -7,7 +7,7 @@
 import msgspec
 import tornado.web
 
-from .errors import CarobspurError, RequestError
+from .errors import CarobspurError, NotFoundError, RequestError
 from .verdict import verdict_name
 
 PROBLEM_TYPE = "application/problem+json"
@@ -79,6 +79,14 @@
             super().log_exception(typ, value, tb)
 
 
+class NoSuchPathHandler(ProblemHandler):
+    """Answers requests for paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        raise NotFoundError("no such path")
+
+
 def _wrap(status: int, reason: str) -> CarobspurError:
     error = RequestError(reason) if status < 500 else CarobspurError(reason)
     error.status = status
--- /dev/null
+++ b/src/carobspur/stream_writer.py
@@ -0,0 +1,67 @@
+"""Writes a call's answer as server-sent events."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import tornado.web
+
+from .documents import CallDocument
+from .errors import CarobspurError
+from .problem import problem_from
+from .sse import Event, encode_event
+
+MAX_EVENT_ID_DIGITS = 9
+
+
+class StreamWriter:
+    """Writes a call's answer as server-sent events.
+
+    A reader that comes back names the last event it saw and gets what follows. Where
+    another scheduler had to start the answer again, a ``restart`` event says so.
+    """
+
+    __slots__ = ("_handler", "_next", "_skip_to", "has_begun")
+
+    def __init__(self, handler: tornado.web.RequestHandler) -> None:
+        self._handler = handler
+        self._next = 0
+        self._skip_to = _last_event(handler)
+        self.has_begun = False
+
+    def take_part(self, part: Any) -> None:
+        """Write one piece of the answer."""
+        if part.index < self._next:
+            self._write(Event("restart", b"{}"))
+            self._skip_to = 0
+        self._next = part.index + 1
+        if part.index >= self._skip_to:
+            data = msgspec.json.encode(part.text)
+            self._write(Event("token", data, str(part.index + 1)))
+
+    def finish(self, document: CallDocument) -> None:
+        """Write the last event and end the stream."""
+        self._write(Event("done", msgspec.json.encode(document)))
+        self._handler.finish()
+
+    def fail(self, error: CarobspurError) -> None:
+        """Write an error as the last event and end the stream."""
+        self._write(Event("problem", msgspec.json.encode(problem_from(error))))
+        self._handler.finish()
+
+    def _write(self, event: Event) -> None:
+        if self._handler._finished:
+            return
+        if not self.has_begun:
+            self.has_begun = True
+            self._handler.set_header("Content-Type", "text/event-stream")
+            self._handler.set_header("Cache-Control", "no-store")
+        self._handler.write(encode_event(event))
+        self._handler.flush()
+
+
+def _last_event(handler: tornado.web.RequestHandler) -> int:
+    text = handler.request.headers.get("Last-Event-ID", "0")
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_EVENT_ID_DIGITS else 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -29,6 +29,7 @@
 from carobspur.objects import HttpObjects
 from carobspur.operator_actions import operator_routes
 from carobspur.peers import GET_VIEW, Method, PeerServer, decode, encode
+from carobspur.problem import NoSuchPathHandler
 from carobspur.scheduler import Scheduler
 from carobspur.settings import Settings
 from carobspur.sse import EventParser
@@ -284,8 +285,8 @@
             control,
             scheduler,
             entry,
-            tornado.web.Application(caller_routes(entry)),
-            tornado.web.Application(
+            _application(caller_routes(entry)),
+            _application(
                 operator_routes(
                     control,
                     self.peers,
@@ -416,11 +417,12 @@
         *,
         node: int | None = None,
         secret: str = builders.OPERATOR_SECRET,
+        headers: dict[str, str] | None = None,
     ) -> Reply:
         """Send an operator's request to an instance's control process."""
         app = self.nodes[node or min(self.nodes)].operators
-        headers = {"Authorization": f"Bearer {secret}"}
-        return await _serve(app, method, path, body, headers)
+        sent = {"Authorization": f"Bearer {secret}", **(headers or {})}
+        return await _serve(app, method, path, body, sent)
 
     def _view(self, settings: Settings) -> ViewClient:
         return ViewClient(
@@ -466,6 +468,10 @@
             self.done.set_result(None)
 
 
+def _application(routes: list[Any]) -> tornado.web.Application:
+    return tornado.web.Application(routes, default_handler_class=NoSuchPathHandler)
+
+
 async def _serve(
     app: tornado.web.Application,
     method: str,
