--- a/examples/demo.py
+++ b/examples/demo.py
@@ -28,6 +28,7 @@
     """What one organisation's program does."""
 
     organisation: str
+    key: str
     user: str
     agent: str
     sub_agent: str
@@ -41,6 +42,7 @@
 
 ORO = Script(
     organisation="oro-recupero",
+    key="oro-example-caller",
     user="clerk-17",
     agent="quote",
     sub_agent="assay",
@@ -53,6 +55,7 @@
 )
 JALBANDI = Script(
     organisation="jalbandi",
+    key="jalbandi-example-caller",
     user="inspector-3",
     agent="inspection",
     sub_agent="tag-lookup",
@@ -121,8 +124,8 @@
     return f"number {answer['number']}, digest {str(answer['digest'])[:12]}"
 
 
-def run(running: Deployment) -> None:
-    """Start everything and run both programs."""
+def start(running: Deployment) -> None:
+    """Start everything and put both inventories in force."""
     say("starting the platform's and the endpoints' stand-ins")
     running.start_platform()
     inventories = [
@@ -136,12 +139,17 @@
     control = running.instances[0].control_url
     for inventory in inventories:
         import_inventory(control, inventory, PLATFORM_KEY)
-    url = running.instances[0].entry_url
-    for script, prefix in ((ORO, "oro"), (JALBANDI, "jalbandi")):
-        key = f"{prefix}-example-caller"
+    for script in (ORO, JALBANDI):
         for instance in running.instances:
-            wait_for_key(Caller(instance.entry_url, key, script.user))
-        run_program(Caller(url, key, script.user), script)
+            wait_for_key(Caller(instance.entry_url, script.key, script.user))
+
+
+def run(running: Deployment) -> None:
+    """Start everything and run both programs."""
+    start(running)
+    url = running.instances[0].entry_url
+    for script in (ORO, JALBANDI):
+        run_program(Caller(url, script.key, script.user), script)
     running.check()
 
 
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -6,14 +6,13 @@
 import logging
 from typing import Any
 
-import fire
 import msgspec
 import tornado.web
 
 from .burn_recorder import BurnRecorder
 from .clock import Clock, LoopClock
 from .configuration import Configuration
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .errors import CarobspurError, StoreConflictError, StoreError
 from .health import health_routes
 from .http import CurlClient, HttpClient, HttpRequest
@@ -383,4 +382,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-control``."""
-    fire.Fire(lambda settings: run_daemon("control", settings, serve))
+    daemon_main("control", serve)
--- a/src/carobspur/daemon.py
+++ b/src/carobspur/daemon.py
@@ -8,7 +8,9 @@
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
+import fire
 import tornado.httpserver
 import tornado.web
 from tornado.netutil import bind_sockets
@@ -26,6 +28,29 @@
 Serve = Callable[[Settings, asyncio.Event], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class _Arguments:
+    """Command line of a daemon; fire offers nothing private to its user."""
+
+    _settings: str
+
+
+def daemon_main(role: str, serve: Serve) -> None:
+    """Read a daemon's command line and run it; see :func:`run_daemon`."""
+
+    def _parse(settings: str) -> _Arguments:
+        """Run the daemon until SIGTERM or SIGINT.
+
+        Args:
+            settings: The INI file of this instance.
+        """
+        return _Arguments(str(settings))
+
+    # The daemon starts only after fire has understood the whole command line.
+    parsed = fire.Fire(_parse, name=f"carobspur-{role}", serialize=lambda _: None)
+    run_daemon(role, parsed._settings, serve)
+
+
 def run_daemon(role: str, settings_path: str, serve: Serve) -> None:
     """Run one daemon until SIGTERM or SIGINT, then stop gracefully.
 
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -5,12 +5,11 @@
 import asyncio
 import logging
 
-import fire
 import tornado.web
 
 from .callers import caller_routes
 from .clock import LoopClock
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .forward import Forwarder
 from .health import health_routes
 from .peers import peer_client
@@ -129,4 +128,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-entry``."""
-    fire.Fire(lambda settings: run_daemon("entry", settings, serve))
+    daemon_main("entry", serve)
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -6,14 +6,13 @@
 import logging
 from typing import Any
 
-import fire
 import msgspec
 import tornado.web
 
 from .budgets import Budgets
 from .calls import CallService
 from .clock import Clock, LoopClock
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import NotReadyError, SessionLostError
@@ -399,4 +398,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-scheduler``."""
-    fire.Fire(lambda settings: run_daemon("scheduler", settings, serve))
+    daemon_main("scheduler", serve)
--- a/src/carobspur/settings.py
+++ b/src/carobspur/settings.py
@@ -24,11 +24,14 @@
         parse: Turns the text into the value; raises ``ValueError`` with a reason.
         expected: What is expected, for the fault message.
         unit: Unit of the value, for help texts.
+        is_shown: Whether a wrong value may stand in a message; not where it could
+            be a secret.
     """
 
     parse: Callable[[str], Any]
     expected: str
     unit: str = ""
+    is_shown: bool = True
 
 
 def _integer(low: int, high: int, unit: str) -> Rule:
@@ -95,7 +98,7 @@
 IP_NUMBER = Rule(_ip, "an IP number")
 BASE_URL = Rule(_base_url, "http(s)://IP:port")
 FILE = Rule(_file, "a file that exists, or nothing")
-SHA256 = Rule(_sha256, "64 lower-case hexadecimal digits, or nothing")
+SHA256 = Rule(_sha256, "64 lower-case hexadecimal digits, or nothing", is_shown=False)
 PORT = _integer(0, MAX_PORT, "port")
 
 
@@ -292,13 +295,14 @@
         rule: Rule = item.metadata["rule"]
         if text is None:
             if item.default is MISSING:
-                self.add(f"[{section}] {item.name}: missing; {rule.expected}")
+                self.add(f"[{section}] {item.name}: missing; expected {rule.expected}")
             return item.default
         try:
             return rule.parse(text.strip())
         except ValueError:
             unit = f" ({rule.unit})" if rule.unit else ""
+            shown = repr(text) if rule.is_shown else "(not shown)"
             self.add(
-                f"[{section}] {item.name} = {text!r}: expected {rule.expected}{unit}"
+                f"[{section}] {item.name} = {shown}: expected {rule.expected}{unit}"
             )
             return None
