--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -85,7 +85,11 @@
         user = key.user or named
         _require_user_name(user)
         self._organisation = inventory.organisation
-        return messages.Caller(organisation=inventory.organisation, user=user)
+        return messages.Caller(
+            organisation=inventory.organisation,
+            user=user,
+            revision=self._entry.view.revision,
+        )
 
     def idempotency_key(self) -> str:
         """Return the request's idempotency key.
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -29,9 +29,9 @@
 from .operator_actions import operator_routes
 from .peers import GET_VIEW, Emit, PeerServer, messages, peer_client
 from .problem import NoSuchPathHandler
-from .session import SESSION_PREFIX, SessionRow, decode_session
+from .session_row import SESSION_PREFIX, SessionRow, decode_session
 from .settings import Settings
-from .shards import SHARD_PREFIX, ShardRow, shard_number
+from .shard_rows import SHARD_PREFIX, ShardRow, shard_number
 from .table import ABSENT_VERSION, Check, HttpTable, Row, Table, Write
 from .tls import peer_client_context, peer_server_context, public_server_context
 
--- a/src/carobspur/operator_actions.py
+++ b/src/carobspur/operator_actions.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
 from .errors import NotFoundError, NotReadyError, RequestError
 from .forward import Forwarder
-from .inventory import Role
+from .inventory import Key, Role
 from .kernel import PluginKind, plugin, plugin_names
 from .operators import (
     READERS,
@@ -40,10 +41,16 @@
         control: The control process's state.
     """
 
-    __slots__ = ("_control",)
+    __slots__ = ("_control", "on_change")
 
     def __init__(self, control: Any) -> None:
         self._control = control
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def sessions(self) -> list[Any]:
+        """Live schedulers."""
+        return self._control.sessions
 
     def owner_of(self, program: str) -> Any | None:
         """Return the session of the scheduler that owns a program."""
@@ -70,7 +77,7 @@
         """Answer with a program, its history left out."""
         key = self.operator_key(organisation, *READERS)
         request = messages.ShowProgram(
-            caller=_requester(organisation, key.name, key.role),
+            caller=self._requester(organisation, key),
             program=program,
             with_history=False,
         )
@@ -82,7 +89,7 @@
         """Stop a program, if the organisation's rules let this key do so."""
         key = self.operator_key(organisation, Role.OPERATOR, Role.VIEWER)
         request = messages.EndProgram(
-            caller=_requester(organisation, key.name, key.role),
+            caller=self._requester(organisation, key),
             program=program,
             reason=f"stopped by {key.role} {key.name}",
         )
@@ -90,6 +97,14 @@
         self.set_status(204)
         self.finish()
 
+    def _requester(self, organisation: str, key: Key) -> Any:
+        return messages.Caller(
+            organisation=organisation,
+            user=key.name,
+            revision=self.control.revision,
+            role=key.role.value,
+        )
+
     async def _ask(self, program: str, method: Any, request: Any) -> Any:
         forwarder = Forwarder(
             self._context.peers,
@@ -139,10 +154,6 @@
         self.send(DrainResult(instance, leaving))
 
 
-def _requester(organisation: str, name: str, role: Role) -> Any:
-    return messages.Caller(organisation=organisation, user=name, role=role.value)
-
-
 def operator_routes(
     control: Any, peers: Any, *, platform_key_sha256: str = ""
 ) -> list[tuple[str, type, dict[str, Any]]]:
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -28,12 +28,14 @@
 struct Empty {
 }
 
-// Who asks, as the entry process established it from the caller's key.
-// role is the key's; a caller's where it is left out.
+// Who asks, as entry or control established it from a key; role is the key's, a
+// caller's where it is left out. A scheduler whose inventory revision is lower than
+// the asker's must not judge the request yet.
 struct Caller {
   1: required string organisation,
   2: required string user,
-  3: optional string role,
+  3: required i64 revision,
+  4: optional string role,
 }
 
 struct StartProgram {
