--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -60,9 +60,14 @@
         limit = self._entry.max_body_bytes
         if len(self.request.body) > limit:
             raise BodyTooLargeError(f"the body has more than {limit} bytes")
-        if not self._entry.view.is_ready:
+        if not self._entry.view.is_fresh:
             raise NotReadyError("this instance is not ready", retry_after_s=1.0)
 
+    def require_current(self) -> None:
+        """Refuse new programs while it is not known which inventory is in force."""
+        if not self._entry.view.is_ready:
+            raise NotReadyError("this instance is out of contact", retry_after_s=1.0)
+
     def on_finish(self) -> None:
         """Count the request."""
         self._entry.request_ended()
@@ -162,6 +167,7 @@
 
     async def post(self) -> None:
         """Start one; the same idempotency key always gives the same program."""
+        self.require_current()
         caller = self.caller()
         body = self.body(StartBody)
         program = program_id(caller.organisation, caller.user, self.idempotency_key())
@@ -266,6 +272,7 @@
 
     async def post(self) -> None:
         """Run one call."""
+        self.require_current()
         body = self.body(CallBody)
         caller = self.caller()
         key = "single\x00" + self.idempotency_key()
--- a/src/carobspur/configuration.py
+++ b/src/carobspur/configuration.py
@@ -28,6 +28,7 @@
 from .inventory_checks import inventory_error
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
+INVENTORY_PREFIX = "inventory/"
 HEAD_KEY = "inventory/head"
 ORGANISATION_PREFIX = "inventory/organisation/"
 CHANGE_PREFIX = "inventory/change/"
@@ -159,21 +160,20 @@
             revision = found[-1].before
         return found[::-1]
 
-    async def changed_since(self, revision: int, head: int) -> list[str]:
-        """Return the organisations that changed after a revision.
+    async def changes_since(self, revision: int, head: int) -> list[ChangeRow]:
+        """Return every change after a revision, oldest first.
 
         Args:
             revision: The revision that is known.
             head: The revision in force.
         """
-        names = set()
+        found = []
         for number in range(revision + 1, head + 1):
             row = await self._table.read(change_key(number))
             if row is None:
                 raise StoreError(f"change {number} is missing from the log")
-            change = msgspec.json.decode(row.value, type=ChangeRow)
-            names.add(change.organisation)
-        return sorted(names)
+            found.append(msgspec.json.decode(row.value, type=ChangeRow))
+        return found
 
     async def import_inventory(
         self,
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -105,6 +105,7 @@
             clock=clock,
             host=settings.instance.host,
             port=settings.control.peer_port,
+            with_loads=False,
         )
         entry = Entry(settings, view, Forwarder(peers, view, clock))
         app = tornado.web.Application(
--- a/src/carobspur/operator_actions.py
+++ b/src/carobspur/operator_actions.py
@@ -54,10 +54,8 @@
 
     def owner_of(self, program: str) -> Any | None:
         """Return the session of the scheduler that owns a program."""
-        owners = self._control.shard_owners
-        if not owners:
-            return None
-        owner = owners.get(shard_of(program, len(owners)))
+        shard = shard_of(program, self._control.shards)
+        owner = self._control.shard_owners.get(shard)
         return next((s for s in self._control.sessions if s.id == owner), None)
 
 
--- a/src/carobspur/operators.py
+++ b/src/carobspur/operators.py
@@ -26,6 +26,7 @@
 
 PLATFORM_OPERATOR = "platform"
 MAX_HISTORY_LENGTH = 1000
+OUT_OF_CONTACT_RETRY_S = 5.0
 MAX_INVENTORY_BYTES = 32 << 20
 READERS = (Role.OPERATOR, Role.VIEWER)
 
@@ -51,14 +52,15 @@
     peers: Any = None
     platform_key_sha256: str = ""
     _keys: KeyIndex = field(default_factory=KeyIndex)
-    _keys_revision: int = -1
+    _indexed: dict[str, int] = field(default_factory=dict)
 
     @property
     def keys(self) -> KeyIndex:
         """Keys of the revision in force."""
-        if self._keys_revision != self.control.revision:
-            self._keys = KeyIndex.of(self.control.inventories.values())
-            self._keys_revision = self.control.revision
+        for name, revision in self.control.revisions.items():
+            if self._indexed.get(name) != revision:
+                self._keys.replace(self.control.inventories[name])
+                self._indexed[name] = revision
         return self._keys
 
 
@@ -147,6 +149,11 @@
         inventory = parse_inventory(self.request.body)
         if inventory.organisation != organisation:
             raise RequestError(f"the inventory is {inventory.organisation!r}'s")
+        if not self.control.rounds.is_in_contact:
+            raise NotReadyError(
+                "this instance is out of contact with most others",
+                retry_after_s=OUT_OF_CONTACT_RETRY_S,
+            )
         try:
             result = await self.control.configuration.import_inventory(
                 inventory,
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -74,6 +74,8 @@
 DRAIN = Method("drain", messages.Drain, messages.Empty)
 GET_STATUS = Method("get_status", messages.GetStatus, messages.SchedulerStatus)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
+GOSSIP = Method("gossip", messages.Gossip, messages.Gossip)
+RECONCILE = Method("reconcile", messages.Reconcile, messages.Reconciled)
 
 
 def encode(message: Any) -> bytes:
--- a/src/carobspur/status.py
+++ b/src/carobspur/status.py
@@ -157,7 +157,8 @@
 def _endpoints(control: Any, inventory: Inventory) -> list[EndpointStatus]:
     found = []
     for engine in inventory.engines:
-        _, load = control.loads.get(engine.address, (0.0, None))
+        sample = control.loads.get(engine.address)
+        load = None if sample is None else sample.load
         if load is None:
             found.append(EndpointStatus(engine.name, engine.address, reachable=False))
             continue
--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from carobspur.control import EngineLoad
+from carobspur.endpoint_loads import EngineLoad
 from carobspur.endpoints import (
     GenerateRequest,
     GenerateResult,
