--- a/src/carobspur/inventory_checks.py
+++ b/src/carobspur/inventory_checks.py
@@ -44,9 +44,12 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise inventory_error([Fault("document", f"not JSON: {error}")]) from error
     faults = list(_struct_faults(raw, Inventory, ""))
-    if not faults:
+    try:
         inventory = msgspec.convert(raw, Inventory)
-        faults = list(_content_faults(inventory))
+    except msgspec.ValidationError as error:
+        raise inventory_error(faults or [Fault("document", str(error))]) from error
+    # Numbers out of bounds do not hide what else is wrong.
+    faults.extend(_content_faults(inventory))
     if faults:
         raise inventory_error(faults)
     return inventory
--- a/src/carobspur/status.py
+++ b/src/carobspur/status.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from .budgets import BUDGET_PREFIX, BudgetRow
-from .errors import CarobspurError
+from .errors import CarobspurError, StoreError
 from .inventory import Inventory
 from .peers import GET_STATUS, messages
 from .table import Table
@@ -83,6 +83,7 @@
         is_current: Whether that process knows that it is the latest.
         organisation_revision: Revision of the organisation's last change.
         unserved_shards: Shards that no live scheduler holds.
+        budgets: Allowances; absent while the table service can't be read.
     """
 
     instance: str
@@ -93,7 +94,7 @@
     data_centres: list[DataCentreStatus]
     instances: list[InstanceStatus]
     endpoints: list[EndpointStatus]
-    budgets: list[BudgetStatus]
+    budgets: list[BudgetStatus] | None
 
 
 async def status_report(control: Any, peers: Any, organisation: str) -> StatusReport:
@@ -111,7 +112,10 @@
     )
     live = {item.id for item in sessions}
     owners = control.shard_owners
-    budgets = await _budgets(control.table, inventory, control.clock.wall())
+    try:
+        budgets = await _budgets(control.table, inventory, control.clock.wall())
+    except StoreError:
+        budgets = None
     return StatusReport(
         instance=control.instance_id,
         revision=control.revision,
--- a/src/carobspur/tables.py
+++ b/src/carobspur/tables.py
@@ -142,15 +142,18 @@
                     "kv_capacity_tokens",
                 ),
             ),
-            _section(
-                "budgets",
-                report.budgets,
-                ("owner", "window_s", "units", "spent", "granted"),
-            ),
+            _budgets(report),
         ]
     )
 
 
+def _budgets(report: StatusReport) -> str:
+    if report.budgets is None:
+        return "budgets\nnot known: the table service can't be read"
+    fields = ("owner", "window_s", "units", "spent", "granted")
+    return _section("budgets", report.budgets, fields)
+
+
 def json_text(content: Any) -> str:
     """Return content as indented JSON."""
     return msgspec.json.format(msgspec.json.encode(content), indent=2).decode()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -149,6 +149,8 @@
             self.assertEqual(refused.status, 503)
             await asyncio.sleep(2)
             self.assertEqual(_revisions(world), {2})
+            shown = await world.operate("GET", STATUS)
+            self.assertEqual((shown.status, shown.json["budgets"]), (200, None))
             faults.set(FaultOrder(FaultKind.NONE))
             world.kill(2)
             await world.add_node(2)
--- a/tests/test_inventory_checks.py
+++ b/tests/test_inventory_checks.py
@@ -112,7 +112,9 @@
         document = _document()
         for path in NUMBERS:
             _set(path, -1)(document)
-        self.assertEqual(sorted(_places(document)), sorted(NUMBERS.values()))
+        document["keys"] = []
+        expected = [*NUMBERS.values(), "keys"]
+        self.assertEqual(sorted(_places(document)), sorted(expected))
 
     def test_what_is_no_document_is_refused(self) -> None:
         for text in (
