--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
+import io
 import ipaddress
+import os
 import socket
 import ssl
 import tempfile
 import unittest
 from contextlib import AsyncExitStack
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 import tornado.httpclient
@@ -20,6 +24,7 @@
 from cryptography.x509.oid import NameOID
 
 from carobspur import control, entry, scheduler
+from carobspur.cli import run
 from carobspur.daemon import http_server
 from carobspur.errors import CarobspurError, SettingsError
 from carobspur.inventory import encode_inventory
@@ -241,6 +246,17 @@
             {"Idempotency-Key": "k1", "Carobspur-User": "clerk-1"},
         )
         self.assertIn("program", msgspec.json.decode(started))
+        variables = {
+            "CAROBSPUR_CONTROL": operators,
+            "CAROBSPUR_ORGANISATION": builders.ORGANISATION,
+            "CAROBSPUR_KEY": builders.OPERATOR_SECRET,
+            "CAROBSPUR_CA": self._authority.file,
+        }
+        shown = io.StringIO()
+        with mock.patch.dict(os.environ, variables), contextlib.redirect_stdout(shown):
+            code = await asyncio.to_thread(run, ["status"])
+        self.assertEqual(code, 0)
+        self.assertIn("instance-1  dc-1         ready", shown.getvalue())
 
     async def _ask(
         self, method: str, url: str, secret: str, body: bytes, headers: dict[str, str]
