--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -9,13 +9,13 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any
 
-import fire
 import tornado.web
 
+from .burn_recorder import BurnRecorder
 from .clock import Clock, LoopClock
 from .configuration import HEAD_KEY, Configuration
 from .control_view import ControlView
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .endpoint_loads import LoadReports, LoadSample, Watched
 from .errors import CarobspurError, StoreError
 from .gossip import Gossip
@@ -34,12 +34,14 @@
     usable_instances,
     write_instance,
 )
-from .operators import operator_routes
+from .operator_actions import operator_routes
 from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer, peer_client
+from .problem import NoSuchPathHandler
 from .settings import Settings
 from .sweep import SWEEP_PERIOD_S, CacheSweep
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
+from .tls import peer_client_context, peer_server_context, public_server_context
 from .view import VIEW_PERIOD_S
 
 LIVE_LIST_READS_PER_S = 50.0
@@ -122,6 +124,16 @@
         """Reads and changes inventories."""
         return self._configuration
 
+    @property
+    def table(self) -> Table:
+        """The table service."""
+        return self._table
+
+    @property
+    def shards(self) -> int:
+        """Number of shards of the system."""
+        return self._settings.scheduler.shards
+
     @property
     def revision(self) -> int:
         """Inventory revision in force here; -1 before the first read."""
@@ -378,7 +390,8 @@
     client = CurlClient()
     platform = settings.platform
     host = settings.instance.host
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         control = Control(
             settings=settings,
             clock=clock,
@@ -389,15 +402,31 @@
             client=client,
             peers=peers,
         )
-        server = PeerServer()
+        recorder = BurnRecorder(
+            table=control.table,
+            client=client,
+            clock=clock,
+            instance=settings.instance.id,
+            metrics_url=f"http://{host}:{settings.scheduler.metrics_port}",
+        )
+        server = PeerServer(ssl_options=peer_server_context(tls))
         control.register(server)
         server.listen(settings.control.peer_port, host)
+        routes = operator_routes(
+            control, peers, platform_key_sha256=settings.control.platform_key_sha256
+        )
         app = tornado.web.Application(
-            [*health_routes(lambda: control.is_current), *operator_routes(control)]
+            [*health_routes(lambda: control.is_current), *routes],
+            default_handler_class=NoSuchPathHandler,
         )
         async with (
-            background(*control.loops()),
-            http_server(app, host, settings.control.port),
+            background(*control.loops(), recorder.run()),
+            http_server(
+                app,
+                host,
+                settings.control.port,
+                ssl_options=public_server_context(tls),
+            ),
         ):
             await stopping.wait()
             await _announce_leaving(control)
@@ -416,4 +445,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-control``."""
-    fire.Fire(lambda settings: run_daemon("control", settings, serve))
+    daemon_main("control", serve)
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -28,12 +28,14 @@
 struct Empty {
 }
 
-// Who asks, as the entry process established it from the caller's key. A scheduler
-// whose inventory revision is lower than the entry's must not judge the request yet.
+// Who asks, as entry or control established it from a key; role is the key's, a
+// caller's where it is left out. A scheduler whose inventory revision is lower than
+// the asker's must not judge the request yet.
 struct Caller {
   1: required string organisation,
   2: required string user,
   3: required i64 revision,
+  4: optional string role,
 }
 
 struct StartProgram {
@@ -104,6 +106,19 @@
   1: required bool leaving,
 }
 
+// What a scheduler is at, for operators of one organisation or of the platform.
+struct GetStatus {
+  1: required string organisation,
+}
+
+struct SchedulerStatus {
+  1: required i64 revision,
+  2: required bool ready,
+  3: required bool leaving,
+  4: required i32 shards,
+  5: required i32 programs,
+}
+
 // Asks a control process for its view; the answer holds what changed since the
 // change that the asker names, or everything where it names none that is known.
 struct GetView {
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -6,14 +6,13 @@
 import logging
 from typing import Any
 
-import fire
 import msgspec
 import tornado.web
 
 from .budgets import Budgets
 from .calls import CallService
 from .clock import Clock, LoopClock
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import NotReadyError, SessionLostError
@@ -22,12 +21,14 @@
 from .history import Histories
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
+from .inventory import Role
 from .kernel import PluginKind, plugin
 from .metrics import PROGRAMS, SHARDS
 from .objects import HttpObjects, Objects
 from .peers import (
     DRAIN,
     END_PROGRAM,
+    GET_STATUS,
     RUN_CALL,
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
@@ -44,6 +45,7 @@
 from .settings import Settings
 from .shards import ShardKeeper
 from .table import HttpTable, Table
+from .tls import peer_client_context, peer_server_context
 from .view import ViewClient
 
 ROWS_PER_COMMIT = 2
@@ -87,6 +89,7 @@
         self._keeper: ShardKeeper | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
+        self._draining: asyncio.Future[None] | None = None
 
     @property
     def session(self) -> Session | None:
@@ -220,6 +223,7 @@
         server.handle(END_PROGRAM, self._end_program)
         server.handle(DRAIN, self._drain)
         server.handle(SWEEP_CACHE, self._sweep_cache)
+        server.handle(GET_STATUS, self._get_status)
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -242,7 +246,8 @@
                 f"inventory revision {caller.revision} is not in force here yet",
                 retry_after_s=1.0,
             )
-        return Requester(caller.organisation, caller.user)
+        role = Role(caller.role or Role.CALLER)
+        return Requester(caller.organisation, caller.user, role)
 
     async def _start_program(self, request: Any, emit: Emit) -> Any:
         created = await self.calls.start_program(
@@ -307,10 +312,29 @@
         return self._owns(program) and (found is None or found.ended)
 
     async def _drain(self, request: Any, emit: Emit) -> Any:
+        if self._keeper is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
         if request.leaving:
-            await self.leave()
+            self._draining = asyncio.ensure_future(self._keeper.leave())
+        else:
+            await self._keeper.stay()
         return messages.Empty()
 
+    async def _get_status(self, request: Any, emit: Emit) -> Any:
+        mine = [
+            item
+            for item in self._book.programs
+            if item.organisation == request.organisation and not item.ended
+        ]
+        keeper = self._keeper
+        return messages.SchedulerStatus(
+            revision=self._view.revision,
+            ready=self._view.is_ready and keeper is not None,
+            leaving=keeper is not None and keeper.is_leaving,
+            shards=0 if keeper is None else len(keeper.owned),
+            programs=len(mine),
+        )
+
 
 def _text_emitter(emit: Emit) -> Any:
     return lambda index, text: emit(messages.CallPart(index=index, text=text))
@@ -337,7 +361,8 @@
     table = HttpTable(client, platform.table_url, timeout_s=platform.table_timeout_s)
     objects = HttpObjects(client, platform.objects_url)
     host = settings.instance.host
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         view = ViewClient(
             peers, clock=clock, host=host, port=settings.control.peer_port
         )
@@ -349,7 +374,7 @@
             client=client,
             view=view,
         )
-        server = PeerServer()
+        server = PeerServer(ssl_options=peer_server_context(tls))
         scheduler.register(server)
         server.listen(settings.scheduler.port, host)
         await _open(scheduler, settings.scheduler.port, clock, stopping)
@@ -401,4 +426,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-scheduler``."""
-    fire.Fire(lambda settings: run_daemon("scheduler", settings, serve))
+    daemon_main("scheduler", serve)
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -125,6 +125,11 @@
         """Shards whose programs this process serves."""
         return frozenset(self._owned - self._moving)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this scheduler is handing its shards over."""
+        return self._leaving
+
     def owns(self, program: str) -> bool:
         """Return whether this process serves a program.
 
@@ -177,7 +182,7 @@
         self._session.announce(leaving=True)
         await self._session.commit(writes=[sessions_changed(self._session.id)])
         quiesce_s = self._clock.monotonic() + QUIESCE_LEASES * self._lease_s
-        while self._owned and not self._session.is_lost:
+        while self._leaving and self._owned and not self._session.is_lost:
             async with self._lock:
                 await self._refresh()
                 if not self._list.staying:
@@ -189,6 +194,14 @@
             if self._owned:
                 await self._clock.sleep(FIRST_STEP_S)
 
+    async def stay(self) -> None:
+        """Take shards again after :meth:`leave`."""
+        async with self._lock:
+            self._leaving = False
+            self._moving.clear()
+        self._session.announce(leaving=False)
+        await self._session.commit(writes=[sessions_changed(self._session.id)])
+
     async def _require_shard_count(self) -> None:
         """Refuse to serve with another number of shards than the others."""
         if self._is_count_known:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -16,7 +16,12 @@
 
 import msgspec
 from examples.caller import Caller, Refusal
-from examples.deployment import Deployment, Instance, example_inventory
+from examples.deployment import (
+    PLATFORM_KEY,
+    Deployment,
+    Instance,
+    example_inventory,
+)
 
 from carobspur.inventory import encode_inventory
 from carobspur.journal import decode_chunk
@@ -26,7 +31,6 @@
 LIMIT_S = 60.0
 LEASE_S = 1.0
 CALLER_KEY = "oro-example-caller"
-OPERATOR_KEY = "oro-example-operator"
 
 
 def get_json(url: str, *, key: str = "") -> Any:
@@ -72,7 +76,7 @@
             method="PUT",
             data=encode_inventory(self.inventory),
             headers={
-                "Authorization": f"Bearer {OPERATOR_KEY}",
+                "Authorization": f"Bearer {PLATFORM_KEY}",
                 "If-Match": '"0"',
                 "Carobspur-Change": "first",
             },
