Sub-agents end with their parents on any scheduler; streams resume by generation

Cause: ending a program ended only the sub-agents in the same scheduler's memory, and any program could name any parent. A reader who came back after the owner changed joined pieces of two generations of an answer, because ids only counted pieces. An engine's pieces reached the caller before its call id could be known.

A parent's owner commits each sub-agent before it starts, tells the owners of all of them after its own end, and its successor goes on from the records; one that was noted and not started gets a tombstone. Event ids name the generation; engines name the call first. Ruled out: a broadcast at the end (dies with the process), and a scan of all shards for children (reads grow with the shards).

--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -15,26 +14,23 @@
     ConflictError,
     EndpointRejectedError,
     EndpointTimeoutError,
-    LimitReachedError,
     NotFoundError,
-    NotOwnerError,
     RequestError,
 )
 from .execution import (
     CallContext,
     CallKind,
     CallRequest,
-    OnText,
     Requester,
-    RunningCall,
     Toolbox,
 )
-from .inventory import Agent, Inventory
-from .journal import ProgramEnded, ProgramStarted, Record
+from .inventory import Inventory
 from .kernel import PluginKind, plugin
+from .lifecycle import Lifecycle
+from .limits import check_limits
 from .logs import call_fields
-from .metrics import CALL_SECONDS, PROGRAM_OBJECTIVE, PROGRAM_SECONDS
-from .placement import shard_of
+from .metrics import CALL_SECONDS
+from .ownership import Ownership
 from .programs import (
     SINGLE_CALL_AGENT,
     Program,
@@ -47,10 +43,10 @@
     admit_call,
     report,
 )
-from .verdict import MAY_HAVE_RUN, NOT_RUN, RAN, verdict_from_name
+from .running import OnText, RunningCall
+from .verdict import NOT_RUN, RAN, verdict_from_name
 
 ONCE = "once"
-SINGLE_CALL_LIMITS = Agent(SINGLE_CALL_AGENT, "", max_calls=1)
 
 _logger = logging.getLogger(__name__)
 
@@ -69,19 +65,18 @@
     Args:
         tools: Parts of the scheduler that kinds of calls use.
         book: Committed state of the programs.
-        owns: Tells whether this scheduler serves a program.
-        shards: Number of shards of the whole system.
+        ownership: Tells which programs are served here.
+        lifecycle: Starts programs.
         inventories: Returns the inventory in force of an organisation.
     """
 
     __slots__ = (
         "_book",
-        "_busy",
         "_inventories",
         "_kinds",
-        "_owns",
+        "_lifecycle",
+        "_ownership",
         "_running",
-        "_shards",
         "_tools",
     )
 
@@ -90,72 +85,21 @@
         *,
         tools: Toolbox,
         book: ProgramBook,
-        owns: Callable[[str], bool],
-        shards: int,
+        ownership: Ownership,
+        lifecycle: Lifecycle,
         inventories: Callable[[str], Inventory],
     ) -> None:
         self._tools = tools
         self._book = book
-        self._owns = owns
-        self._shards = shards
+        self._ownership = ownership
+        self._lifecycle = lifecycle
         self._inventories = inventories
         self._kinds: dict[str, CallKind] = {}
         self._running: dict[tuple[str, int], RunningCall] = {}
-        self._busy: dict[int, int] = {}
 
     def __repr__(self) -> str:
         return f"CallService({len(self._running)} calls under way)"
 
-    def is_busy(self, shard: int) -> bool:
-        """Return whether work for a shard's programs is under way."""
-        return shard in self._busy
-
-    async def start_program(
-        self,
-        requester: Requester,
-        program: str,
-        *,
-        agent: str,
-        parent: str = "",
-        deadline_s: float = 0.0,
-    ) -> bool:
-        """Start a program; return whether it is new.
-
-        Args:
-            requester: Who asks.
-            program: Id of the program, made from the caller's idempotency key.
-            agent: Name of its agent.
-            parent: Id of the program that starts it, or empty.
-            deadline_s: Seconds from now by which it must end, or 0.
-
-        Raises:
-            NotOwnerError: Another scheduler owns the program.
-            NotFoundError: There is no such agent.
-            ConflictError: It was started before with another agent or parent.
-        """
-        with self._working_on(program):
-            known = self._book.find(program)
-            if known is not None:
-                _require_same_start(known, agent, parent)
-                return False
-            await self._tools.outage.require_table()
-            if agent != SINGLE_CALL_AGENT:
-                self._inventories(requester.organisation).agent(agent)
-            now_s = self._tools.clock.wall()
-            record = ProgramStarted(
-                program=program,
-                organisation=requester.organisation,
-                user=requester.user,
-                agent=agent,
-                started_s=now_s,
-                parent=parent,
-                deadline_s=now_s + deadline_s if deadline_s else 0.0,
-            )
-            async with self._tools.outage.limited(MAY_HAVE_RUN):
-                await self._tools.session.commit([record])
-            _require_same_start(self._book.find(program), agent, parent)
-            return True
-
     async def run_call(
         self, request: CallRequest, on_text: OnText | None = None
     ) -> Answer:
@@ -174,7 +118,7 @@
             ConflictError: The number was used for another call, or leaves a gap.
             CarobspurError: The call failed; the verdict says whether it ran.
         """
-        with self._working_on(request.program):
+        with self._ownership.working_on(request.program):
             try:
                 return await self._run_admitted(request, on_text)
             except CarobspurError as error:
@@ -184,7 +128,7 @@
         self, request: CallRequest, on_text: OnText | None = None
     ) -> Answer:
         """Run one call that belongs to no program of the caller's."""
-        await self.start_program(
+        await self._lifecycle.start(
             request.requester, request.program, agent=SINGLE_CALL_AGENT
         )
         return await self.run_call(request, on_text)
@@ -193,29 +137,10 @@
         self, requester: Requester, program: str, *, with_history: bool
     ) -> ProgramReport:
         """Return what a caller is told of a program."""
-        self._require_owner(program)
+        self._ownership.require(program)
         found = self._program(requester, program)
         return report(found, with_history=with_history)
 
-    async def end_program(
-        self, requester: Requester, program: str, reason: str
-    ) -> None:
-        """End a program and the sub-agents that are known here; idempotent."""
-        with self._working_on(program):
-            await self._tools.outage.require_table()
-            found = self._program(requester, program)
-            ended = [found, *self._book.children(found.id)]
-            records: list[Record] = []
-            for item in ended:
-                if not item.ended:
-                    records.append(ProgramEnded(item.id, reason))
-            if records:
-                async with self._tools.outage.limited(MAY_HAVE_RUN):
-                    await self._tools.session.commit(records)
-                self._observe_end(found)
-            for item in ended:
-                self._tools.holder.after_end(item)
-
     async def _run_admitted(
         self, request: CallRequest, on_text: OnText | None
     ) -> Answer:
@@ -311,7 +236,7 @@
             organisation=program.organisation, program=program.id, call=request.number
         )
         started_s = self._tools.clock.monotonic()
-        with self._working_on(program.id):
+        with self._ownership.working_on(program.id):
             try:
                 stored = await self._execute(context, admission)
             except CarobspurError as error:
@@ -329,7 +254,8 @@
             case SettleIntent(intent):
                 return await self._kind(ONCE).settle(context, intent)
             case RunNext():
-                self._check_limits(context.program, context.inventory)
+                now_s = self._tools.clock.wall()
+                check_limits(context.program, context.inventory, now_s)
                 return await self._kind(_kind_name(context)).run(context)
 
     def _kind(self, name: str) -> CallKind:
@@ -337,49 +263,9 @@
             self._kinds[name] = plugin(PluginKind.CALLS, name)(self._tools)
         return self._kinds[name]
 
-    def _check_limits(self, program: Program, inventory: Inventory) -> None:
-        """Stop programs that loop: limits on calls, tokens and time."""
-        agent = SINGLE_CALL_LIMITS
-        if program.agent != SINGLE_CALL_AGENT:
-            agent = inventory.agent(program.agent)
-        now_s = self._tools.clock.wall()
-        if program.next_number > agent.max_calls:
-            raise LimitReachedError(f"the program made all its {agent.max_calls} calls")
-        if program.tokens_used >= agent.max_tokens:
-            raise LimitReachedError(f"the program used its {agent.max_tokens} tokens")
-        is_late = program.deadline_s and now_s > program.deadline_s
-        if now_s - program.started_s > agent.max_time_s or is_late:
-            raise LimitReachedError("the program's time is over")
-
-    def _observe_end(self, program: Program) -> None:
-        if program.agent == SINGLE_CALL_AGENT:
-            return
-        elapsed_s = self._tools.clock.wall() - program.started_s
-        agent = self._inventories(program.organisation).agent(program.agent)
-        PROGRAM_SECONDS.labels(program.organisation, agent.name).observe(elapsed_s)
-        is_met = "yes" if elapsed_s <= agent.objective_s else "no"
-        PROGRAM_OBJECTIVE.labels(program.organisation, agent.name, is_met).inc()
-
     def _program(self, requester: Requester, program: str) -> Program:
         return self._book.get(program, requester.organisation, requester.user)
 
-    def _require_owner(self, program: str) -> None:
-        if self._tools.session.is_lost or not self._owns(program):
-            raise NotOwnerError(f"program {program} belongs to another scheduler")
-
-    @contextmanager
-    def _working_on(self, program: str) -> Iterator[None]:
-        """Keep a program's shard from moving away."""
-        self._require_owner(program)
-        shard = shard_of(program, self._shards)
-        self._busy[shard] = self._busy.get(shard, 0) + 1
-        try:
-            yield
-        finally:
-            self._busy[shard] -= 1
-            if not self._busy[shard]:
-                del self._busy[shard]
-
 
 def _kind_name(context: CallContext) -> str:
     """Return which plug-in runs a call; the inventory decides, not the caller."""
@@ -392,11 +278,6 @@
     return "repeatable" if service.repeatable else ONCE
 
 
-def _require_same_start(program: Program, agent: str, parent: str) -> None:
-    if (program.agent, program.parent) != (agent, parent):
-        raise ConflictError("this idempotency key started another program")
-
-
 def _digest(request: CallRequest) -> str:
     try:
         return request.digest
--- a/src/carobspur/endpoints.py
+++ b/src/carobspur/endpoints.py
@@ -183,11 +183,16 @@
         parser = EventParser()
         results: list[GenerateResult] = []
 
+        answered = request.call_id
+
         def _take(data: bytes) -> None:
+            nonlocal answered
             for event in parser.feed(data):
-                if event.name == "done":
+                if event.name == "start":
+                    answered = msgspec.json.decode(event.data, type=str)
+                elif event.name == "done":
                     results.append(msgspec.json.decode(event.data, type=GenerateResult))
-                elif event.name == "token":
+                elif event.name == "token" and answered == request.call_id:
                     on_text(msgspec.json.decode(event.data, type=str))
 
         message = HttpRequest(
@@ -203,6 +208,7 @@
         _require_success(response, address)
         if not results:
             raise EndpointTimeoutError(f"{address} broke off before its last event")
+        _require_same_call(answered, request.call_id, address)
         _require_same_call(results[0].call_id, request.call_id, address)
         return msgspec.structs.replace(results[0], call_id="")
 
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -384,26 +384,28 @@
     """Writes a call's answer as server-sent events.
 
     A reader that comes back names the last event it saw and gets what follows. Where
-    another scheduler had to start the answer again, a ``restart`` event says so.
+    the answer was generated anew since, a ``restart`` event says so first.
     """
 
-    __slots__ = ("_handler", "_next", "_skip_to", "has_begun")
+    __slots__ = ("_generation", "_handler", "_skip_to", "has_begun")
 
     def __init__(self, handler: CallerHandler) -> None:
         self._handler = handler
-        self._next = 0
-        self._skip_to = _last_event(handler)
+        self._generation, self._skip_to = _last_event(handler)
         self.has_begun = False
 
     def take_part(self, part: Any) -> None:
         """Write one piece of the answer."""
-        if part.index < self._next:
-            self._write(Event("restart", b"{}"))
+        if part.generation != self._generation:
+            if self._generation:
+                self._write(Event("restart", b"{}"))
+            self._generation = part.generation
             self._skip_to = 0
-        self._next = part.index + 1
         if part.index >= self._skip_to:
             data = msgspec.json.encode(part.text)
-            self._write(Event("token", data, str(part.index + 1)))
+            event_id = f"{part.generation}-{part.index + 1}"
+            self._write(Event("token", data, event_id))
+            self._skip_to = part.index + 1
 
     def finish(self, document: CallDocument) -> None:
         """Write the last event and end the stream."""
@@ -426,9 +428,11 @@
         self._handler.flush()
 
 
-def _last_event(handler: CallerHandler) -> int:
-    text = handler.request.headers.get("Last-Event-ID", "0")
-    return int(text) if text.isdecimal() else 0
+def _last_event(handler: CallerHandler) -> tuple[str, int]:
+    """Return generation and number of the last event that a reader saw."""
+    text = handler.request.headers.get("Last-Event-ID", "")
+    generation, _, number = text.rpartition("-")
+    return (generation, int(number)) if number.isdecimal() else ("", 0)
 
 
 def caller_routes(entry: Entry) -> list[tuple[str, type, dict[str, Any]]]:
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -17,7 +17,7 @@
 from .clock import Clock
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
-from .errors import CallError, CarobspurError, NotFoundError, SessionLostError
+from .errors import CallError, NotFoundError, SessionLostError
 from .fencing import FencingNumbers
 from .holder import CacheHolder
 from .inventory import Inventory
@@ -27,6 +27,7 @@
 from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
 from .retry import Backoff
 from .routing import RouteRequest
+from .running import RunningCall
 from .session import Session
 from .verdict import (
     MAY_HAVE_RUN,
@@ -40,7 +41,6 @@
 MAX_SENDS = 3
 
 Result = TypeVar("Result")
-OnText = Callable[[int, str], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,73 +67,6 @@
         return call_digest(self.endpoint, self.content)
 
 
-@dataclass(slots=True, eq=False)
-class RunningCall:
-    """A call under way, with all who listen to its stream.
-
-    Attributes:
-        digest: Digest of the call.
-        task: The task that runs it.
-        texts: Pieces of the answer so far.
-    """
-
-    digest: str
-    task: asyncio.Task[StoredCall] | None = None
-    texts: list[str] = field(default_factory=list)
-    _listeners: list[OnText] = field(default_factory=list)
-    _stalled: asyncio.Future[CarobspurError] = field(
-        default_factory=lambda: asyncio.get_event_loop().create_future()
-    )
-
-    @property
-    def is_stalled(self) -> bool:
-        """Whether those who waited were told to come back."""
-        return self._stalled.done()
-
-    def stall(self, error: CarobspurError) -> None:
-        """Answer all who wait, now and later, with an error; the call goes on."""
-        if not self._stalled.done():
-            self._stalled.set_result(error)
-
-    async def result(self) -> StoredCall:
-        """Wait for the committed outcome.
-
-        Raises:
-            CarobspurError: The call failed, or its commit takes too long.
-        """
-        await asyncio.wait(
-            {self.task, self._stalled}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if self.task.done():
-            return self.task.result()
-        raise self._stalled.result()
-
-    def restart(self) -> None:
-        """Forget the pieces so far: the answer is generated anew."""
-        self.texts.clear()
-
-    def add_text(self, text: str) -> None:
-        """Take one piece of the answer and pass it on."""
-        index = len(self.texts)
-        self.texts.append(text)
-        for listener in self._listeners:
-            listener(index, text)
-
-    @contextmanager
-    def listening(self, listener: OnText | None) -> Iterator[None]:
-        """Pass all pieces, those so far first, to a listener during the body."""
-        if listener is None:
-            yield
-            return
-        for index, text in enumerate(self.texts):
-            listener(index, text)
-        self._listeners.append(listener)
-        try:
-            yield
-        finally:
-            self._listeners.remove(listener)
-
-
 @dataclass(frozen=True, slots=True)
 class CallContext:
     """One admitted call.
--- a/src/carobspur/journal.py
+++ b/src/carobspur/journal.py
@@ -91,8 +91,28 @@
     reason: str = ""
 
 
+class ChildAdopted(msgspec.Struct, frozen=True, tag="adopted"):
+    """A program is about to start a sub-agent."""
+
+    program: str
+    child: str
+
+
+class ChildEnded(msgspec.Struct, frozen=True, tag="child_ended"):
+    """A sub-agent of an ended program has ended, wherever it is."""
+
+    program: str
+    child: str
+
+
 Record: TypeAlias = (
-    ProgramStarted | CallIntended | CallFinished | CallAbandoned | ProgramEnded
+    ProgramStarted
+    | CallIntended
+    | CallFinished
+    | CallAbandoned
+    | ProgramEnded
+    | ChildAdopted
+    | ChildEnded
 )
 
 _encoder = msgspec.json.Encoder()
--- /dev/null
+++ b/src/carobspur/lifecycle.py
@@ -0,0 +1,238 @@
+"""Start and end of programs and of their sub-agents, on whichever scheduler they are.
+
+A sub-agent is noted with its parent before it starts. When the parent has ended, its
+owner tells the owners of all noted sub-agents until each has confirmed. What is left
+to tell follows from committed records, so a new owner goes on with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from .errors import CarobspurError, ConflictError, NotFoundError, ProgramEndedError
+from .execution import Requester, Toolbox
+from .forward import Forwarder
+from .inventory import Inventory
+from .journal import ChildAdopted, ChildEnded, ProgramEnded, ProgramStarted, Record
+from .metrics import PROGRAM_OBJECTIVE, PROGRAM_SECONDS
+from .ownership import Ownership
+from .peers import ADOPT_CHILD, END_CHILD, messages
+from .programs import NEVER_STARTED, SINGLE_CALL_AGENT, Program, ProgramBook
+from .verdict import MAY_HAVE_RUN
+
+SWEEP_PERIOD_S = 1.0
+TELL_TIMEOUT_S = 5.0
+END_WAIT_S = 2.0
+PARENT_ENDED = "its parent ended"
+
+_logger = logging.getLogger(__name__)
+
+
+class Lifecycle:
+    """Starts and ends the programs that one scheduler owns.
+
+    Args:
+        tools: Parts of the scheduler that kinds of calls use.
+        book: Committed state of the programs.
+        ownership: Tells which programs are served here.
+        inventories: Returns the inventory in force of an organisation.
+        forwarder: Reaches the owners of other programs.
+    """
+
+    __slots__ = ("_book", "_forwarder", "_inventories", "_ownership", "_tools")
+
+    def __init__(
+        self,
+        *,
+        tools: Toolbox,
+        book: ProgramBook,
+        ownership: Ownership,
+        inventories: Callable[[str], Inventory],
+        forwarder: Forwarder,
+    ) -> None:
+        self._tools = tools
+        self._book = book
+        self._ownership = ownership
+        self._inventories = inventories
+        self._forwarder = forwarder
+
+    async def start(
+        self,
+        requester: Requester,
+        program: str,
+        *,
+        agent: str,
+        parent: str = "",
+        deadline_s: float = 0.0,
+    ) -> bool:
+        """Start a program; return whether it is new.
+
+        Args:
+            requester: Who asks.
+            program: Id of the program, made from the caller's idempotency key.
+            agent: Name of its agent.
+            parent: Id of the program that starts it, or empty.
+            deadline_s: Seconds from now by which it must end, or 0.
+
+        Raises:
+            NotOwnerError: Another scheduler owns the program.
+            NotFoundError: There is no such agent or parent.
+            ConflictError: It was started before with another agent or parent.
+            ProgramEndedError: The parent has ended.
+        """
+        with self._ownership.working_on(program):
+            if self._is_started(program, agent, parent):
+                return False
+            await self._tools.outage.require_table()
+            if agent != SINGLE_CALL_AGENT:
+                self._inventories(requester.organisation).agent(agent)
+            if parent:
+                await self._have_adopted(requester, parent, program)
+            now_s = self._tools.clock.wall()
+            record = ProgramStarted(
+                program=program,
+                organisation=requester.organisation,
+                user=requester.user,
+                agent=agent,
+                started_s=now_s,
+                parent=parent,
+                deadline_s=now_s + deadline_s if deadline_s else 0.0,
+            )
+            await self._commit(record)
+            return self._is_started(program, agent, parent)
+
+    async def end(self, requester: Requester, program: str, reason: str) -> None:
+        """End a program and its sub-agents; idempotent.
+
+        Returns when the end is committed; sub-agents that can't be reached by then
+        are told later.
+        """
+        with self._ownership.working_on(program):
+            await self._tools.outage.require_table()
+            found = self._book.get(program, requester.organisation, requester.user)
+            await self._end(found, reason)
+            try:
+                await asyncio.wait_for(self._tell_children(found), END_WAIT_S)
+            except TimeoutError:
+                _logger.info("sub-agents of %s are told later", program)
+
+    async def adopt(self, requester: Requester, parent: str, child: str) -> None:
+        """Note a sub-agent with its parent.
+
+        Raises:
+            NotFoundError: There is no such parent for this user.
+            ProgramEndedError: The parent has ended.
+        """
+        with self._ownership.working_on(parent):
+            await self._tools.outage.require_table()
+            found = self._book.get(parent, requester.organisation, requester.user)
+            if found.ended:
+                raise ProgramEndedError(f"program {parent} has ended")
+            if child not in found.children:
+                await self._commit(ChildAdopted(parent, child))
+
+    async def end_child(self, requester: Requester, parent: str, child: str) -> None:
+        """End a sub-agent whose parent has ended; one not yet started never will."""
+        with self._ownership.working_on(child):
+            found = self._book.find(child)
+            if found is None:
+                await self._commit(_never_started(requester, parent, child))
+                found = self._book.find(child)
+            owner = (found.organisation, found.user, found.parent)
+            if owner == (requester.organisation, requester.user, parent):
+                await self._end(found, PARENT_ENDED)
+
+    async def run(self) -> None:
+        """Tell sub-agents of ended programs until the task is cancelled."""
+        while not self._tools.session.is_lost:
+            await self._tools.clock.sleep(SWEEP_PERIOD_S)
+            for program in self._book.programs:
+                if program.ended and program.children:
+                    await self._tell_children(program)
+
+    async def _end(self, program: Program, reason: str) -> None:
+        if not program.ended:
+            await self._commit(ProgramEnded(program.id, reason))
+            self._observe(program)
+        self._tools.holder.after_end(program)
+
+    async def _tell_children(self, program: Program) -> None:
+        requester = Requester(program.organisation, program.user)
+        told = []
+        for child in list(program.children):
+            try:
+                await self._tell(requester, program.id, child)
+                told.append(ChildEnded(program.id, child))
+            except CarobspurError as error:
+                _logger.info("sub-agent %s can't be told: %s", child, error.message)
+        if told and self._ownership.owns(program.id):
+            try:
+                await self._commit(*told)
+            except CarobspurError as error:
+                _logger.info("ends of sub-agents not noted: %s", error.message)
+
+    async def _tell(self, requester: Requester, parent: str, child: str) -> None:
+        if self._ownership.owns(child):
+            await self.end_child(requester, parent, child)
+            return
+        message = messages.EndChild(
+            caller=_caller(requester), parent=parent, child=child
+        )
+        await self._forwarder.ask(child, END_CHILD, message, timeout_s=TELL_TIMEOUT_S)
+
+    async def _have_adopted(
+        self, requester: Requester, parent: str, child: str
+    ) -> None:
+        if self._ownership.owns(parent):
+            await self.adopt(requester, parent, child)
+            return
+        message = messages.AdoptChild(
+            caller=_caller(requester), parent=parent, child=child
+        )
+        await self._forwarder.ask(
+            parent, ADOPT_CHILD, message, timeout_s=TELL_TIMEOUT_S
+        )
+
+    def _is_started(self, program: str, agent: str, parent: str) -> bool:
+        known = self._book.find(program)
+        if known is None:
+            return False
+        if known.agent == NEVER_STARTED:
+            raise ProgramEndedError(f"the parent of program {program} has ended")
+        if (known.agent, known.parent) != (agent, parent):
+            raise ConflictError("this idempotency key started another program")
+        return True
+
+    async def _commit(self, *records: Record) -> None:
+        async with self._tools.outage.limited(MAY_HAVE_RUN):
+            await self._tools.session.commit(list(records))
+
+    def _observe(self, program: Program) -> None:
+        if program.agent in (SINGLE_CALL_AGENT, NEVER_STARTED):
+            return
+        try:
+            agent = self._inventories(program.organisation).agent(program.agent)
+        except NotFoundError:
+            return
+        elapsed_s = self._tools.clock.wall() - program.started_s
+        PROGRAM_SECONDS.labels(program.organisation, agent.name).observe(elapsed_s)
+        is_met = "yes" if elapsed_s <= agent.objective_s else "no"
+        PROGRAM_OBJECTIVE.labels(program.organisation, agent.name, is_met).inc()
+
+
+def _caller(requester: Requester) -> Any:
+    return messages.Caller(organisation=requester.organisation, user=requester.user)
+
+
+def _never_started(requester: Requester, parent: str, child: str) -> ProgramStarted:
+    return ProgramStarted(
+        program=child,
+        organisation=requester.organisation,
+        user=requester.user,
+        agent=NEVER_STARTED,
+        started_s=0.0,
+        parent=parent,
+    )
--- /dev/null
+++ b/src/carobspur/ownership.py
@@ -0,0 +1,67 @@
+"""Which programs this scheduler serves, and which shards have work under way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from .errors import NotOwnerError
+from .placement import shard_of
+from .session import Session
+
+
+class Ownership:
+    """Lets work begin only for own programs, and keeps their shards in place.
+
+    Args:
+        session: The scheduler's session.
+        owns: Tells whether this scheduler serves a program.
+        shards: Number of shards of the whole system.
+    """
+
+    __slots__ = ("_busy", "_owns", "_session", "_shards")
+
+    def __init__(
+        self, *, session: Session, owns: Callable[[str], bool], shards: int
+    ) -> None:
+        self._session = session
+        self._owns = owns
+        self._shards = shards
+        self._busy: dict[int, int] = {}
+
+    def __repr__(self) -> str:
+        return f"Ownership({len(self._busy)} busy shards)"
+
+    def is_busy(self, shard: int) -> bool:
+        """Return whether work for a shard's programs is under way."""
+        return shard in self._busy
+
+    def owns(self, program: str) -> bool:
+        """Return whether a program is served here."""
+        return not self._session.is_lost and self._owns(program)
+
+    def require(self, program: str) -> None:
+        """Refuse a program that is not served here.
+
+        Raises:
+            NotOwnerError: Another scheduler owns it.
+        """
+        if not self.owns(program):
+            raise NotOwnerError(f"program {program} belongs to another scheduler")
+
+    @contextmanager
+    def working_on(self, program: str) -> Iterator[None]:
+        """Keep a program's shard from moving away.
+
+        Raises:
+            NotOwnerError: Another scheduler owns the program.
+        """
+        self.require(program)
+        shard = shard_of(program, self._shards)
+        self._busy[shard] = self._busy.get(shard, 0) + 1
+        try:
+            yield
+        finally:
+            self._busy[shard] -= 1
+            if not self._busy[shard]:
+                del self._busy[shard]
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -71,6 +71,8 @@
 )
 SHOW_PROGRAM = Method("show_program", messages.ShowProgram, messages.ProgramDocument)
 END_PROGRAM = Method("end_program", messages.EndProgram, messages.Empty)
+ADOPT_CHILD = Method("adopt_child", messages.AdoptChild, messages.Empty)
+END_CHILD = Method("end_child", messages.EndChild, messages.Empty)
 DRAIN = Method("drain", messages.Drain, messages.Empty)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
 
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -57,10 +57,11 @@
   6: required bool stream,
 }
 
-// A piece of a streamed answer; index counts from 0 within the call.
+// A piece of a streamed answer; index counts from 0 within one generation of it.
 struct CallPart {
   1: required i32 index,
   2: required string text,
+  3: required string generation,
 }
 
 struct CallAnswer {
@@ -99,6 +100,20 @@
   3: required string reason,
 }
 
+// Notes a sub-agent with its parent, before it starts.
+struct AdoptChild {
+  1: required Caller caller,
+  2: required string parent,
+  3: required string child,
+}
+
+// Ends a sub-agent whose parent has ended.
+struct EndChild {
+  1: required Caller caller,
+  2: required string parent,
+  3: required string child,
+}
+
 struct Drain {
   1: required bool leaving,
 }
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 
 from ..endpoints import (
@@ -94,7 +96,7 @@
         )
 
         async def _send_to(engine: EndpointState) -> GenerateResult:
-            context.running.restart()
+            context.running.restart(str(self._tools.fences.take()))
             return await self._generate_on(engine, context, order, history, model)
 
         candidates = self._tools.pool.engines(context.inventory, model.name)
@@ -136,7 +138,7 @@
             engine.address,
             order,
             timeout_s=model.timeout_s,
-            on_text=context.running.add_text,
+            on_text=partial(context.running.add_text, context.running.generation),
         )
 
     def _note_prefix(
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -14,12 +14,15 @@
     CallFinished,
     CallIntended,
     CallOutcome,
+    ChildAdopted,
+    ChildEnded,
     ProgramEnded,
     ProgramStarted,
     Record,
 )
 
 SINGLE_CALL_AGENT = "single-call"
+NEVER_STARTED = "never-started"
 _ID_HEX_DIGITS = 32
 
 
@@ -50,6 +53,7 @@
         end_reason: Why it ended.
         tokens_used: Model tokens over all calls.
         attained_units: Cost units over all calls.
+        children: Ids of its sub-agents that are not known to have ended.
         fence: Highest fencing number known to have been used for its calls.
     """
 
@@ -67,6 +71,7 @@
     tokens_used: int = 0
     attained_units: int = 0
     fence: int = 0
+    children: list[str] = []
 
     @property
     def next_number(self) -> int:
@@ -220,10 +225,6 @@
             raise NotFoundError(f"no program {program!r}")
         return found
 
-    def children(self, program: str) -> list[Program]:
-        """Return the programs that a program started, of those known here."""
-        return [item for item in self._programs.values() if item.parent == program]
-
     def add(self, program: Program) -> None:
         """Take a program from a snapshot."""
         self._programs[program.id] = program
@@ -248,6 +249,10 @@
                 self._abandon(record)
             case ProgramEnded():
                 self._end(record)
+            case ChildAdopted():
+                self._adopt(record)
+            case ChildEnded():
+                self._forget_child(record)
 
     def _start(self, record: ProgramStarted) -> None:
         if record.program in self._programs:
@@ -260,6 +265,7 @@
             started_s=record.started_s,
             parent=record.parent,
             deadline_s=record.deadline_s,
+            ended=record.agent == NEVER_STARTED,
         )
 
     def _intend(self, record: CallIntended) -> None:
@@ -298,6 +304,16 @@
             program.ended = True
             program.end_reason = record.reason
 
+    def _adopt(self, record: ChildAdopted) -> None:
+        children = self._programs[record.program].children
+        if record.child not in children:
+            children.append(record.child)
+
+    def _forget_child(self, record: ChildEnded) -> None:
+        children = self._programs[record.program].children
+        if record.child in children:
+            children.remove(record.child)
+
 
 def report(program: Program, *, with_history: bool) -> ProgramReport:
     """Return what a caller is told of a program."""
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -19,21 +19,27 @@
 from .errors import NotReadyError, SessionLostError
 from .execution import CallRequest, Requester, Toolbox
 from .fencing import FencingNumbers
+from .forward import Forwarder
 from .health import health_routes
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
 from .kernel import PluginKind, plugin
+from .lifecycle import Lifecycle
 from .metrics import PROGRAMS, SHARDS
 from .objects import HttpObjects, Objects
 from .outage import OutageGuard
+from .ownership import Ownership
 from .peers import (
+    ADOPT_CHILD,
     DRAIN,
+    END_CHILD,
     END_PROGRAM,
     RUN_CALL,
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
     START_PROGRAM,
     Emit,
+    PeerClient,
     PeerServer,
     messages,
     peer_client,
@@ -62,6 +68,7 @@
         objects: The object store.
         client: HTTP client towards endpoints.
         view: Copy of control's view.
+        peers: Client of our own processes.
     """
 
     def __init__(
@@ -73,6 +80,7 @@
         objects: Objects,
         client: HttpClient,
         view: ViewClient,
+        peers: PeerClient,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -80,10 +88,13 @@
         self._objects = objects
         self._client = client
         self._view = view
+        self._forwarder = Forwarder(peers, view, clock)
         self._book = ProgramBook()
         self._pool = EndpointPool()
         self._session: Session | None = None
         self._keeper: ShardKeeper | None = None
+        self._ownership: Ownership | None = None
+        self._lifecycle: Lifecycle | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
 
@@ -108,6 +119,17 @@
             raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
         return self._calls
 
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """The service that starts and ends programs.
+
+        Raises:
+            NotReadyError: The scheduler is still starting.
+        """
+        if self._lifecycle is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
+        return self._lifecycle
+
     async def open(self, port: int) -> None:
         """Open the session; afterwards calls can be served.
 
@@ -132,7 +154,7 @@
             policy=plugin(PluginKind.ROUTING, options.routing)(),
             max_waiting=options.max_waiting,
         )
-        self._calls = self._build_calls(self._session, self._dispatcher)
+        self._build_services(self._session, self._dispatcher)
         self._keeper = ShardKeeper(
             table=self._table,
             objects=self._objects,
@@ -142,11 +164,11 @@
             shards=options.shards,
             lease_s=options.lease_s,
             checkpoint_commits=options.checkpoint_commits,
-            is_busy=self._calls.is_busy,
+            is_busy=self._ownership.is_busy,
         )
         self.take_view()
 
-    def _build_calls(self, session: Session, dispatcher: Dispatcher) -> CallService:
+    def _build_services(self, session: Session, dispatcher: Dispatcher) -> None:
         options = self._settings.scheduler
         holder = CacheHolder(
             self._client,
@@ -172,11 +194,21 @@
             fences=FencingNumbers(session.epoch),
             outage=OutageGuard(session, self._clock, options.lease_s),
         )
-        return CallService(
+        self._ownership = Ownership(
+            session=session, owns=self._owns, shards=options.shards
+        )
+        self._lifecycle = Lifecycle(
             tools=tools,
             book=self._book,
-            owns=self._owns,
-            shards=options.shards,
+            ownership=self._ownership,
+            inventories=self._view.inventory,
+            forwarder=self._forwarder,
+        )
+        self._calls = CallService(
+            tools=tools,
+            book=self._book,
+            ownership=self._ownership,
+            lifecycle=self._lifecycle,
             inventories=self._view.inventory,
         )
 
@@ -218,6 +250,8 @@
         server.handle(RUN_SINGLE_CALL, self._run_single_call)
         server.handle(SHOW_PROGRAM, self._show_program)
         server.handle(END_PROGRAM, self._end_program)
+        server.handle(ADOPT_CHILD, self._adopt_child)
+        server.handle(END_CHILD, self._end_child)
         server.handle(DRAIN, self._drain)
 
     def _commit_interval_s(self) -> float:
@@ -234,7 +268,7 @@
             SHARDS.set(len(self._keeper.owned))
 
     async def _start_program(self, request: Any, emit: Emit) -> Any:
-        created = await self.calls.start_program(
+        created = await self.lifecycle.start(
             _requester(request.caller),
             request.program,
             agent=request.agent,
@@ -274,11 +308,21 @@
         return messages.ProgramDocument(document=msgspec.json.encode(found))
 
     async def _end_program(self, request: Any, emit: Emit) -> Any:
-        await self.calls.end_program(
+        await self.lifecycle.end(
             _requester(request.caller), request.program, request.reason
         )
         return messages.Empty()
 
+    async def _adopt_child(self, request: Any, emit: Emit) -> Any:
+        requester = _requester(request.caller)
+        await self.lifecycle.adopt(requester, request.parent, request.child)
+        return messages.Empty()
+
+    async def _end_child(self, request: Any, emit: Emit) -> Any:
+        requester = _requester(request.caller)
+        await self.lifecycle.end_child(requester, request.parent, request.child)
+        return messages.Empty()
+
     async def _drain(self, request: Any, emit: Emit) -> Any:
         if request.leaving:
             await self.leave()
@@ -290,7 +334,10 @@
 
 
 def _text_emitter(emit: Emit) -> Any:
-    return lambda index, text: emit(messages.CallPart(index=index, text=text))
+    def _emit_text(generation: str, index: int, text: str) -> None:
+        emit(messages.CallPart(index=index, text=text, generation=generation))
+
+    return _emit_text
 
 
 def _answer_message(answer: Any) -> Any:
@@ -325,6 +372,7 @@
             objects=objects,
             client=client,
             view=view,
+            peers=peers,
         )
         server = PeerServer()
         scheduler.register(server)
@@ -337,7 +385,7 @@
             health_routes(lambda: bool(scheduler.keeper.owned))
         )
         async with (
-            background(view_loop, scheduler.keeper.run()),
+            background(view_loop, scheduler.keeper.run(), scheduler.lifecycle.run()),
             http_server(app, host, settings.scheduler.metrics_port),
         ):
             await _until_stop(scheduler, stopping)
--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -189,6 +189,7 @@
         missing = 0 if is_cached else order.prefix_tokens
         self.recomputed_tokens += missing
         await asyncio.sleep((missing + new_tokens) / self._prefill_tokens_per_s)
+        emit(encode_event(Event("start", msgspec.json.encode(order.call_id))))
         words = []
         for index in range(order.max_tokens):
             if order.call_id in self._cancelled:
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,111 @@
+"""What is sent to endpoints, and what is believed of their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+import msgspec
+
+from carobspur.endpoints import (
+    CALL_ID_HEADER,
+    Endpoints,
+    GenerateRequest,
+    GenerateResult,
+    ToolOrder,
+)
+from carobspur.errors import EndpointTimeoutError
+from carobspur.http import CurlClient, HttpError, HttpRequest, HttpResponse
+from carobspur.sse import Event, encode_event
+from carobspur.verdict import MAY_HAVE_RUN
+
+
+class _Server:
+    """Answers a connection's first request, and ends the connection at its second."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for is_answered in (True, False):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+            except asyncio.IncompleteReadError:
+                break
+            self.requests += 1
+            if is_answered:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+
+async def _send_twice(*, send_once: bool) -> int:
+    server = _Server()
+    listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    port = listening.sockets[0].getsockname()[1]
+    client = CurlClient()
+    request = HttpRequest(
+        "POST", f"http://127.0.0.1:{port}/", body=b"{}", send_once=send_once
+    )
+    try:
+        await client.fetch(HttpRequest("POST", request.url, body=b"{}"))
+        await client.fetch(request)
+    except HttpError:
+        pass
+    finally:
+        client.close()
+        listening.close()
+    return server.requests
+
+
+class _Answering:
+    """HTTP client that gives one answer."""
+
+    def __init__(self, respond: Callable[[HttpRequest], HttpResponse]) -> None:
+        self._respond = respond
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        return self._respond(request)
+
+
+class SendOnceTest(unittest.TestCase):
+    def test_curl_sends_again_where_a_kept_connection_ends(self) -> None:
+        self.assertEqual(asyncio.run(_send_twice(send_once=False)), 3)
+
+    def test_call_that_may_not_be_repeated_is_sent_once(self) -> None:
+        self.assertEqual(asyncio.run(_send_twice(send_once=True)), 2)
+
+
+class CrossedAnswerTest(unittest.TestCase):
+    def test_tool_that_answers_another_call(self) -> None:
+        endpoints = Endpoints(
+            _Answering(lambda _: HttpResponse(200, b"{}", {CALL_ID_HEADER: "p2.1"}))
+        )
+        with self.assertRaises(EndpointTimeoutError) as caught:
+            asyncio.run(endpoints.run("http://x", ToolOrder("p1.1", 1, b"{}", 1.0)))
+        self.assertEqual(caught.exception.verdict, MAY_HAVE_RUN)
+
+    def test_engine_that_answers_another_call(self) -> None:
+        result = GenerateResult("w0", 1, 1, 0, call_id="p2.1")
+
+        def _respond(request: HttpRequest) -> HttpResponse:
+            data = msgspec.json.encode(result)
+            request.on_data(encode_event(Event("done", data)))
+            return HttpResponse(200, b"")
+
+        order = GenerateRequest("p1.1", "p1", "model", "", 0, "", "hello", 1)
+        with self.assertRaises(EndpointTimeoutError):
+            asyncio.run(
+                Endpoints(_Answering(_respond)).generate(
+                    "http://x", order, timeout_s=1.0, on_text=lambda text: None
+                )
+            )
+
+    def test_answer_that_is_not_json_reaches_the_caller_whole(self) -> None:
+        endpoints = Endpoints(_Answering(lambda _: HttpResponse(200, b"paid: 5")))
+        order = ToolOrder("p1.1", 1, b"{}", 1.0)
+        answer = asyncio.run(endpoints.run("http://x", order))
+        self.assertEqual(msgspec.json.decode(answer), "paid: 5")
--- a/tests/world.py
+++ b/tests/world.py
@@ -274,6 +274,7 @@
             objects=objects,
             client=client,
             view=view,
+            peers=self.peers,
         )
         server = PeerServer()
         scheduler.register(server)
@@ -296,7 +297,7 @@
         view.on_change = scheduler.take_view
         await scheduler.open(settings.scheduler.port)
         loops = [control.run(), control.run_load(), view.run(), entry_view.run()]
-        loops.append(scheduler.keeper.run())
+        loops += [scheduler.keeper.run(), scheduler.lifecycle.run()]
         node.tasks = [asyncio.ensure_future(item) for item in loops]
         return node
 
