Budgets: windows never go back, draws ahead, grants returned, retries paid for

Cause: under clocks that differ a scheduler flipped between two windows and forgot what it had used; a draw computed its need before it entered a later window; a lower allowance left old grants valid; two allowances of one owner and window shared an account; repeated sends of a call were paid once; a draw's commit lay on the path of calls; a draw left by its caller lost its result.

Repeated sends are now limited to a tenth of first sends of an endpoint.

--- a/src/carobspur/budgets.py
+++ b/src/carobspur/budgets.py
@@ -1,27 +1,37 @@
 """Budgets by grants: no allowance is exceeded, whichever process dies when.
 
 A scheduler draws a bounded part of an allowance, its grant, in a transaction on the
-allowance's row, and spends only from it. What a dead session had drawn counts as
-spent until the window ends: the allowance can be under-used by one grant for each
-death, and is never exceeded.
+allowance's row, and spends only from it. It draws again before the grant is used up,
+so that calls seldom wait for a draw. What a dead session had drawn counts as spent
+until the window ends: the allowance can be under-used by the grants of dead and idle
+sessions, and is never exceeded. A planned stop gives its grants back.
 """
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import quote
 
 import msgspec
 
 from .clock import Clock
-from .errors import BudgetExhaustedError, StoreConflictError
+from .errors import BudgetExhaustedError, CarobspurError, StoreConflictError
 from .inventory import Allowance, Inventory
 from .session import Session
 from .table import ABSENT_VERSION, Check, Table, Write
 
 BUDGET_PREFIX = "budget/"
 MAX_DRAW_TRIES = 20
-GRANTS_PER_ALLOWANCE = 50
+GRANTS_PER_SCHEDULER = 4
+LOW_GRANT_DIVISOR = 2
+IDLE_RETURN_S = 10.0
+RETURN_PERIOD_S = 5.0
+EXHAUSTED_PAUSE_S = 1.0
+
+_logger = logging.getLogger(__name__)
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
@@ -73,7 +83,7 @@
     return BudgetRow(row.window, spent, {**row.open, session: granted})
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Account:
     """One allowance as this scheduler sees it; all amounts in cost units."""
 
@@ -83,28 +93,46 @@
     held: int = 0
     reserved: int = 0
     used: int = 0
+    waiting: int = 0
+    drawn_under: int = 0
+    last_grant: int = 0
+    last_use_s: float = 0.0
+    no_draw_until_s: float = 0.0
+    drawing: asyncio.Task[None] | None = None
 
     @property
     def free(self) -> int:
         return self.held - self.reserved
 
+    @property
+    def is_low(self) -> bool:
+        return self.free < self.last_grant // LOW_GRANT_DIVISOR
+
     def roll(self, window: int) -> None:
-        if window != self.window:
+        """Enter a window; windows never go back, whatever a clock says."""
+        if window > self.window:
             self.window = window
             self.held = 0
             self.used = 0
             self.reserved = 0
 
+    def apply(self, allowance: Allowance) -> None:
+        """Follow a changed allowance; under a lower one the free units are void."""
+        self.allowance = allowance
+        if allowance.units < self.drawn_under:
+            self.held = self.reserved
+            self.drawn_under = allowance.units
+
 
 @dataclass(slots=True)
 class Reservation:
     """Units set aside for one call; settle it once the cost is known."""
 
     units: int
-    _parts: list[tuple[_Account, int]]
+    _parts: list[tuple[_Account, int]] = field(default_factory=list)
 
     def settle(self, used: int) -> None:
-        """Spend part of the units and give back the rest; only once.
+        """Spend part of the units and give back the rest; only the first time.
 
         Args:
             used: Units that the call cost, at most ``units``.
@@ -125,21 +153,38 @@
         table: The table service.
         session: The scheduler's session; draws go with its commits.
         clock: Source of time; windows follow its wall clock.
-        grant_units: Units to draw at once; a small allowance is drawn in smaller
-            parts, so that no single session holds much of it.
+        grant_units: Most units to draw at once; of a small allowance less is drawn,
+            so that the sessions together hold little of it.
+        schedulers: Returns the number of live schedulers.
     """
 
-    __slots__ = ("_accounts", "_clock", "_grant_units", "_locks", "_session", "_table")
+    __slots__ = (
+        "_accounts",
+        "_clock",
+        "_grant_units",
+        "_schedulers",
+        "_session",
+        "_table",
+    )
 
     def __init__(
-        self, *, table: Table, session: Session, clock: Clock, grant_units: int
+        self,
+        *,
+        table: Table,
+        session: Session,
+        clock: Clock,
+        grant_units: int,
+        schedulers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._table = table
         self._session = session
         self._clock = clock
         self._grant_units = grant_units
+        self._schedulers = schedulers
         self._accounts: dict[str, _Account] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
+
+    def __repr__(self) -> str:
+        return f"Budgets({len(self._accounts)} accounts)"
 
     async def reserve(self, inventory: Inventory, user: str, units: int) -> Reservation:
         """Set units aside in every allowance that covers a call.
@@ -154,90 +199,160 @@
                 when its next window starts.
             SessionLostError: The session was taken over.
         """
-        parts: list[tuple[_Account, int]] = []
-        reservation = Reservation(units, parts)
+        reservation = Reservation(units)
         try:
             for account in self._accounts_for(inventory, user):
                 await self._reserve_in(account, units)
-                parts.append((account, account.window))
+                reservation._parts.append((account, account.window))
         except BaseException:
             reservation.settle(0)
             raise
         return reservation
 
+    async def run(self) -> None:
+        """Give back what idle accounts hold until the task is cancelled."""
+        while not self._session.is_lost:
+            await self._clock.sleep(RETURN_PERIOD_S)
+            now_s = self._clock.monotonic()
+            for account in list(self._accounts.values()):
+                is_idle = now_s - account.last_use_s > IDLE_RETURN_S
+                if account.allowance.user == "" and is_idle and account.free > 0:
+                    await self._give_back(account)
+
+    async def release(self) -> None:
+        """Give back every grant; for a planned stop, when no call is under way."""
+        for account in list(self._accounts.values()):
+            if account.free > 0:
+                await self._give_back(account)
+
     def _accounts_for(self, inventory: Inventory, user: str) -> list[_Account]:
-        found = []
+        """Return the accounts of a call, the stricter of two allowances for one."""
+        strictest: dict[str, Allowance] = {}
         for allowance in inventory.allowances:
             if allowance.user not in ("", "*", user):
                 continue
-            owner = "" if allowance.user == "" else user
+            owner = "" if allowance.user == "" else quote(user, safe="")
             key = (
                 f"{BUDGET_PREFIX}{inventory.organisation}/{owner}/{allowance.window_s}"
             )
-            account = self._accounts.get(key)
-            if account is None:
-                account = self._accounts[key] = _Account(key, allowance)
-            account.allowance = allowance
-            found.append(account)
-        return found
+            known = strictest.get(key)
+            if known is None or allowance.units < known.units:
+                strictest[key] = allowance
+        return [self._account(key, item) for key, item in strictest.items()]
+
+    def _account(self, key: str, allowance: Allowance) -> _Account:
+        account = self._accounts.get(key)
+        if account is None:
+            account = self._accounts[key] = _Account(key, allowance)
+        account.apply(allowance)
+        return account
 
     async def _reserve_in(self, account: _Account, units: int) -> None:
-        lock = self._locks.setdefault(account.key, asyncio.Lock())
-        async with lock:
-            account.roll(self._window(account.allowance))
-            if account.free < units:
-                await self._draw(account, units - account.free)
-            account.reserved += units
+        account.roll(self._window(account.allowance))
+        account.last_use_s = self._clock.monotonic()
+        if account.waiting or account.free < units:
+            account.waiting += 1
+            try:
+                await self._draw_until(account, units)
+            finally:
+                account.waiting -= 1
+        account.reserved += units
+        self._draw_ahead(account)
+
+    async def _draw_until(self, account: _Account, units: int) -> None:
+        """Draw until units are free; a draw under way is waited for first."""
+        while account.free < units:
+            other = account.drawing
+            if other is not None:
+                await asyncio.wait({other})
+                continue
+            await asyncio.shield(self._start_draw(account, units))
+
+    def _draw_ahead(self, account: _Account) -> None:
+        """Draw before the grant is used up, off the path of any call."""
+        now_s = self._clock.monotonic()
+        may_draw = account.drawing is None and now_s >= account.no_draw_until_s
+        if account.is_low and may_draw:
+            self._start_draw(account, 0)
+
+    def _start_draw(self, account: _Account, units: int) -> asyncio.Task[None]:
+        account.drawing = asyncio.ensure_future(self._draw(account, units))
+        account.drawing.add_done_callback(lambda task: _end_draw(account, task))
+        return account.drawing
 
     def _window(self, allowance: Allowance) -> int:
         return int(self._clock.wall() // allowance.window_s)
 
-    async def _draw(self, account: _Account, need: int) -> None:
+    async def _draw(self, account: _Account, units: int) -> None:
         for _ in range(MAX_DRAW_TRIES):
-            stored = await self._table.read(account.key)
-            row = BudgetRow(account.window)
-            version = ABSENT_VERSION
-            if stored is not None:
-                version = stored.version
-                row = msgspec.json.decode(stored.value, type=BudgetRow)
-            if row.window > account.window:
-                account.roll(row.window)
-            elif row.window < account.window:
-                row = BudgetRow(account.window)
-            if await self._try_draw(account, row, version, need):
+            row, version = await self._read(account)
+            allowance = account.allowance
+            wish = self._wish(account, row)
+            need = max(0, units - account.free)
+            new = draw(
+                row,
+                session=self._session.id,
+                allowance=allowance.units,
+                used=account.used,
+                held=account.held,
+                need=need,
+                wish=max(need, wish),
+            )
+            if new is None or (not units and not wish):
+                account.no_draw_until_s = self._clock.monotonic() + EXHAUSTED_PAUSE_S
+                raise self._exhausted(account)
+            if await self._write(account, new, version):
+                account.drawn_under = allowance.units
                 return
         raise BudgetExhaustedError(
             f"{account.key}: too many schedulers draw at once", retry_after_s=1.0
         )
 
-    async def _try_draw(
-        self, account: _Account, row: BudgetRow, version: int, need: int
-    ) -> bool:
-        units = account.allowance.units
+    async def _give_back(self, account: _Account) -> None:
+        """Shorten a grant to what is reserved; what fails is kept."""
+        try:
+            row, version = await self._read(account)
+            account.held = account.reserved
+            spent = row.spent + account.used
+            grants = {**row.open, self._session.id: account.held}
+            if not account.held:
+                del grants[self._session.id]
+            await self._write(account, BudgetRow(row.window, spent, grants), version)
+        except CarobspurError as error:
+            _logger.info("%s: not given back: %s", account.key, error.message)
+
+    async def _read(self, account: _Account) -> tuple[BudgetRow, int]:
+        """Return an account's row in the later of its and the account's window."""
+        stored = await self._table.read(account.key)
+        if stored is None:
+            return BudgetRow(account.window), ABSENT_VERSION
+        row = msgspec.json.decode(stored.value, type=BudgetRow)
+        account.roll(row.window)
+        if row.window < account.window:
+            row = BudgetRow(account.window)
+        return row, stored.version
+
+    def _wish(self, account: _Account, row: BudgetRow) -> int:
+        """Return a grant that leaves most of what is left to the other sessions."""
+        left = account.allowance.units - row.committed
+        share = left // (GRANTS_PER_SCHEDULER * max(1, self._schedulers()))
+        return max(0, min(self._grant_units, share))
+
+    async def _write(self, account: _Account, row: BudgetRow, version: int) -> bool:
+        """Write a row; return whether nobody else did so first."""
         used, held = account.used, account.held
-        grant = min(self._grant_units, units // GRANTS_PER_ALLOWANCE)
-        new = draw(
-            row,
-            session=self._session.id,
-            allowance=units,
-            used=used,
-            held=held,
-            need=need,
-            wish=max(need, grant),
-        )
-        if new is None:
-            raise self._exhausted(account)
-        window = account.window
         try:
             await self._session.commit(
                 checks=[Check(account.key, version)],
-                writes=[Write(account.key, msgspec.json.encode(new))],
+                writes=[Write(account.key, msgspec.json.encode(row))],
             )
         except StoreConflictError:
             return False
-        if account.window == window:
+        if account.window == row.window:
+            grant = row.open.get(self._session.id, 0) - held
             account.used -= used
-            account.held += new.open[self._session.id] - held
+            account.held += grant
+            account.last_grant = grant or account.last_grant
         return True
 
     def _exhausted(self, account: _Account) -> BudgetExhaustedError:
@@ -248,3 +363,9 @@
             f"the allowance of {owner} does not cover this call",
             retry_after_s=max(1.0, wait_s),
         )
+
+
+def _end_draw(account: _Account, task: asyncio.Task[None]) -> None:
+    account.drawing = None
+    if not task.cancelled():
+        task.exception()
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from .clock import Clock
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
-from .errors import CallError, NotFoundError, SessionLostError
+from .errors import CallError, NotFoundError, RefusedError, SessionLostError
 from .fencing import FencingNumbers
 from .holder import CacheHolder
 from .inventory import Inventory
@@ -25,7 +25,7 @@
 from .outage import COMMIT_LIMIT_S, OutageGuard
 from .pool import EndpointPool, EndpointState
 from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
-from .retry import Backoff
+from .retry import Backoff, RetryBudgets
 from .routing import RouteRequest
 from .running import RunningCall
 from .session import Session
@@ -100,6 +100,19 @@
         return 0
 
 
+@dataclass(frozen=True, slots=True)
+class Price(Generic[Result]):
+    """Cost units of one sending of a call.
+
+    Attributes:
+        most: The most that it can cost.
+        of: Returns what it cost, from its result.
+    """
+
+    most: int
+    of: Callable[[Result], int]
+
+
 @dataclass(frozen=True, slots=True)
 class Toolbox:
     """Parts of the scheduler that kinds of calls use.
@@ -114,6 +127,7 @@
         holder: Keeps and releases engines' caches.
         data_centre: Where the scheduler stands.
         fences: Fencing numbers of what is sent.
+        retries: Limits repeated sends.
         outage: Tells whether the table answers.
     """
 
@@ -126,6 +140,7 @@
     holder: CacheHolder
     data_centre: str
     fences: FencingNumbers
+    retries: RetryBudgets
     outage: OutageGuard
 
     @asynccontextmanager
@@ -172,6 +187,7 @@
         route: RouteRequest,
         candidates: list[EndpointState],
         send_to: Callable[[EndpointState], Awaitable[Result]],
+        price: Price[Result],
     ) -> tuple[Result, EndpointState]:
         """Send a repeatable call, to another endpoint after a failure.
 
@@ -180,6 +196,7 @@
             route: What the routing policy is told of it.
             candidates: Endpoints that serve it.
             send_to: Sends it to one endpoint.
+            price: What each sending costs.
 
         Returns:
             The result and the endpoint that gave it.
@@ -188,17 +205,51 @@
             CallError: The last endpoint's failure.
         """
         backoff = Backoff()
-        attempt = 0
-        while True:
-            attempt += 1
+        name = context.request.endpoint
+        self.retries.note_send(name)
+        failed: CallError | None = None
+        tried: list[EndpointState] = []
+        for _ in range(MAX_SENDS):
+            others = [item for item in candidates if item not in tried]
             try:
-                async with self.slot(context, route, candidates) as endpoint:
-                    return await self.observed(endpoint, send_to(endpoint)), endpoint
+                return await self._send_once(
+                    context, route, others or candidates, send_to, price, tried
+                )
+            except RefusedError as error:
+                raise (failed or error) from error
             except CallError as error:
-                if error.verdict == RAN or attempt == MAX_SENDS:
-                    raise
-            candidates = [c for c in candidates if c is not endpoint] or candidates
+                failed = error
+            if failed.verdict == RAN or not self.retries.may_repeat(name):
+                break
             await self.clock.sleep(backoff.next_s())
+        raise failed
+
+    async def _send_once(
+        self,
+        context: CallContext,
+        route: RouteRequest,
+        candidates: list[EndpointState],
+        send_to: Callable[[EndpointState], Awaitable[Result]],
+        price: Price[Result],
+        tried: list[EndpointState],
+    ) -> tuple[Result, EndpointState]:
+        """Reserve the most that one sending can cost, send, and pay what it cost.
+
+        Raises:
+            CallError: The sending failed; where it may have run, it is paid in full.
+        """
+        async with (
+            self.reserved(context, price.most) as reservation,
+            self.slot(context, route, candidates) as endpoint,
+        ):
+            tried.append(endpoint)
+            try:
+                result = await self.observed(endpoint, send_to(endpoint))
+            except CallError as error:
+                reservation.settle(0 if error.verdict == NOT_RUN else price.most)
+                raise
+            reservation.settle(min(price.most, price.of(result)))
+        return result, endpoint
 
     async def observed(
         self, endpoint: EndpointState, sending: Awaitable[Result]
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -15,7 +15,7 @@
     extend_prefix_key,
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
-from ..execution import CallContext, Toolbox
+from ..execution import CallContext, Price, Toolbox
 from ..history import ModelHistory, model_history
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
@@ -47,14 +47,11 @@
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
-        most = _cost(model, new_tokens, content.max_tokens)
-        async with self._tools.reserved(context, most) as reservation:
-            result, engine = await self._generate(context, model, content, history)
-            cost = min(most, _cost(model, new_tokens, result.output_tokens))
-            reservation.settle(cost)
+        price = _price(model, new_tokens, content.max_tokens)
+        result, engine = await self._generate(context, model, content, history, price)
         outcome = CallOutcome(
             output=msgspec.json.encode(result).decode(),
-            cost_units=cost,
+            cost_units=min(price.most, price.of(result)),
             input_tokens=new_tokens,
             output_tokens=result.output_tokens,
             engine=engine.address,
@@ -73,6 +70,7 @@
         model: Model,
         content: ModelInput,
         history: ModelHistory,
+        price: Price[GenerateResult],
     ) -> tuple[GenerateResult, EndpointState]:
         route = RouteRequest(
             program=context.program.id,
@@ -100,7 +98,7 @@
             return await self._generate_on(engine, context, order, history, model)
 
         candidates = self._tools.pool.engines(context.inventory, model.name)
-        return await self._tools.send(context, route, candidates, _send_to)
+        return await self._tools.send(context, route, candidates, _send_to, price)
 
     async def _generate_on(
         self,
@@ -168,8 +166,16 @@
     return model
 
 
-def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
-    return input_tokens * model.input_cost + output_tokens * model.output_cost
+def _price(model: Model, new_tokens: int, max_tokens: int) -> Price[GenerateResult]:
+    """Return what one sending costs: new tokens read and tokens generated.
+
+    History that an engine reads again is the pool's cost and not the caller's.
+    """
+
+    def _cost(output_tokens: int) -> int:
+        return new_tokens * model.input_cost + output_tokens * model.output_cost
+
+    return Price(_cost(max_tokens), lambda result: _cost(result.output_tokens))
 
 
 def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
--- a/src/carobspur/plugins/calls_service.py
+++ b/src/carobspur/plugins/calls_service.py
@@ -4,7 +4,7 @@
 
 from ..endpoints import ToolOrder
 from ..errors import NotFoundError
-from ..execution import CallContext, Toolbox, with_cost
+from ..execution import CallContext, Price, Toolbox, with_cost
 from ..inventory import Service
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
@@ -34,14 +34,13 @@
         async def _send_to(endpoint: EndpointState) -> str:
             return await self._tools.endpoints.run(endpoint.address, order)
 
-        async with self._tools.reserved(context, service.cost) as reservation:
-            output, endpoint = await self._tools.send(
-                context,
-                service_route(context, service, self._tools),
-                self._tools.pool.replicas(service),
-                _send_to,
-            )
-            reservation.settle(service.cost)
+        output, endpoint = await self._tools.send(
+            context,
+            service_route(context, service, self._tools),
+            self._tools.pool.replicas(service),
+            _send_to,
+            Price(service.cost, lambda _: service.cost),
+        )
         outcome = CallOutcome(output=output, engine=endpoint.address)
         return await self._tools.finish(context, with_cost(outcome, service.cost))
 
--- a/src/carobspur/retry.py
+++ b/src/carobspur/retry.py
@@ -1,4 +1,4 @@
-"""Delays between repeated sends."""
+"""Delays between repeated sends, and how many of them there may be."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 FIRST_DELAY_S = 0.02
 MAX_DELAY_S = 2.0
+REPEATS_PER_SEND = 0.1
+MAX_SAVED_REPEATS = 10.0
 
 
 class Backoff:
@@ -32,3 +34,39 @@
         delay_s = random.uniform(0, self._bound_s)
         self._bound_s = min(2 * self._bound_s, self._max_s)
         return delay_s
+
+
+class RetryBudgets:
+    """Limits repeated sends to a share of first sends, for each endpoint.
+
+    An endpoint that fails as a whole then gets little more than its ordinary load.
+
+    Args:
+        share: Repeated sends that each first send allows.
+        most_saved: Repeated sends that may be saved up; each endpoint starts so.
+    """
+
+    __slots__ = ("_left", "_most_saved", "_share")
+
+    def __init__(
+        self,
+        *,
+        share: float = REPEATS_PER_SEND,
+        most_saved: float = MAX_SAVED_REPEATS,
+    ) -> None:
+        self._share = share
+        self._most_saved = most_saved
+        self._left: dict[str, float] = {}
+
+    def note_send(self, endpoint: str) -> None:
+        """Take note of a first send."""
+        left = self._left.get(endpoint, self._most_saved)
+        self._left[endpoint] = min(self._most_saved, left + self._share)
+
+    def may_repeat(self, endpoint: str) -> bool:
+        """Return whether a call may be sent again, and count it."""
+        left = self._left.get(endpoint, self._most_saved)
+        if left < 1:
+            return False
+        self._left[endpoint] = left - 1
+        return True
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -46,6 +46,7 @@
 )
 from .pool import EndpointPool, LoadReport
 from .programs import ProgramBook
+from .retry import RetryBudgets
 from .session import Session
 from .settings import Settings
 from .shards import ShardKeeper
@@ -95,6 +96,7 @@
         self._keeper: ShardKeeper | None = None
         self._ownership: Ownership | None = None
         self._lifecycle: Lifecycle | None = None
+        self._budgets: Budgets | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
 
@@ -181,7 +183,9 @@
             session=session,
             clock=self._clock,
             grant_units=options.grant_units,
+            schedulers=lambda: len(self._view.sessions),
         )
+        self._budgets = budgets
         tools = Toolbox(
             clock=self._clock,
             session=session,
@@ -192,6 +196,7 @@
             holder=holder,
             data_centre=self._settings.instance.data_centre,
             fences=FencingNumbers(session.epoch),
+            retries=RetryBudgets(),
             outage=OutageGuard(session, self._clock, options.lease_s),
         )
         self._ownership = Ownership(
@@ -234,6 +239,10 @@
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
 
+    async def run(self) -> None:
+        """Do what is due from time to time until the task is cancelled."""
+        await asyncio.gather(self.lifecycle.run(), self._budgets.run())
+
     async def leave(self) -> None:
         """Hand everything over to others and end the session."""
         if self._keeper is None or self._session is None:
@@ -242,6 +251,7 @@
             await asyncio.wait_for(self._keeper.leave(), DRAIN_LIMIT_S)
         except (TimeoutError, SessionLostError) as error:
             _logger.warning("not everything was handed over: %r", error)
+        await self._budgets.release()
         await self._session.close()
 
     def register(self, server: PeerServer) -> None:
@@ -392,7 +402,7 @@
             health_routes(lambda: bool(scheduler.keeper.owned))
         )
         async with (
-            background(view_loop, scheduler.keeper.run(), scheduler.lifecycle.run()),
+            background(view_loop, scheduler.keeper.run(), scheduler.run()),
             http_server(app, host, settings.scheduler.metrics_port),
         ):
             await _until_stop(scheduler, stopping)
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,209 @@
+"""Budgets by grants: nothing is billed beyond an allowance, whatever fails."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from carobspur.budgets import Budgets
+from carobspur.clock import LoopClock
+from carobspur.errors import BudgetExhaustedError, SessionLostError
+from carobspur.inventory import Allowance, Inventory
+from carobspur.retry import RetryBudgets
+from carobspur_standins.table import MemoryTable
+
+from .virtual import WALL_START_S, run_virtual
+
+SEEDS = 60
+STEPS = 150
+WINDOW_S = 60
+
+
+class _Clock(LoopClock):
+    """A clock whose wall time is off by some seconds."""
+
+    skew_s = 0.0
+
+    def wall(self) -> float:
+        return super().wall() + self.skew_s
+
+
+@dataclass
+class _Session:
+    """Commits slowly; one that has died commits, and never hears of it."""
+
+    id: str
+    table: MemoryTable
+    is_lost: bool = False
+
+    async def commit(self, records: Any = (), *, checks: Any, writes: Any) -> int:
+        await asyncio.sleep(random.uniform(0, 0.2))
+        if self.is_lost and random.random() < 0.5:
+            raise SessionLostError("lost")
+        version = await self.table.commit(list(checks), list(writes))
+        await asyncio.sleep(random.uniform(0, 0.2))
+        if self.is_lost:
+            raise SessionLostError("lost")
+        return version
+
+
+@dataclass
+class _Run:
+    """Several schedulers that spend one organisation's allowances."""
+
+    table: MemoryTable = field(default_factory=MemoryTable)
+    units: int = 1000
+    highest: int = 1000
+    billed: Counter[tuple[str, int]] = field(default_factory=Counter)
+    refused: int = 0
+    schedulers: list[tuple[_Session, Budgets]] = field(default_factory=list)
+    made: int = 0
+
+    def add(self) -> None:
+        self.made += 1
+        session = _Session(f"s{self.made}", self.table)
+        clock = _Clock(wall_start_s=WALL_START_S)
+        clock.skew_s = random.choice([0.0, 0.0, 3.0, -3.0])
+        budgets = Budgets(
+            table=self.table,
+            session=session,
+            clock=clock,
+            grant_units=300,
+            schedulers=lambda: 3,
+        )
+        self.schedulers.append((session, budgets))
+
+    def inventory(self) -> Inventory:
+        return Inventory(
+            "org",
+            allowances=[
+                Allowance(self.units, WINDOW_S),
+                Allowance(self.units * 2, WINDOW_S),
+                Allowance(self.units // 2, WINDOW_S, "*"),
+            ],
+        )
+
+    async def call(self, session: _Session, budgets: Budgets) -> None:
+        user, most = random.choice("ab"), random.randint(1, 60)
+        try:
+            reservation = await budgets.reserve(self.inventory(), user, most)
+        except BudgetExhaustedError:
+            self.refused += 1
+            return
+        except SessionLostError:
+            return
+        parts = [(a.key, window) for a, window in reservation._parts]
+        await asyncio.sleep(random.uniform(0, 5))
+        used = random.choice([0, most // 2, most])
+        for part in parts:
+            self.billed[part] += used
+        if not session.is_lost:
+            reservation.settle(used)
+
+    async def step(self) -> None:
+        match random.randrange(20):
+            case 0:
+                session, _ = self.schedulers.pop(0)
+                session.is_lost = True
+                self.add()
+            case 1:
+                session, budgets = self.schedulers.pop(0)
+                await asyncio.sleep(6)
+                await budgets.release()
+                session.is_lost = True
+                self.add()
+            case 2:
+                await asyncio.sleep(random.uniform(0, WINDOW_S))
+            case 3:
+                self.units = random.choice([400, 1000])
+            case _:
+                asyncio.ensure_future(self.call(*random.choice(self.schedulers)))
+                await asyncio.sleep(random.uniform(0, 0.5))
+
+    async def play(self) -> Counter[tuple[str, int]]:
+        for _ in range(3):
+            self.add()
+        for _ in range(STEPS):
+            await self.step()
+        await asyncio.sleep(10)
+        return self.billed
+
+
+class NeverExceededTest(unittest.TestCase):
+    def test_deaths_lost_answers_windows_and_changes(self) -> None:
+        exceeded, refused, calls = [], 0, 0
+        for seed in range(SEEDS):
+            run = _Run()
+            billed = run_virtual(run.play, seed=seed)
+            refused += run.refused
+            calls += len(billed)
+            for (key, window), units in billed.items():
+                limit = 1000 if "//" in key else 500
+                if units > limit:
+                    exceeded.append((seed, key, window, units))
+        self.assertEqual(exceeded, [])
+        self.assertGreater(refused, 0)
+
+
+class GrantTest(unittest.TestCase):
+    def test_calls_seldom_wait_for_a_draw(self) -> None:
+        async def scenario() -> tuple[int, int]:
+            run = _Run(units=100_000)
+            run.add()
+            session, budgets = run.schedulers[0]
+            loop = asyncio.get_event_loop()
+            waits = 0
+            for _ in range(200):
+                start_s = loop.time()
+                reservation = await budgets.reserve(run.inventory(), "a", 10)
+                waits += loop.time() > start_s
+                reservation.settle(10)
+                await asyncio.sleep(0.1)
+            return waits, run.table.commits
+
+        waits, commits = run_virtual(scenario)
+        self.assertLessEqual(waits, 2)
+        self.assertLess(commits, 50)
+
+    def test_planned_stop_gives_everything_back(self) -> None:
+        async def scenario() -> None:
+            run = _Run()
+            run.add()
+            _, budgets = run.schedulers[0]
+            (await budgets.reserve(run.inventory(), "a", 30)).settle(20)
+            await asyncio.sleep(1)
+            await budgets.release()
+            for row in run.table.rows:
+                content = msgspec.json.decode(row.value)
+                self.assertEqual((content["spent"], content["open"]), (20, {}))
+
+        run_virtual(scenario)
+
+    def test_lower_allowance_holds_from_the_next_call_on(self) -> None:
+        async def scenario() -> None:
+            run = _Run(units=10_000)
+            run.add()
+            _, budgets = run.schedulers[0]
+            (await budgets.reserve(run.inventory(), "a", 10)).settle(10)
+            run.units = 25
+            with self.assertRaises(BudgetExhaustedError):
+                await budgets.reserve(run.inventory(), "a", 20)
+
+        run_virtual(scenario)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_repeats_are_a_share_of_first_sends(self) -> None:
+        budgets = RetryBudgets(share=0.1, most_saved=5)
+        repeats = 0
+        for _ in range(1000):
+            budgets.note_send("tool")
+            repeats += budgets.may_repeat("tool")
+        self.assertLessEqual(repeats, 105)
+        self.assertGreaterEqual(repeats, 95)
--- a/tests/world.py
+++ b/tests/world.py
@@ -306,7 +306,7 @@
             view.run(),
             entry_view.run(),
         ]
-        loops += [scheduler.keeper.run(), scheduler.lifecycle.run()]
+        loops += [scheduler.keeper.run(), scheduler.run()]
         node.tasks = [asyncio.ensure_future(item) for item in loops]
         return node
 
