--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -37,10 +37,12 @@
     ProgramBook,
     ProgramReport,
     Replay,
+    ReplaySpilled,
     RunNext,
     SettleIntent,
     StoredCall,
     admit_call,
+    replay,
     report,
 )
 from .running import OnText, RunningCall
@@ -133,13 +135,18 @@
         )
         return await self.run_call(request, on_text)
 
-    def show(
+    async def _spilled(self, program: Program, number: int, digest: str) -> Replay:
+        stored = await self._tools.histories.call(program, number)
+        return replay(program, stored, digest)
+
+    async def show(
         self, requester: Requester, program: str, *, with_history: bool
     ) -> ProgramReport:
         """Return what a caller is told of a program."""
         self._ownership.require(program)
         found = self._program(requester, program)
-        return report(found, with_history=with_history)
+        history = await self._tools.histories.calls(found) if with_history else []
+        return report(found, history=history)
 
     async def _run_admitted(
         self, request: CallRequest, on_text: OnText | None
@@ -153,6 +160,8 @@
         program = self._program(request.requester, request.program)
         if running is None:
             admission = admit_call(program, request.number, digest)
+            if isinstance(admission, ReplaySpilled):
+                admission = await self._spilled(program, request.number, digest)
             if isinstance(admission, Replay):
                 return _answer(admission.call, is_replayed=True)
             running = self._launch(program, request, digest, admission)
@@ -166,7 +175,9 @@
         program = self._own_program(request)
         if program is None or not 1 <= request.number < program.next_number:
             return False
-        return program.calls[request.number - 1].digest == digest
+        if request.number <= program.spilled:
+            return True
+        return program.stored(request.number).digest == digest
 
     def _judged(self, request: CallRequest, error: CarobspurError) -> CarobspurError:
         """Return an error whose "not run" is true of every sending of the call.
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 import fire
@@ -37,10 +37,14 @@
 from .operators import operator_routes
 from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer, peer_client
 from .settings import Settings
+from .sweep import SWEEP_PERIOD_S, CacheSweep
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
+from .view import VIEW_PERIOD_S
 
 LIVE_LIST_READS_PER_S = 50.0
+NOT_ASKED_S = 1.0
+STOP_LIMIT_S = 90.0
 
 _logger = logging.getLogger(__name__)
 
@@ -77,6 +81,7 @@
         self._loads = LoadReports()
         self._listed: list[ListedInstance] = []
         self._listed_s = float("-inf")
+        self._asked_s = float("-inf")
         self._heartbeats = Heartbeats(settings.instance.id)
         self._gossip = Gossip(random.Random(settings.instance.id))
         self._rounds = GossipRounds(
@@ -98,6 +103,7 @@
             reports=self._loads,
             on_loads=self._publish_loads,
         )
+        self._sweep = CacheSweep(client, peers, shards=settings.scheduler.shards)
         self._reader = TableReader(
             table=table,
             configuration=self._configuration,
@@ -171,6 +177,7 @@
         """Serve the peer methods of a control process."""
 
         async def _get_view(request: Any, emit: Emit) -> Any:
+            self._asked_s = self._clock.monotonic()
             return self.view(request)
 
         async def _gossip(request: Any, emit: Emit) -> Any:
@@ -198,6 +205,10 @@
         )
         await write_instance(self._table, row)
 
+    def loops(self) -> list[Coroutine[Any, Any, None]]:
+        """Return everything that runs until it is cancelled."""
+        return [self.run(), self.run_gossip(), self.run_load(), self.run_sweep()]
+
     async def run(self) -> None:
         """Follow the table, where it is this process's turn, until cancelled."""
         is_announced = False
@@ -226,6 +237,16 @@
             await self.ask_loads()
             await self._clock.sleep(self._load_period_s)
 
+    async def run_sweep(self) -> None:
+        """Sweep the caches of engines until the task is cancelled."""
+        while True:
+            await self._clock.sleep(SWEEP_PERIOD_S)
+            await self._sweep.sweep(
+                self._loads.first_asked,
+                self._view.sessions.values,
+                self._view.shard_owners.values,
+            )
+
     async def follow(self) -> None:
         """Read the table if it is this process's turn, or what gossip left out."""
         await self._poll_live_list()
@@ -289,6 +310,17 @@
     def _load_period_s(self) -> float:
         return self._loads.ask_period_s(self._settings.control.poll_s)
 
+    async def until_not_asked(self) -> None:
+        """Wait until the other processes of the instance have ended, up to a limit.
+
+        They finish what is under way, and must learn of shards that move.
+        """
+        started_s = self._clock.monotonic()
+        while self._clock.monotonic() - started_s < STOP_LIMIT_S:
+            if self._clock.monotonic() - self._asked_s > NOT_ASKED_S:
+                return
+            await self._clock.sleep(VIEW_PERIOD_S)
+
     def _take_items(self) -> None:
         items = self._gossip.arrived()
         if not items:
@@ -364,11 +396,12 @@
             [*health_routes(lambda: control.is_current), *operator_routes(control)]
         )
         async with (
-            background(control.run(), control.run_gossip(), control.run_load()),
+            background(*control.loops()),
             http_server(app, host, settings.control.port),
         ):
             await stopping.wait()
             await _announce_leaving(control)
+            await control.until_not_asked()
         server.stop()
         server.close_connections()
     client.close()
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -15,10 +15,11 @@
 
 from .budgets import Budgets, Reservation
 from .clock import Clock
-from .dispatch import Dispatcher
+from .dispatch import Dispatcher, Urgency
 from .endpoints import Endpoints
 from .errors import CallError, NotFoundError, RefusedError, SessionLostError
 from .fencing import FencingNumbers
+from .history import Histories
 from .holder import CacheHolder
 from .inventory import Inventory
 from .journal import CallFinished, CallIntended, CallOutcome, Record
@@ -39,6 +40,7 @@
 )
 
 MAX_SENDS = 3
+FIRST_WAIT_SHARE = 0.2
 
 Result = TypeVar("Result")
 
@@ -125,6 +127,7 @@
         pool: Endpoints.
         endpoints: Client of the endpoints.
         holder: Keeps and releases engines' caches.
+        histories: Reads programs' histories.
         data_centre: Where the scheduler stands.
         fences: Fencing numbers of what is sent.
         retries: Limits repeated sends.
@@ -138,6 +141,7 @@
     pool: EndpointPool
     endpoints: Endpoints
     holder: CacheHolder
+    histories: Histories
     data_centre: str
     fences: FencingNumbers
     retries: RetryBudgets
@@ -173,14 +177,20 @@
         if not candidates:
             raise NotFoundError(f"no endpoint serves {route.model!r}")
         async with self.dispatcher.slot(
-            route,
-            candidates,
-            organisation=context.program.organisation,
-            rank=context.rank,
-            attained_units=context.program.attained_units,
+            route, candidates, urgency=self._urgency(context)
         ) as endpoint:
             yield endpoint
 
+    def _urgency(self, context: CallContext) -> Urgency:
+        program = context.program
+        now_s = self.clock.wall()
+        return Urgency(
+            organisation=program.organisation,
+            rank=context.rank,
+            program_age_s=max(0.0, now_s - program.started_s),
+            max_wait_s=_max_wait_s(context, now_s),
+        )
+
     async def send(
         self,
         context: CallContext,
@@ -302,7 +312,7 @@
         )
         verdict = verdict_from_name(outcome.verdict)
         await self.commit(context, [record], meanwhile=verdict)
-        return context.program.calls[request.number - 1]
+        return context.program.stored(request.number)
 
 
 class CallKind(Protocol):
@@ -324,6 +334,23 @@
         """
 
 
+def _max_wait_s(context: CallContext, now_s: float) -> float | None:
+    """Return the longest predicted wait with which a call is worth taking.
+
+    A program that has run something is stopped by its deadline only: what it used is
+    lost with it. So is a sub-agent. One that has run nothing is refused where its
+    objective is out of reach, which costs nobody anything.
+    """
+    program = context.program
+    most_s = program.deadline_s - now_s if program.deadline_s else None
+    has_run = bool(program.calls or program.parent)
+    if has_run or program.agent == SINGLE_CALL_AGENT:
+        return most_s
+    agent = context.inventory.agent(program.agent)
+    first_s = FIRST_WAIT_SHARE * agent.objective_s
+    return first_s if most_s is None else min(first_s, most_s)
+
+
 def failure_outcome(error: CallError) -> CallOutcome:
     """Return the outcome that stores a failure which is final."""
     return CallOutcome(
--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -26,6 +26,7 @@
 RETRY_AFTER_S = 2.0
 MIN_TIMEOUT_S = 0.05
 MAX_DISCONNECTS = 3
+MAX_FOLLOW_DELAY_S = 0.2
 
 _logger = logging.getLogger(__name__)
 
@@ -96,7 +97,7 @@
                 earlier one may have run the request.
             CarobspurError: The owner's own answer.
         """
-        backoff = Backoff()
+        backoff = Backoff(max_s=MAX_FOLLOW_DELAY_S)
         following = _Following(self._limit_s, method in _CALLS)
         give_up_s = self._clock.monotonic() + timeout_s
         while True:
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -16,13 +16,13 @@
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
 from ..execution import CallContext, Price, Toolbox
-from ..history import ModelHistory, model_history
+from ..history import model_prefix
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
 from ..metrics import PREFIX_TOKENS
 from ..pool import CachedPrefix, EndpointState
-from ..programs import StoredCall
+from ..programs import Prefix, StoredCall
 from ..routing import RouteRequest
 
 
@@ -43,7 +43,7 @@
         """Generate an answer and commit it; see :class:`..execution.CallKind`."""
         model = _model(context)
         content = decode_model_input(context.request.content)
-        history = model_history(context.program, model.name)
+        history = model_prefix(context.program, model.name)
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
@@ -69,9 +69,10 @@
         context: CallContext,
         model: Model,
         content: ModelInput,
-        history: ModelHistory,
+        history: Prefix,
         price: Price[GenerateResult],
     ) -> tuple[GenerateResult, EndpointState]:
+        self._recall_home(context, history)
         route = RouteRequest(
             program=context.program.id,
             model=model.name,
@@ -80,6 +81,8 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
+            can_move=self._can_move(context),
+            weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
             call_id=context.call_id,
@@ -97,27 +100,50 @@
             context.running.restart(str(self._tools.fences.take()))
             return await self._generate_on(engine, context, order, history, model)
 
-        candidates = self._tools.pool.engines(context.inventory, model.name)
+        candidates = self._tools.pool.serving(context.inventory, model.name)
         return await self._tools.send(context, route, candidates, _send_to, price)
 
+    def _recall_home(self, context: CallContext, history: Prefix) -> None:
+        """After a takeover, take the engine of the last turn for the history's home."""
+        program, model = context.program.id, context.request.endpoint
+        if not history.engine or self._tools.pool.home(program, model) is not None:
+            return
+        engine = self._tools.pool.find(history.engine)
+        if engine is not None:
+            now_s = self._tools.clock.monotonic()
+            cached = CachedPrefix(history.key, history.tokens, now_s)
+            self._tools.pool.settle(program, model, engine, cached)
+
+    def _can_move(self, context: CallContext) -> bool:
+        """Return whether an engine that has the history can be asked to export it."""
+        program, model = context.program.id, context.request.endpoint
+        home = self._tools.pool.home(program, model)
+        if home is None:
+            return False
+        return home.breaker.allows(self._tools.clock.monotonic())
+
     async def _generate_on(
         self,
         engine: EndpointState,
         context: CallContext,
         order: GenerateRequest,
-        history: ModelHistory,
+        history: Prefix,
         model: Model,
     ) -> GenerateResult:
         """Send the new part only, and the whole history where it is missing."""
         cached = engine.prefixes.get((order.program, order.model))
         should_have_it = cached is not None and cached.key == history.key
         if history.key and not should_have_it:
-            order = _with_history(order, history)
+            has_come = await self._tools.holder.bring(
+                order.program, order.model, history.key, engine
+            )
+            if not has_come:
+                order = await self._with_history(order, context)
         try:
             result = await self._send(engine, context, order, model)
         except PrefixLostError:
-            engine.prefixes.pop((order.program, order.model), None)
-            order = _with_history(order, history)
+            self._tools.pool.unsettle(order.program)
+            order = await self._with_history(order, context)
             result = await self._send(engine, context, order, model)
         organisation = context.program.organisation
         found = min(result.cached_tokens, history.tokens)
@@ -125,6 +151,13 @@
         PREFIX_TOKENS.labels(organisation, "no").inc(history.tokens - found)
         return result
 
+    async def _with_history(
+        self, order: GenerateRequest, context: CallContext
+    ) -> GenerateRequest:
+        histories = self._tools.histories
+        text = await histories.text(context.program, order.model)
+        return msgspec.structs.replace(order, history=text)
+
     async def _send(
         self,
         engine: EndpointState,
@@ -143,7 +176,7 @@
         self,
         context: CallContext,
         engine: EndpointState,
-        history: ModelHistory,
+        history: Prefix,
         content: ModelInput,
         result: GenerateResult,
     ) -> None:
@@ -151,10 +184,10 @@
         program, model = context.program, context.request.endpoint
         key = extend_prefix_key(history.key, content.prompt, result.text)
         tokens = history.tokens + count_tokens(content.prompt) + result.output_tokens
-        for other in self._tools.pool:
-            other.prefixes.pop((program.id, model), None)
-        now_s = self._tools.clock.monotonic()
-        engine.prefixes[(program.id, model)] = CachedPrefix(key, tokens, now_s)
+        cached = CachedPrefix(key, tokens, self._tools.clock.monotonic())
+        former = self._tools.pool.settle(program.id, model, engine, cached)
+        if former is not None:
+            self._tools.holder.after_move(program.id, former)
         self._tools.holder.after_call(program, model, engine, key, tokens)
 
 
@@ -176,7 +209,3 @@
         return new_tokens * model.input_cost + output_tokens * model.output_cost
 
     return Price(_cost(max_tokens), lambda result: _cost(result.output_tokens))
-
-
-def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
-    return msgspec.structs.replace(order, history=history.text())
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -21,6 +21,7 @@
 from .fencing import FencingNumbers
 from .forward import Forwarder
 from .health import health_routes
+from .history import Histories
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
 from .kernel import PluginKind, plugin
@@ -38,6 +39,7 @@
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
     START_PROGRAM,
+    SWEEP_CACHE,
     Emit,
     PeerClient,
     PeerServer,
@@ -93,6 +95,7 @@
         self._book = ProgramBook()
         self._pool = EndpointPool()
         self._session: Session | None = None
+        self._holder: CacheHolder | None = None
         self._keeper: ShardKeeper | None = None
         self._ownership: Ownership | None = None
         self._lifecycle: Lifecycle | None = None
@@ -172,7 +175,7 @@
 
     def _build_services(self, session: Session, dispatcher: Dispatcher) -> None:
         options = self._settings.scheduler
-        holder = CacheHolder(
+        self._holder = CacheHolder(
             self._client,
             plugin(PluginKind.HOLDS, options.holds)(),
             self._pool,
@@ -193,7 +196,8 @@
             dispatcher=dispatcher,
             pool=self._pool,
             endpoints=Endpoints(self._client),
-            holder=holder,
+            holder=self._holder,
+            histories=Histories(self._objects),
             data_centre=self._settings.instance.data_centre,
             fences=FencingNumbers(session.epoch),
             retries=RetryBudgets(),
@@ -264,6 +268,7 @@
         server.handle(ADOPT_CHILD, self._adopt_child)
         server.handle(END_CHILD, self._end_child)
         server.handle(DRAIN, self._drain)
+        server.handle(SWEEP_CACHE, self._sweep_cache)
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -321,7 +326,7 @@
         return _answer_message(await self.calls.run_single(call, on_text))
 
     async def _show_program(self, request: Any, emit: Emit) -> Any:
-        found = self.calls.show(
+        found = await self.calls.show(
             self._requester(request.caller),
             request.program,
             with_history=request.with_history,
@@ -344,6 +349,22 @@
         await self.lifecycle.end_child(requester, request.parent, request.child)
         return messages.Empty()
 
+    async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
+        """Release what an engine keeps of own programs that are gone.
+
+        The highest fencing number of all sessions is used, since an engine may keep
+        one for all its senders; a late order costs no more than a recomputed prefix.
+        """
+        gone = [item for item in request.programs if self._is_gone(item)]
+        fence = max((item.epoch for item in self._view.sessions), default=0)
+        if self._holder is not None:
+            self._holder.release(request.address, gone, fence=fence)
+        return messages.CacheSwept(released=len(gone))
+
+    def _is_gone(self, program: str) -> bool:
+        found = self._book.find(program)
+        return self._owns(program) and (found is None or found.ended)
+
     async def _drain(self, request: Any, emit: Emit) -> Any:
         if request.leaving:
             await self.leave()
