--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -71,6 +71,8 @@
 )
 SHOW_PROGRAM = Method("show_program", messages.ShowProgram, messages.ProgramDocument)
 END_PROGRAM = Method("end_program", messages.EndProgram, messages.Empty)
+ADOPT_CHILD = Method("adopt_child", messages.AdoptChild, messages.Empty)
+END_CHILD = Method("end_child", messages.EndChild, messages.Empty)
 DRAIN = Method("drain", messages.Drain, messages.Empty)
 GET_STATUS = Method("get_status", messages.GetStatus, messages.SchedulerStatus)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
@@ -124,6 +126,7 @@
         message=error.message,
         retry_after_s=error.retry_after_s,
         detail=error.detail,
+        proven=error.is_proven,
     )
 
 
@@ -135,6 +138,7 @@
         verdict=verdict_from_name(failure.verdict),
         retry_after_s=failure.retry_after_s,
         detail=failure.detail or "",
+        is_proven=bool(failure.proven),
     )
 
 
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -14,12 +14,15 @@
     CallFinished,
     CallIntended,
     CallOutcome,
+    ChildAdopted,
+    ChildEnded,
     ProgramEnded,
     ProgramStarted,
     Record,
 )
 
 SINGLE_CALL_AGENT = "single-call"
+NEVER_STARTED = "never-started"
 _ID_HEX_DIGITS = 32
 
 
@@ -76,6 +79,8 @@
         end_reason: Why it ended.
         tokens_used: Model tokens over all calls.
         attained_units: Cost units over all calls.
+        children: Ids of its sub-agents that are not known to have ended.
+        fence: Highest fencing number known to have been used for its calls.
     """
 
     id: str
@@ -93,6 +98,8 @@
     end_reason: str = ""
     tokens_used: int = 0
     attained_units: int = 0
+    fence: int = 0
+    children: list[str] = []
 
     @property
     def next_number(self) -> int:
@@ -201,15 +208,16 @@
         return ReplaySpilled()
     if 1 <= number < program.next_number:
         return replay(program, program.stored(number), digest)
+    intent = program.intent
+    if intent is not None and intent.number == number:
+        if intent.digest != digest:
+            raise _conflict(program, f"call {number} had other content")
+        return SettleIntent(intent)
     if program.ended:
         raise ProgramEndedError(f"program {program.id} has ended: {program.end_reason}")
     if number != program.next_number:
         raise _conflict(program, f"call {number} is out of order")
-    if program.intent is None:
-        return RunNext()
-    if program.intent.digest != digest:
-        raise _conflict(program, f"call {number} had other content")
-    return SettleIntent(program.intent)
+    return RunNext()
 
 
 def replay(program: Program, stored: StoredCall, digest: str) -> Replay:
@@ -267,10 +275,6 @@
             raise NotFoundError(f"no program {program!r}")
         return found
 
-    def children(self, program: str) -> list[Program]:
-        """Return the programs that a program started, of those known here."""
-        return [item for item in self._programs.values() if item.parent == program]
-
     def add(self, program: Program) -> None:
         """Take a program from a snapshot."""
         self._programs[program.id] = program
@@ -295,6 +299,10 @@
                 self._abandon(record)
             case ProgramEnded():
                 self._end(record)
+            case ChildAdopted():
+                self._adopt(record)
+            case ChildEnded():
+                self._forget_child(record)
 
     def _start(self, record: ProgramStarted) -> None:
         if record.program in self._programs:
@@ -307,12 +315,14 @@
             started_s=record.started_s,
             parent=record.parent,
             deadline_s=record.deadline_s,
+            ended=record.agent == NEVER_STARTED,
         )
 
     def _intend(self, record: CallIntended) -> None:
         program = self._programs[record.program]
         if record.number == program.next_number:
             program.intent = record
+            program.fence = max(program.fence, record.fence)
 
     def _finish(self, record: CallFinished) -> None:
         program = self._programs[record.program]
@@ -336,6 +346,7 @@
         program = self._programs[record.program]
         if program.intent is not None and program.intent.number == record.number:
             program.intent = None
+        program.fence = max(program.fence, record.fence)
 
     def _end(self, record: ProgramEnded) -> None:
         program = self._programs[record.program]
@@ -343,6 +354,16 @@
             program.ended = True
             program.end_reason = record.reason
 
+    def _adopt(self, record: ChildAdopted) -> None:
+        children = self._programs[record.program].children
+        if record.child not in children:
+            children.append(record.child)
+
+    def _forget_child(self, record: ChildEnded) -> None:
+        children = self._programs[record.program].children
+        if record.child in children:
+            children.remove(record.child)
+
 
 def report(program: Program, *, history: list[StoredCall]) -> ProgramReport:
     """Return what a caller is told of a program, with the calls given."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -203,6 +203,7 @@
         inventory: Inventory | None = None,
         *,
         shards: int = 8,
+        lease_s: float = builders.LEASE_S,
         note: Note = lambda request, response: None,
         engines: dict[str, ModelEngine] | None = None,
         scheduler_options: str = "",
@@ -211,6 +212,7 @@
         self._scheduler_options = scheduler_options
         self.inventory = inventory or builders.an_inventory()
         self._shards = shards
+        self._lease_s = lease_s
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.live_list = MemoryLiveList()
@@ -247,7 +249,10 @@
     async def add_node(self, number: int) -> Node:
         """Start one instance."""
         settings = builders.some_settings(
-            number, shards=self._shards, scheduler_options=self._scheduler_options
+            number,
+            shards=self._shards,
+            lease_s=self._lease_s,
+            scheduler_options=self._scheduler_options,
         )
         gate = Gate()
         client = NodeClient(self.client, gate, self._note)
@@ -273,6 +278,7 @@
             objects=objects,
             client=client,
             view=view,
+            peers=self.peers,
         )
         server = PeerServer()
         scheduler.register(server)
@@ -307,7 +313,7 @@
             view.run(),
             entry_view.run(),
         ]
-        loops.append(scheduler.keeper.run())
+        loops += [scheduler.keeper.run(), scheduler.run()]
         node.tasks = [asyncio.ensure_future(item) for item in loops]
         return node
 
