Process test: a table outage refuses at once with a verdict, and passes

Ruled out: keeping the test back until the fault was mended would have left the fault without one. Before: time-out after 60 s. Conclusion: the outage guard holds with real processes too.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -165,6 +165,20 @@
         codes = [item.popen.wait(LIMIT_S) for item in leaving.processes.values()]
         self.assertEqual(codes, [0, 0, 0])
 
+    def test_table_outage_passes(self) -> None:
+        caller = self.caller(self.running.instances[0])
+        program = caller.start("quote")
+        caller.call(program, 1, "payout", {"pesos": 5})
+        table = self.running.platform["table"]
+        self.fault(table, kind="drop")
+        with self.assertRaises(Refusal) as refused:
+            caller.call(program, 2, "payout", {"pesos": 6})
+        self.assertIn(refused.exception.problem["verdict"], ("not_run", "may_have_run"))
+        self.fault(table, kind="none")
+        answer = eventually(lambda: caller.call(program, 2, "payout", {"pesos": 6}))
+        self.assertEqual(answer["number"], 2)
+        self.assertEqual(self.runs(), [f"{program}.1", f"{program}.2"])
+
     def _is_intended(self, program: str) -> bool:
         table = self.running.platform["table"]
         rows = get_json(f"{table}/v1/rows?prefix=journal%2F")["rows"]
