Busy shards move too: a few at a time take no new calls for a while

Cause: a shard moved only when it had no call under way, which under load never comes: with calls in every shard at all times none would move. An eighth of a holder's shards at a time, for at most the lease time each, takes no new calls; those under way end, then it moves. Claims moved to recovery.py and shard_rows.py. Ruled out: moving a shard with calls under way (their outcomes would need a second owner's commit); all shards at once (every caller would wait).

--- /dev/null
+++ b/experiments/rebalance.py
@@ -0,0 +1,82 @@
+"""Joins under load: moves of shards, time until even, and what callers notice.
+
+A deployment of one instance serves programs that call without a pause; two instances
+join. Run with ``PYTHONPATH=src:. python experiments/rebalance.py``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from tests import builders
+from tests.virtual import run_virtual
+from tests.world import World
+
+from carobspur.placement import first
+from carobspur_standins.app import FaultKind, FaultOrder
+
+SHARDS = 32
+LOADS = ((0.05, 60), (1.0, 20), (1.0, 60))
+GO_ON_S = 40.0
+
+
+async def _call_on(world: World, key: str, gaps: list[float], bad: list[int]) -> None:
+    program = await world.start_program(key, node=1)
+    loop = asyncio.get_running_loop()
+    end_s, number = loop.time() + GO_ON_S, 1
+    while loop.time() < end_s:
+        start_s = loop.time()
+        reply = await world.call(program, number, "vault", {}, node=1)
+        if reply.status == 200:
+            gaps.append(loop.time() - start_s)
+            number += 1
+        else:
+            bad.append(reply.status)
+
+
+def _is_even(world: World) -> bool:
+    nodes = [node.scheduler for node in world.nodes.values()]
+    ids = [item.session.id for item in nodes]
+    return all(
+        first(str(shard), ids) == item.session.id
+        for item in nodes
+        for shard in item.keeper.owned
+    )
+
+
+async def _measure(call_s: float, programs: int) -> str:
+    inventory = builders.an_inventory(max_calls=100_000)
+    world = await World(inventory, shards=SHARDS).start(1)
+    world.client.faults(builders.PLAIN_URL).set(
+        FaultOrder(FaultKind.SLOW, delay_s=call_s, path="/v1/run")
+    )
+    gaps: list[float] = []
+    bad: list[int] = []
+    calling = [
+        asyncio.ensure_future(_call_on(world, f"k{n}", gaps, bad))
+        for n in range(programs)
+    ]
+    await asyncio.sleep(5)
+    before = len(world.nodes[1].scheduler.keeper.owned)
+    for number in (2, 3):
+        await world.add_node(number)
+    try:
+        even_s = await world.until(lambda: _is_even(world), limit_s=GO_ON_S - 10)
+        when = f"even after {even_s:.2f} s"
+    except AssertionError:
+        when = f"not yet even after {GO_ON_S - 10} s"
+    await asyncio.gather(*calling)
+    moved = before - len(world.nodes[1].scheduler.keeper.owned)
+    gaps.sort()
+    return (
+        f"{programs} programs, calls of {call_s} s: {moved} of {before} shards moved, "
+        f"{when}; {len(gaps)} calls, {len(bad)} refused, longest "
+        f"{gaps[-1]:.2f} s, p99 {gaps[int(len(gaps) * 0.99)]:.2f} s"
+    )
+
+
+if __name__ == "__main__":
+    logging.disable(logging.CRITICAL)
+    for load in LOADS:
+        print(run_virtual(lambda given=load: _measure(*given)), flush=True)
--- a/src/carobspur/recovery.py
+++ b/src/carobspur/recovery.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
 
-from .errors import StoreError
+from .errors import StoreError, StoreUnavailableError
 from .journal import Chunk, Record, decode_chunk, journal_prefix
 from .objects import Objects
 from .placement import shard_of
 from .programs import Program, ProgramBook
-from .shard_rows import ShardRow, Span
-from .table import Table
+from .shard_rows import ShardRow, Span, decode_shard, shard_number
+from .table import Row, Table
 
 SNAPSHOT_PREFIX = "snapshot/"
 
+_logger = logging.getLogger(__name__)
+
 
 class Snapshot(msgspec.Struct, frozen=True):
     """State of all programs of a shard at one commit."""
@@ -40,6 +44,27 @@
         self._shards = shards
         self._journals: dict[str, dict[int, list[tuple[int, Record]]]] = {}
 
+    async def recover(self, rows: list[Row]) -> dict[str, list[Program]]:
+        """Return the programs of shards by the keys of their rows.
+
+        A shard whose state is not whole is left out, so that it stops no other.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        self._journals.clear()
+        programs: dict[str, list[Program]] = {}
+        for row in rows:
+            number = shard_number(row.key)
+            try:
+                programs[row.key] = await self.programs(number, decode_shard(row))
+            except StoreUnavailableError:
+                raise
+            except (StoreError, msgspec.MsgspecError) as error:
+                _logger.error("shard %d can't be recovered: %s", number, error)
+        self._journals.clear()
+        return programs
+
     async def programs(self, number: int, row: ShardRow) -> list[Program]:
         """Return the programs of a shard.
 
--- a/src/carobspur/shard_rows.py
+++ b/src/carobspur/shard_rows.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
-from .table import Write
+from .table import ABSENT_VERSION, Row, Table, Write
 
 SHARD_PREFIX = "shard/"
+MAX_SINGLE_READS = 64
 
 
 class Span(msgspec.Struct, frozen=True):
@@ -44,3 +47,25 @@
 def shard_number(key: str) -> int:
     """Return the number of a shard from its row's key."""
     return int(key.removeprefix(SHARD_PREFIX))
+
+
+def decode_shard(row: Row) -> ShardRow:
+    """Read a shard's row."""
+    return msgspec.json.decode(row.value, type=ShardRow)
+
+
+async def read_shards(table: Table, numbers: list[int]) -> list[Row]:
+    """Return the rows of shards; one that is absent has the absent version.
+
+    Raises:
+        StoreUnavailableError: No answer.
+    """
+    wanted = {shard_key(n) for n in numbers}
+    if len(wanted) > MAX_SINGLE_READS:
+        rows = await table.scan(SHARD_PREFIX)
+    else:
+        read = await asyncio.gather(*(table.read(key) for key in sorted(wanted)))
+        rows = [row for row in read if row is not None]
+    found = {row.key: row for row in rows if row.key in wanted}
+    empty = msgspec.json.encode(ShardRow(session=""))
+    return [found.get(key, Row(key, ABSENT_VERSION, empty)) for key in sorted(wanted)]
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -25,7 +25,6 @@
     SettingsError,
     StoreConflictError,
     StoreError,
-    StoreUnavailableError,
 )
 from .journal import Record
 from .journal_sweep import JournalSweep
@@ -43,10 +42,10 @@
     sessions_changed,
 )
 from .shard_rows import (
-    SHARD_PREFIX,
     ShardRow,
     Span,
-    shard_key,
+    decode_shard,
+    read_shards,
     shard_number,
     shard_write,
 )
@@ -57,10 +56,10 @@
 FIRST_STEP_S = 0.05
 STEP_GROWTH = 1.5
 RESCAN_LEASES = 60.0
-MAX_SINGLE_READS = 64
 MAX_MOVES_PER_STEP = 4
 CLAIM_PATIENCE_LEASES = 0.5
 QUIESCE_LEASES = 1.0
+QUIESCE_SHARE = 8
 
 _logger = logging.getLogger(__name__)
 
@@ -108,10 +107,13 @@
         self._list = SessionList(table, clock, own=session.id, rescan_s=rescan_s)
         self._leases = LeaseWatch(table, clock, lease_s)
         self._placement = Placement(shards)
+        self._recovery = Recovery(table, objects, shards)
         self._sweep = JournalSweep(table, clock, session, period_s=rescan_s)
         self._owned: set[int] = set()
         self._moving: set[int] = set()
         self._gone_s: dict[str, float] = {}
+        self._quiescing: dict[int, float] = {}
+        self._quiesced_s: dict[int, float] = {}
         self._lock = asyncio.Lock()
         self._leaving = False
         self._is_count_known = False
@@ -232,9 +234,10 @@
         self._list.forget(silent.id)
         self._follow_sessions()
         if not self._leaving:
-            rows = await self._read_shards(silent.shards)
+            rows = await read_shards(self._table, silent.shards)
+            holders = (silent.id, self._session.id)
             await self._activate(
-                [r for r in rows if _holder(r) in (silent.id, self._session.id)]
+                [row for row in rows if decode_shard(row).session in holders]
             )
 
     async def _claim_wanted(self) -> None:
@@ -244,8 +247,8 @@
         if not wanted:
             return
         found = []
-        for row in await self._read_shards(wanted):
-            if row is not None and await self._may_claim(_holder(row)):
+        for row in await read_shards(self._table, wanted):
+            if row is not None and await self._may_claim(decode_shard(row).session):
                 found.append(row)
         await self._activate(found)
 
@@ -260,33 +263,9 @@
         since_s = self._gone_s.setdefault(holder, now_s)
         return now_s - since_s >= CLAIM_PATIENCE_LEASES * self._lease_s
 
-    async def _read_shards(self, numbers: list[int]) -> list[Row]:
-        """Return the rows of shards; one that is absent has the absent version."""
-        wanted = {shard_key(n) for n in numbers}
-        if len(wanted) > MAX_SINGLE_READS:
-            rows = await self._table.scan(SHARD_PREFIX)
-        else:
-            read = await asyncio.gather(*(self._table.read(k) for k in sorted(wanted)))
-            rows = [row for row in read if row is not None]
-        found = {row.key: row for row in rows if row.key in wanted}
-        empty = msgspec.json.encode(ShardRow(session=""))
-        return [
-            found.get(key, Row(key, ABSENT_VERSION, empty)) for key in sorted(wanted)
-        ]
-
     async def _activate(self, rows: list[Row]) -> None:
         """Recover shards and write them as this session's own."""
-        recovery = Recovery(self._table, self._objects, self._shards)
-        programs: dict[str, list[Program]] = {}
-        for row in rows:
-            number = shard_number(row.key)
-            shard = msgspec.json.decode(row.value, type=ShardRow)
-            try:
-                programs[row.key] = await recovery.programs(number, shard)
-            except StoreUnavailableError:
-                raise
-            except (StoreError, msgspec.MsgspecError) as error:
-                _logger.error("shard %d can't be recovered: %s", number, error)
+        programs = await self._recovery.recover(rows)
         left = [row for row in rows if row.key in programs]
         while left:
             try:
@@ -303,7 +282,7 @@
         new: dict[int, ShardRow] = {}
         span = Span(self._session.id, self._session.commits + 1)
         for row in rows:
-            shard = msgspec.json.decode(row.value, type=ShardRow)
+            shard = decode_shard(row)
             checks.add(Check(row.key, row.version))
             if shard.session not in ("", self._session.id):
                 checks.add(Check(session_key(shard.session), ABSENT_VERSION))
@@ -323,14 +302,36 @@
         _logger.info("serving %d more shards: %s", len(new), sorted(new))
 
     async def _hand_over_some(self) -> None:
-        """Move a few shards to sessions that should hold them."""
-        idle = [
+        """Move a few shards to sessions that should hold them.
+
+        Of those that have calls under way, a few at a time take no new ones for a
+        short while, so that they can move.
+        """
+        foreign = {
             n
-            for n in sorted(self._owned)
+            for n in self._owned
             if self._placement.target(n) not in (None, self._session.id)
-            and not self._is_busy(n)
-        ]
+        }
+        idle = sorted(n for n in foreign if not self._is_busy(n))
         await self._move(idle[:MAX_MOVES_PER_STEP])
+        self._quiesce(foreign & self._owned)
+
+    def _quiesce(self, foreign: set[int]) -> None:
+        """Let a few busy shards take no new calls, for a limited time each."""
+        now_s = self._clock.monotonic()
+        limit_s = QUIESCE_LEASES * self._lease_s
+        for number, since_s in list(self._quiescing.items()):
+            if number not in foreign or now_s - since_s > limit_s:
+                self._moving.discard(number)
+                del self._quiescing[number]
+        waiting = foreign - self._quiescing.keys()
+        room = max(1, len(self._owned) // QUIESCE_SHARE) - len(self._quiescing)
+        oldest_first = sorted(waiting, key=lambda n: self._quiesced_s.get(n, 0.0))
+        for number in oldest_first[: max(0, room)]:
+            self._quiescing[number] = self._quiesced_s[number] = now_s
+            self._moving.add(number)
+        if self._quiescing:
+            self._step_s = FIRST_STEP_S
 
     async def _move(self, numbers: list[int]) -> None:
         """Give shards to the sessions that should hold them, with snapshots."""
@@ -364,9 +365,5 @@
         self._session.announce(shards=sorted(self._owned))
 
 
-def _holder(row: Row) -> str:
-    return msgspec.json.decode(row.value, type=ShardRow).session
-
-
 def _checked_keys(row: Row) -> set[str]:
-    return {row.key, session_key(_holder(row))}
+    return {row.key, session_key(decode_shard(row).session)}
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -311,6 +311,40 @@
 
         run_virtual(scenario)
 
+    def test_shards_that_are_always_busy_move_one_at_a_time(self) -> None:
+        """Calls come one after the other in every shard and never leave it idle."""
+
+        async def scenario() -> None:
+            cluster = Cluster()
+            holder = await cluster.add()
+            await cluster.until_served()
+            refused_most = 0
+
+            async def _keep_busy(shard: int) -> None:
+                while shard in holder.keeper._owned:
+                    if shard in holder.keeper.owned:
+                        holder.busy.add(shard)
+                        await asyncio.sleep(1.0)
+                        if shard not in holder.keeper.owned:
+                            holder.busy.discard(shard)
+                    await asyncio.sleep(0.01)
+
+            tasks = [asyncio.ensure_future(_keep_busy(n)) for n in range(SHARDS)]
+            await cluster.add()
+            loop = asyncio.get_running_loop()
+            start_s = loop.time()
+            while not cluster.is_balanced():
+                self.assertLess(loop.time() - start_s, 30.0, cluster.served)
+                refused = len(holder.keeper._owned) - len(holder.keeper.owned)
+                refused_most = max(refused_most, refused)
+                await asyncio.sleep(0.02)
+            print(f"busy shards even after {loop.time() - start_s:.2f} s")
+            self.assertEqual(refused_most, 1)
+            for task in tasks:
+                task.cancel()
+
+        run_virtual(scenario)
+
     def test_joins_even_out_and_every_shard_is_held_once(self) -> None:
         async def scenario() -> None:
             cluster = Cluster(shards=64)
