--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -14,9 +14,10 @@
 
 from .clock import Clock, LoopClock
 from .configuration import HEAD_KEY, Configuration
+from .control_peers import ControlPeers
 from .control_view import ControlView
 from .daemon import background, http_server, run_daemon
-from .endpoint_loads import LoadReports, LoadSample, Watched
+from .endpoint_loads import LoadReports, LoadSample, watched_endpoints
 from .errors import CarobspurError, StoreError
 from .gossip import Gossip
 from .gossip_rounds import ROUND_S, GossipRounds, PeerCaller, Place
@@ -28,23 +29,18 @@
 from .load_asker import LoadAsker
 from .membership import (
     HttpLiveList,
-    InstanceRow,
-    ListedInstance,
     LiveList,
+    LiveListReader,
+    own_row,
     usable_instances,
     write_instance,
 )
 from .operators import operator_routes
-from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer, peer_client
+from .peers import PeerServer, peer_client
 from .settings import Settings
 from .sweep import SWEEP_PERIOD_S, CacheSweep
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
-from .view import VIEW_PERIOD_S
-
-LIVE_LIST_READS_PER_S = 50.0
-NOT_ASKED_S = 1.0
-STOP_LIMIT_S = 90.0
 
 _logger = logging.getLogger(__name__)
 
@@ -74,14 +70,11 @@
         self._settings = settings
         self._clock = clock
         self._table = table
-        self._live_list = live_list
+        self._listed = LiveListReader(live_list, clock)
         self._configuration = Configuration(table)
         self._in_force = InventoriesInForce()
         self._view = ControlView(secrets.token_hex(8), shards=settings.scheduler.shards)
         self._loads = LoadReports()
-        self._listed: list[ListedInstance] = []
-        self._listed_s = float("-inf")
-        self._asked_s = float("-inf")
         self._heartbeats = Heartbeats(settings.instance.id)
         self._gossip = Gossip(random.Random(settings.instance.id))
         self._rounds = GossipRounds(
@@ -173,36 +166,9 @@
         is_read = self._in_force.revision != NOT_READ
         return is_read and self._rounds.knows_what_is_in_force
 
-    def register(self, server: PeerServer) -> None:
-        """Serve the peer methods of a control process."""
-
-        async def _get_view(request: Any, emit: Emit) -> Any:
-            self._asked_s = self._clock.monotonic()
-            return self.view(request)
-
-        async def _gossip(request: Any, emit: Emit) -> Any:
-            return await self._rounds.answer(request)
-
-        async def _reconcile(request: Any, emit: Emit) -> Any:
-            return await self._rounds.answer_reconcile(request)
-
-        server.handle(GET_VIEW, _get_view)
-        server.handle(GOSSIP, _gossip)
-        server.handle(RECONCILE, _reconcile)
-
     async def announce(self, *, leaving: bool) -> None:
         """Write this instance's row."""
-        options = self._settings
-        row = InstanceRow(
-            id=options.instance.id,
-            host=options.instance.host,
-            entry_port=options.entry.port,
-            scheduler_port=options.scheduler.port,
-            control_port=options.control.port,
-            data_centre=options.instance.data_centre,
-            leaving=leaving,
-            control_peer_port=options.control.peer_port,
-        )
+        row = own_row(self._settings, leaving=leaving)
         await write_instance(self._table, row)
 
     def loops(self) -> list[Coroutine[Any, Any, None]]:
@@ -249,7 +215,7 @@
 
     async def follow(self) -> None:
         """Read the table if it is this process's turn, or what gossip left out."""
-        await self._poll_live_list()
+        await self._listed.poll(len(self._view.sessions.values))
         if self._reader.is_due(self._reader_place(), self._rounds.table_age_s):
             await self.poll()
         else:
@@ -275,7 +241,7 @@
         is_alone = not self._rounds.is_in_contact
         usable = usable_instances(
             known,
-            self._listed,
+            self._listed.instances,
             staying,
             lambda name: not is_alone and self._heartbeats.is_silent(name, now_s),
         )
@@ -283,12 +249,7 @@
 
     async def ask_loads(self) -> None:
         """Ask the endpoints that are this process's to ask."""
-        now_s = self._clock.monotonic()
-        instances = {
-            item.instance: item.data_centre
-            for item in self._view.sessions.values.values()
-            if not self._heartbeats.is_silent(item.instance, now_s)
-        }
+        instances = {x.instance: x.data_centre for x in self._heard_sessions()}
         own = self._settings.instance
         instances.setdefault(own.id, own.data_centre)
         await self._asker.ask(instances, period_s=self._load_period_s)
@@ -310,17 +271,6 @@
     def _load_period_s(self) -> float:
         return self._loads.ask_period_s(self._settings.control.poll_s)
 
-    async def until_not_asked(self) -> None:
-        """Wait until the other processes of the instance have ended, up to a limit.
-
-        They finish what is under way, and must learn of shards that move.
-        """
-        started_s = self._clock.monotonic()
-        while self._clock.monotonic() - started_s < STOP_LIMIT_S:
-            if self._clock.monotonic() - self._asked_s > NOT_ASKED_S:
-                return
-            await self._clock.sleep(VIEW_PERIOD_S)
-
     def _take_items(self) -> None:
         items = self._gossip.arrived()
         if not items:
@@ -336,41 +286,25 @@
             return
         for name in organisations:
             self._view.inventories.set(name, self._in_force.inventories[name])
-        self._loads.watch(
-            {
-                engine.address: Watched(engine.data_centre, engine.kv_tokens)
-                for inventory in self._in_force.inventories.values()
-                for engine in inventory.engines
-            }
-        )
+        self._loads.watch(watched_endpoints(self._in_force.inventories.values()))
 
     def _publish_loads(self, addresses: list[str]) -> None:
         for address in addresses:
             self._view.loads.set(address, self._loads.samples[address])
 
+    def _heard_sessions(self) -> list[Any]:
+        now_s = self._clock.monotonic()
+        sessions = self._view.sessions.values.values()
+        is_silent = self._heartbeats.is_silent
+        return [item for item in sessions if not is_silent(item.instance, now_s)]
+
     def _reader_place(self) -> int:
         """Return this process's place in its data centre's order of readers."""
-        now_s = self._clock.monotonic()
         own = self._settings.instance
-        names = {
-            item.instance
-            for item in self._view.sessions.values.values()
-            if item.data_centre == own.data_centre
-            and not self._heartbeats.is_silent(item.instance, now_s)
-        }
+        heard = self._heard_sessions()
+        names = {x.instance for x in heard if x.data_centre == own.data_centre}
         return reader_order(own.data_centre, names | {own.id}).index(own.id)
 
-    async def _poll_live_list(self) -> None:
-        period_s = len(self._view.sessions.values) / LIVE_LIST_READS_PER_S
-        now_s = self._clock.monotonic()
-        if now_s - self._listed_s < period_s:
-            return
-        self._listed_s = now_s
-        try:
-            self._listed = await self._live_list.instances()
-        except StoreError as error:
-            _logger.info("the live list can't be read: %s", error.message)
-
 
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run control until it is told to stop."""
@@ -390,7 +324,8 @@
             peers=peers,
         )
         server = PeerServer()
-        control.register(server)
+        serving = ControlPeers(control)
+        serving.register(server)
         server.listen(settings.control.peer_port, host)
         app = tornado.web.Application(
             [*health_routes(lambda: control.is_current), *operator_routes(control)]
@@ -401,7 +336,7 @@
         ):
             await stopping.wait()
             await _announce_leaving(control)
-            await control.until_not_asked()
+            await serving.until_not_asked()
         server.stop()
         server.close_connections()
     client.close()
--- a/src/carobspur/endpoint_loads.py
+++ b/src/carobspur/endpoint_loads.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
 from .heartbeats import name_hash
+from .inventory import Inventory
 from .placement import rank
 
 MAX_SAMPLES = 96
@@ -251,3 +252,12 @@
 def _is_news(known: LoadSample | None, sample: LoadSample) -> bool:
     """Return whether routing must know a report at once."""
     return sample.may_take != (known is None or known.may_take)
+
+
+def watched_endpoints(inventories: Iterable[Inventory]) -> dict[str, Watched]:
+    """Return the engines of some inventories by address."""
+    return {
+        engine.address: Watched(engine.data_centre, engine.kv_tokens)
+        for inventory in inventories
+        for engine in inventory.engines
+    }
--- a/src/carobspur/membership.py
+++ b/src/carobspur/membership.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 from typing import Any, Protocol
 
 import msgspec
 
-from .errors import StoreConflictError, StoreUnavailableError
+from .clock import Clock
+from .errors import StoreConflictError, StoreError, StoreUnavailableError
 from .gossip import Item
 from .http import HttpClient, HttpError, HttpRequest
 from .peers import encode, messages
 from .session_row import decode_session
+from .settings import Settings
 from .table import ABSENT_VERSION, Check, Row, Table, Write
 
 INSTANCE_PREFIX = "instance/"
+LIVE_LIST_READS_PER_S = 50.0
+
+_logger = logging.getLogger(__name__)
 
 
 class InstanceRow(msgspec.Struct, frozen=True):
@@ -87,6 +93,52 @@
         return msgspec.json.decode(response.body, type=list[ListedInstance])
 
 
+class LiveListReader:
+    """Reads the platform's list, the more seldom the more instances there are.
+
+    Args:
+        live_list: The list.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_clock", "_live_list", "_read_s", "instances")
+
+    def __init__(self, live_list: LiveList, clock: Clock) -> None:
+        self._live_list = live_list
+        self._clock = clock
+        self._read_s = float("-inf")
+        self.instances: list[ListedInstance] = []
+
+    async def poll(self, readers: int) -> None:
+        """Read it if it is time to.
+
+        Args:
+            readers: Processes that read the list.
+        """
+        now_s = self._clock.monotonic()
+        if now_s - self._read_s < readers / LIVE_LIST_READS_PER_S:
+            return
+        self._read_s = now_s
+        try:
+            self.instances = await self._live_list.instances()
+        except StoreError as error:
+            _logger.info("the live list can't be read: %s", error.message)
+
+
+def own_row(settings: Settings, *, leaving: bool) -> InstanceRow:
+    """Return the row of the instance that settings describe."""
+    return InstanceRow(
+        id=settings.instance.id,
+        host=settings.instance.host,
+        entry_port=settings.entry.port,
+        scheduler_port=settings.scheduler.port,
+        control_port=settings.control.port,
+        data_centre=settings.instance.data_centre,
+        leaving=leaving,
+        control_peer_port=settings.control.peer_port,
+    )
+
+
 def instance_key(instance: str) -> str:
     """Return the key of an instance's row."""
     return INSTANCE_PREFIX + instance
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 from carobspur.clock import LoopClock
 from carobspur.configuration import Configuration, ImportResult
 from carobspur.control import Control
+from carobspur.control_peers import ControlPeers
 from carobspur.endpoint_loads import EngineLoad
 from carobspur.errors import (
     PeerDisconnectedError,
@@ -216,7 +217,7 @@
             peers=link,
         )
         server = PeerServer()
-        control.register(server)
+        ControlPeers(control).register(server)
         self.controls[number] = control
         self.servers[number] = server
         self.numbers[self._host(number)] = number
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
 
 from carobspur.clock import LoopClock
 from carobspur.control import Control
+from carobspur.control_peers import ControlPeers
 from carobspur.entry import Entry, caller_routes
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
 from carobspur.forward import Forwarder
@@ -262,7 +263,7 @@
             peers=self.peers,
         )
         control_server = PeerServer()
-        control.register(control_server)
+        ControlPeers(control).register(control_server)
         self.peers.servers[(host, settings.control.peer_port)] = control_server
         view = self._view(settings)
         scheduler = Scheduler(
