--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -125,11 +125,6 @@
         """Inventories in force, by organisation."""
         return self._in_force.inventories
 
-    @property
-    def revisions(self) -> dict[str, int]:
-        """Revision of each organisation's inventory in force."""
-        return self._in_force.revisions
-
     @property
     def sessions(self) -> list[Any]:
         """Schedulers that have sessions, as ``SessionInfo`` messages."""
@@ -201,7 +196,8 @@
         """Ask endpoints for their load until the task is cancelled."""
         while True:
             await self.ask_loads()
-            await self._clock.sleep(self._load_period_s)
+            poll_s = self._settings.control.poll_s
+            await self._clock.sleep(self._loads.ask_period_s(poll_s))
 
     async def run_sweep(self) -> None:
         """Sweep the caches of engines until the task is cancelled."""
@@ -233,9 +229,8 @@
     def refresh(self) -> None:
         """Work out anew which instances are live and which callers may use."""
         now_s = self._clock.monotonic()
-        sessions = self._view.sessions.values.values()
-        with_session = {item.instance for item in sessions}
-        staying = {item.instance for item in sessions if not item.leaving}
+        with_session = {item.instance for item in self.sessions}
+        staying = {item.instance for item in self.sessions if not item.leaving}
         known = self._view.all_instances.values()
         self._rounds.set_instances(x for x in known if x.id in with_session)
         is_alone = not self._rounds.is_in_contact
@@ -252,7 +247,8 @@
         instances = {x.instance: x.data_centre for x in self._heard_sessions()}
         own = self._settings.instance
         instances.setdefault(own.id, own.data_centre)
-        await self._asker.ask(instances, period_s=self._load_period_s)
+        period_s = self._loads.ask_period_s(self._settings.control.poll_s)
+        await self._asker.ask(instances, period_s=period_s)
 
     def view(self, request: Any) -> Any:
         """Return what changed in the view, as a message.
@@ -267,10 +263,6 @@
             now_s=self._clock.monotonic(),
         )
 
-    @property
-    def _load_period_s(self) -> float:
-        return self._loads.ask_period_s(self._settings.control.poll_s)
-
     def _take_items(self) -> None:
         items = self._gossip.arrived()
         if not items:
@@ -294,9 +286,8 @@
 
     def _heard_sessions(self) -> list[Any]:
         now_s = self._clock.monotonic()
-        sessions = self._view.sessions.values.values()
         is_silent = self._heartbeats.is_silent
-        return [item for item in sessions if not is_silent(item.instance, now_s)]
+        return [x for x in self.sessions if not is_silent(x.instance, now_s)]
 
     def _reader_place(self) -> int:
         """Return this process's place in its data centre's order of readers."""
