Test: an instance out of contact accepts no change

Cause: the rule that lets instances go on while nobody sees the table rests on it. Figures: 200 with one peer's answers left, 503 not_run 6 s after the last is cut. Ruled out: testing the rule on a control process alone; the refusal is the handler's.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -41,6 +41,23 @@
 
         run_virtual(scenario)
 
+    def test_an_instance_out_of_contact_accepts_no_change(self) -> None:
+        async def scenario() -> None:
+            world = await World().start(3)
+            ports = {(f"10.1.0.{n}", 5) for n in (1, 2, 3)}
+            changed = builders.an_inventory(units=5)
+            world.peers.cut |= {x for x in ports if x[0] != "10.1.0.1"}
+            await asyncio.sleep(LIMIT_S)
+            reply = await world.import_inventory(changed, revision=1, change="c2")
+            self.assertEqual(reply.status, 200, reply.body)
+            world.peers.cut |= ports
+            await asyncio.sleep(2 * LIMIT_S)
+            reply = await world.import_inventory(changed, revision=2, change="c3")
+            self.assertEqual(reply.status, 503, reply.body)
+            self.assertEqual(reply.json["verdict"], "not_run")
+
+        run_virtual(scenario)
+
     def test_a_leaving_instance_is_not_answered_after_three_seconds(self) -> None:
         async def scenario() -> None:
             world = await World().start(3)
