--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -98,6 +98,7 @@
         self._pool = EndpointPool()
         self._session: Session | None = None
         self._holder: CacheHolder | None = None
+        self._described = (0, 0)
         self._keeper: ShardKeeper | None = None
         self._ownership: Ownership | None = None
         self._lifecycle: Lifecycle | None = None
@@ -231,7 +232,10 @@
         """Follow a change of control's view."""
         self._forwarder.leave_lost_owners()
         schedulers = max(1, len(self._view.sessions))
-        self._pool.update(self._view.inventories, schedulers=schedulers)
+        described = (self._view.inventory_updates, schedulers)
+        if described != self._described:
+            self._pool.update(self._view.inventories, schedulers=schedulers)
+            self._described = described
         for load in self._view.loads:
             state = self._pool.find(load.address)
             if state is not None:
