Holds go with the call, last to their break-even, and then leave the engine by export

Cause: a hold order followed every call (one more request a call), pauses were never learned, nothing was taken out when a hold ran out, and baselines got moves as well. The time is now the one at which keeping costs as much as computing again, by the organisation's weights; then the history leaves by export and comes back by import. Golden: generate requests carry their hold, no hold order follows; approved anew.

--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import logging
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 
 from .engine_messages import KvImage
 from .errors import CarobspurError
-from .holds import HoldPolicy, Keep, Leave, Pause, Release
+from .holds import Export, HoldDecision, HoldPolicy, Keep, Leave, Pause, Release
 from .http import HttpClient, HttpRequest, HttpResponse
-from .pool import EndpointPool, EndpointState
+from .inventory import Weights
+from .pool import CachedPrefix, EndpointPool, EndpointState
 from .programs import Program
 
 DEFAULT_PAUSE_S = 2.0
@@ -48,7 +51,16 @@
         fence: Fencing number of the scheduler's session.
     """
 
-    __slots__ = ("_client", "_fence", "_pauses", "_policy", "_pool", "_tasks")
+    __slots__ = (
+        "_client",
+        "_expiries",
+        "_fence",
+        "_images",
+        "_pauses",
+        "_policy",
+        "_pool",
+        "_tasks",
+    )
 
     def __init__(
         self, client: HttpClient, policy: HoldPolicy, pool: EndpointPool, fence: int
@@ -58,44 +70,67 @@
         self._pool = pool
         self._fence = fence
         self._pauses: dict[str, float] = {}
+        self._images: dict[tuple[str, str], KvImage] = {}
+        self._expiries: dict[tuple[str, str], asyncio.TimerHandle] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def note_pause(self, agent: str, pause_s: float) -> None:
-        """Learn how long programs of an agent pause between model calls."""
-        known = self._pauses.get(agent, DEFAULT_PAUSE_S)
-        self._pauses[agent] = known + PAUSE_SMOOTHING * (pause_s - known)
+    def before_call(self, program: Program, model: str, now_s: float) -> None:
+        """Learn how long the program paused; its hold must not expire any more."""
+        expiry = self._expiries.pop((program.id, model), None)
+        if expiry is not None:
+            expiry.cancel()
+        home = self._pool.home(program.id, model)
+        if home is None:
+            return
+        pause_s = now_s - home.prefixes[(program.id, model)].used_s
+        known = self._pauses.get(program.agent, DEFAULT_PAUSE_S)
+        self._pauses[program.agent] = known + PAUSE_SMOOTHING * (pause_s - known)
+
+    def decide(
+        self, program: Program, tokens: int, engine: EndpointState, weights: Weights
+    ) -> HoldDecision:
+        """Decide what the engine keeps after the call that it is about to run."""
+        expected_s = self._pauses.get(program.agent, DEFAULT_PAUSE_S)
+        pause = Pause(program.id, program.agent, tokens, expected_s, weights)
+        return self._policy.decide(pause, engine)
 
     def after_call(
-        self,
-        program: Program,
-        model: str,
-        engine: EndpointState,
-        key: str,
-        tokens: int,
+        self, program: str, model: str, key: str, decision: HoldDecision
     ) -> None:
-        """Decide what the engine keeps of the history it has just made longer."""
-        expected_s = self._pauses.get(program.agent, DEFAULT_PAUSE_S)
-        pause = Pause(program.id, program.agent, tokens, expected_s)
-        match self._policy.decide(pause, engine):
+        """Apply a decision; a hold itself went to the engine with the call."""
+        match decision:
             case Keep(ttl_s):
-                order = HoldOrder(program.id, key, ttl_s, self._fence)
-                self._order(engine.address, order)
+                loop = asyncio.get_event_loop()
+                expiry = loop.call_later(ttl_s, self._expire, program, model, key)
+                self._expiries[(program, model)] = expiry
+            case Export():
+                self._start(self._take_out(program, model, key))
             case Release():
-                order = HoldOrder(program.id, key, 0.0, self._fence)
-                self._order(engine.address, order)
+                self._forget(program)
             case Leave():
                 pass
 
     def after_end(self, program: Program) -> None:
         """Release everything that engines keep of an ended program."""
-        for engine in self._pool.homes(program.id):
-            self._release(engine, program.id)
-        self._pool.unsettle(program.id)
+        for model in self._pool.models(program.id):
+            expiry = self._expiries.pop((program.id, model), None)
+            if expiry is not None:
+                expiry.cancel()
+            self._images.pop((program.id, model), None)
+        self._forget(program.id)
 
     def after_move(self, program: str, former: EndpointState) -> None:
         """Release what the engine keeps that had a program's history before."""
         self._release(former, program)
 
+    def can_move(self, program: str, model: str, now_s: float) -> bool:
+        """Return whether a history can be brought to any engine."""
+        if not self._policy.gives_orders:
+            return False
+        home = self._pool.home(program, model)
+        is_out = (program, model) in self._images
+        return is_out or (home is not None and home.breaker.allows(now_s))
+
     async def bring(
         self, program: str, model: str, key: str, engine: EndpointState
     ) -> bool:
@@ -104,11 +139,15 @@
         Returns:
             Whether the engine has it now.
         """
+        image = self._images.pop((program, model), None)
         home = self._pool.home(program, model)
-        if home is None or home is engine:
+        if not self._policy.gives_orders or home is None:
+            return False
+        if home is engine and image is None:
             return False
         try:
-            image = await self._export(home, KvImage(program, key))
+            if image is None or image.key != key:
+                image = await self._export(home, KvImage(program, key))
             if image is None:
                 return False
             image = msgspec.structs.replace(image, ttl_s=MOVE_TTL_S, fence=self._fence)
@@ -118,22 +157,51 @@
             return False
         return response.status < 300
 
+    async def flush(self) -> None:
+        """Wait until all orders so far were sent."""
+        await asyncio.gather(*self._tasks)
+
+    def _forget(self, program: str) -> None:
+        for engine in self._pool.homes(program):
+            self._release(engine, program)
+        self._pool.unsettle(program)
+
+    async def _take_out(self, program: str, model: str, key: str) -> None:
+        home = self._pool.home(program, model)
+        if home is None:
+            return
+        try:
+            image = await self._export(home, KvImage(program, key))
+        except CarobspurError as error:
+            _logger.info("history of %s was not exported: %s", program, error.message)
+            return
+        cached = home.prefixes.get((program, model))
+        if image is None or cached is None or cached.key != key:
+            return
+        self._images[(program, model)] = image
+        home.prefixes[(program, model)] = CachedPrefix("", 0, cached.used_s)
+        self._release(home, program)
+
+    def _expire(self, program: str, model: str, key: str) -> None:
+        """Take out a history whose program did not come back in time."""
+        self._expiries.pop((program, model), None)
+        self._start(self._take_out(program, model, key))
+
     async def _export(self, home: EndpointState, image: KvImage) -> KvImage | None:
         response = await self._post(home.address, "/v1/kv/export", image)
         if response.status != 200:
             return None
         return msgspec.json.decode(response.body, type=KvImage)
 
-    async def flush(self) -> None:
-        """Wait until all orders so far were sent."""
-        await asyncio.gather(*self._tasks)
-
     def _release(self, engine: EndpointState, program: str) -> None:
-        if self._policy.releases:
+        if self._policy.gives_orders:
             self._order(engine.address, HoldOrder(program, "", 0.0, self._fence))
 
     def _order(self, address: str, order: HoldOrder) -> None:
-        task = asyncio.ensure_future(self._send(address, order))
+        self._start(self._send(address, order))
+
+    def _start(self, sending: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(sending)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/src/carobspur/holds.py
+++ b/src/carobspur/holds.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
+from .inventory import Weights
 from .pool import EndpointState
 
 
@@ -15,6 +16,11 @@
     ttl_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Export:
+    """Take a history out of the engine and bring it back for the next call."""
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Tell the engine that a history is not needed any more."""
@@ -25,7 +31,7 @@
     """Leave it to the engine what it keeps."""
 
 
-HoldDecision: TypeAlias = Keep | Release | Leave
+HoldDecision: TypeAlias = Keep | Export | Release | Leave
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,22 +43,24 @@
         agent: Name of its agent.
         tokens: Length of the history.
         expected_s: Expected time until the next model call.
+        weights: What the organisation cares for more.
     """
 
     program: str
     agent: str
     tokens: int
     expected_s: float
+    weights: Weights = Weights()
 
 
 class HoldPolicy(Protocol):
     """Decides what an engine keeps during a pause.
 
     Attributes:
-        releases: Whether engines are told which histories no call will use again.
+        gives_orders: Whether engines are told to hold, move and release at all.
     """
 
-    releases: bool
+    gives_orders: bool
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
-        """Return what to ask of the engine that ran the last call."""
+        """Return what to ask of the engine that runs the call before the pause."""
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -15,6 +15,7 @@
 from ..errors import NotFoundError, PrefixLostError, RequestError
 from ..execution import CallContext, Toolbox
 from ..history import ModelHistory, model_history
+from ..holds import HoldDecision, Keep
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
@@ -73,6 +74,8 @@
         history: ModelHistory,
     ) -> tuple[GenerateResult, EndpointState]:
         self._recall_home(context, history)
+        holder, now_s = self._tools.holder, self._tools.clock.monotonic()
+        holder.before_call(context.program, model.name, now_s)
         route = RouteRequest(
             program=context.program.id,
             model=model.name,
@@ -81,7 +84,7 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
-            can_move=self._can_move(context),
+            can_move=holder.can_move(context.program.id, model.name, now_s),
             weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
@@ -98,7 +101,8 @@
 
         async def _send_to(engine: EndpointState) -> GenerateResult:
             context.running.restart()
-            return await self._generate_on(engine, context, order, history, model)
+            held = _held(order, self._decide(context, history, engine))
+            return await self._generate_on(engine, context, held, history, model)
 
         candidates = self._tools.pool.serving(context.inventory, model.name)
         return await self._tools.send(context, route, candidates, _send_to)
@@ -114,14 +118,6 @@
             cached = CachedPrefix(history.key, history.tokens, now_s)
             self._tools.pool.settle(program, model, engine, cached)
 
-    def _can_move(self, context: CallContext) -> bool:
-        """Return whether an engine that has the history can be asked to export it."""
-        program, model = context.program.id, context.request.endpoint
-        home = self._tools.pool.home(program, model)
-        if home is None:
-            return False
-        return home.breaker.allows(self._tools.clock.monotonic())
-
     async def _generate_on(
         self,
         engine: EndpointState,
@@ -180,7 +176,16 @@
         former = self._tools.pool.settle(program.id, model, engine, cached)
         if former is not None:
             self._tools.holder.after_move(program.id, former)
-        self._tools.holder.after_call(program, model, engine, key, tokens)
+        decision = self._decide(context, history, engine)
+        self._tools.holder.after_call(program.id, model, key, decision)
+
+    def _decide(
+        self, context: CallContext, history: ModelHistory, engine: EndpointState
+    ) -> HoldDecision:
+        weights = context.inventory.rules.weights
+        return self._tools.holder.decide(
+            context.program, history.tokens, engine, weights
+        )
 
 
 def _model(context: CallContext) -> Model:
@@ -195,5 +200,13 @@
     return input_tokens * model.input_cost + output_tokens * model.output_cost
 
 
+def _held(order: GenerateRequest, decision: HoldDecision) -> GenerateRequest:
+    match decision:
+        case Keep(ttl_s):
+            return msgspec.structs.replace(order, hold_s=ttl_s)
+        case _:
+            return order
+
+
 def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
     return msgspec.structs.replace(order, history=history.text())
--- a/src/carobspur/plugins/holds_cost.py
+++ b/src/carobspur/plugins/holds_cost.py
@@ -2,30 +2,42 @@
 
 from __future__ import annotations
 
-from ..holds import HoldDecision, Keep, Leave, Pause
+from ..holds import Export, HoldDecision, Keep, Leave, Pause
 from ..kernel import PluginKind, register
 from ..pool import EndpointState
 
 MIN_TTL_S = 1.0
-MAX_TTL_S = 30.0
-PAUSES_PER_TTL = 2.0
-MAX_SHARE = 0.8
+MAX_TTL_S = 60.0
 
 
 @register(PluginKind.HOLDS, "cost")
 class CostHolds:
-    """Keeps a history while its cache share costs less than recomputing it."""
+    """Keeps a history until keeping it has cost as much as computing it again.
+
+    Whatever the pause turns out to be, the cost is then at most twice the least
+    possible one. A history whose pause is expected to be longer goes out at once.
+    """
 
     __slots__ = ()
-    releases = True
+    gives_orders = True
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
-        """Return what to ask of the engine that ran the last call."""
-        capacity = max(1, engine.kv_tokens)
-        if engine.load.kv_used_tokens > MAX_SHARE * capacity:
-            return Leave()
-        ttl_s = max(MIN_TTL_S, PAUSES_PER_TTL * pause.expected_s)
-        return Keep(min(ttl_s, MAX_TTL_S))
+        """Return what to ask of the engine that runs the call before the pause."""
+        ttl_s = min(max(MIN_TTL_S, _break_even_s(pause, engine)), MAX_TTL_S)
+        return Export() if pause.expected_s > ttl_s else Keep(ttl_s)
+
+
+def _break_even_s(pause: Pause, engine: EndpointState) -> float:
+    """Return the pause at which keeping and computing again cost the same.
+
+    In the measure of wasted cache, ``n`` tokens held for ``s`` seconds cost
+    ``n * s / capacity``, and computed again ``n / prefill speed``. The latter also
+    stops the calls that run, which costs latency: the weights say how much.
+    """
+    weights = pause.weights
+    capacity_s = engine.kv_tokens / engine.prefill_tokens_per_s
+    stopped = engine.in_flight * weights.latency / max(weights.wasted_cache, 1e-6)
+    return capacity_s * (1 + stopped)
 
 
 @register(PluginKind.HOLDS, "none")
@@ -33,7 +45,7 @@
     """Tells engines nothing; a baseline."""
 
     __slots__ = ()
-    releases = False
+    gives_orders = False
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
         """Return that the engine decides."""
--- a/src/carobspur/pool.py
+++ b/src/carobspur/pool.py
@@ -143,6 +143,10 @@
         """Return all engines that should have histories of a program."""
         return list(self._homes.get(program, {}).values())
 
+    def models(self, program: str) -> list[str]:
+        """Return the models whose histories of a program some engine should have."""
+        return list(self._homes.get(program, {}))
+
     def settle(
         self, program: str, model: str, endpoint: EndpointState, cached: CachedPrefix
     ) -> EndpointState | None:
