--- a/src/carobspur/plugins/holds_cost.py
+++ b/src/carobspur/plugins/holds_cost.py
@@ -8,6 +8,7 @@
 
 MIN_TTL_S = 1.0
 MAX_TTL_S = 60.0
+FULL_SHARE = 0.85
 
 
 @register(PluginKind.HOLDS, "cost")
@@ -15,7 +16,8 @@
     """Keeps a history until keeping it has cost as much as computing it again.
 
     Whatever the pause turns out to be, the cost is then at most twice the least
-    possible one. A history whose pause is expected to be longer goes out at once.
+    possible one. A history whose pause is expected to be longer goes out at once, and
+    so do all where the cache is nearly full.
     """
 
     __slots__ = ()
@@ -23,6 +25,8 @@
 
     def decide(self, pause: Pause, engine: EndpointState) -> HoldDecision:
         """Return what to ask of the engine that runs the call before the pause."""
+        if engine.load.kv_used_tokens > FULL_SHARE * engine.kv_tokens:
+            return Export()
         ttl_s = min(max(MIN_TTL_S, _break_even_s(pause, engine)), MAX_TTL_S)
         return Export() if pause.expected_s > ttl_s else Keep(ttl_s)
 
