Schedulers use half of the room at an engine that others leave unused

Cause: the window of a scheduler was its even share of an engine's places whatever the others did: ceil(8/3) = 3 of 8, ceil(8/7) = 2, so engines stood idle while calls waited. Ruled out: taking all the unused room (all schedulers see the same report, up to 0.5 s late, and would take it at once).

--- a/src/carobspur/pool.py
+++ b/src/carobspur/pool.py
@@ -78,6 +78,8 @@
         address: Its base URL.
         data_centre: Where it stands.
         window: Calls that this scheduler may have under way there.
+        places: Calls that it runs at once, of all schedulers.
+        share: This scheduler's part of the places.
         prefill_tokens_per_s: Speed of reading input.
         decode_tokens_per_s: Speed of generating for one call.
         kv_tokens: Capacity of its prefix cache; 0 for services.
@@ -95,6 +97,8 @@
     address: str
     data_centre: str
     window: int
+    places: int = 1
+    share: int = 1
     prefill_tokens_per_s: float = 1.0
     decode_tokens_per_s: float = 1.0
     kv_tokens: int = 0
@@ -108,6 +112,16 @@
     prefixes: dict[tuple[str, str], CachedPrefix] = field(default_factory=dict)
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
 
+    def take_report(self, load: LoadReport) -> None:
+        """Follow a load report: use half of the room that others leave unused.
+
+        Only half, because all schedulers see the same room, and late.
+        """
+        self.load = load
+        others = max(0, load.running + load.waiting - self.in_flight)
+        unused = max(0, self.places - others - self.share)
+        self.window = min(self.places, self.share + unused // 2)
+
     def may_take(self, now_s: float) -> bool:
         """Return whether one more call may be sent now."""
         has_room = self.in_flight < self.window
@@ -235,7 +249,7 @@
     @staticmethod
     def _describe_engine(state: EndpointState, engine: Engine, schedulers: int) -> None:
         state.data_centre = engine.data_centre
-        state.window = _share(engine.in_flight, schedulers)
+        _share_places(state, engine.in_flight, schedulers)
         state.prefill_tokens_per_s = engine.prefill_tokens_per_s
         state.decode_tokens_per_s = engine.decode_tokens_per_s
         state.kv_tokens = engine.kv_tokens
@@ -245,9 +259,11 @@
     def _describe_service(
         state: EndpointState, service: Service, schedulers: int
     ) -> None:
-        state.window = _share(service.in_flight, schedulers)
+        _share_places(state, service.in_flight, schedulers)
         state.checks_fencing = service.checks_fencing
 
 
-def _share(in_flight: int, schedulers: int) -> int:
-    return max(1, -(-in_flight // max(1, schedulers)))
+def _share_places(state: EndpointState, places: int, schedulers: int) -> None:
+    share = max(1, -(-places // max(1, schedulers)))
+    if (state.places, state.share) != (places, share):
+        state.places, state.share, state.window = places, share, share
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -186,13 +186,14 @@
         for load in self._view.loads:
             state = self._pool.find(load.address)
             if state is not None:
-                state.load = LoadReport(
+                report = LoadReport(
                     load.running,
                     load.waiting,
                     load.kv_used_tokens,
                     load.kv_capacity_tokens,
                     self._clock.monotonic() - load.age_s,
                 )
+                state.take_report(report)
                 state.is_leaving = load.leaving
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
