--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -155,9 +154,10 @@
         program = self.get_query_argument("program", "")
         owner = view.owner_of(program) if program else None
         found = addresses(
-            view.instances,
+            self._entry.usable_instances,
             owner_instance=None if owner is None else owner.instance,
-            spread_key=str(random.random()),
+            rotation=self._entry.rotation,
+            data_centre=self.get_query_argument("data_centre", ""),
         )
         self.send(AddressDocument(found, self._entry.keep_addresses_s))
 
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -75,6 +75,7 @@
 GET_STATUS = Method("get_status", messages.GetStatus, messages.SchedulerStatus)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
 GOSSIP = Method("gossip", messages.Gossip, messages.Gossip)
+SWEEP_CACHE = Method("sweep_cache", messages.SweepCache, messages.CacheSwept)
 RECONCILE = Method("reconcile", messages.Reconcile, messages.Reconciled)
 
 
