--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -207,9 +207,9 @@
                 control=instance.control_port,
                 control_peer=instance.control_peer_port,
                 lease_s=self._lease_s,
-                platform_key_sha256=sha256(PLATFORM_KEY.encode()).hexdigest(),
                 scheduler_options=self._scheduler_options,
                 log_level=self._log_level,
+                platform_key_sha256=sha256(PLATFORM_KEY.encode()).hexdigest(),
             )
         )
         for role in ("control", "scheduler", "entry"):
--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -36,6 +36,7 @@
 from .problem import ProblemHandler, bearer_secret
 from .programs import call_id, program_id
 from .stream_writer import StreamWriter
+from .verdict import MAY_HAVE_RUN, NOT_RUN
 
 if TYPE_CHECKING:
     from .entry import Entry
@@ -48,6 +49,8 @@
 class CallerHandler(ProblemHandler):
     """A handler that knows who is calling."""
 
+    unready_verdict = NOT_RUN
+
     def initialize(self, entry: Entry) -> None:
         """Take what the handlers share."""
         self._entry = entry
@@ -60,7 +63,11 @@
         if len(self.request.body) > limit:
             raise BodyTooLargeError(f"the body has more than {limit} bytes")
         if not self._entry.view.is_fresh:
-            raise NotReadyError("this instance is not ready", retry_after_s=1.0)
+            raise NotReadyError(
+                "this instance is not ready",
+                verdict=self.unready_verdict,
+                retry_after_s=1.0,
+            )
 
     def require_current(self) -> None:
         """Refuse new programs while it is not known which inventory is in force."""
@@ -218,7 +225,12 @@
 
 
 class CallHandler(CallerHandler):
-    """Runs calls."""
+    """Runs calls.
+
+    An entry process can't know what became of an earlier request for the same call.
+    """
+
+    unready_verdict = MAY_HAVE_RUN
 
     async def post(self, program: str, number: str) -> None:
         """Run a program's call."""
--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -15,27 +14,23 @@
     ConflictError,
     EndpointRejectedError,
     EndpointTimeoutError,
-    ForbiddenError,
-    LimitReachedError,
     NotFoundError,
-    NotOwnerError,
     RequestError,
 )
 from .execution import (
     CallContext,
     CallKind,
     CallRequest,
-    OnText,
     Requester,
-    RunningCall,
     Toolbox,
 )
-from .inventory import Agent, Inventory, Role
-from .journal import ProgramEnded, ProgramStarted, Record
+from .inventory import Inventory, Role
 from .kernel import PluginKind, plugin
+from .lifecycle import Lifecycle
+from .limits import check_limits
 from .logs import call_fields
-from .metrics import CALL_SECONDS, PROGRAM_OBJECTIVE, PROGRAM_SECONDS
-from .placement import shard_of
+from .metrics import CALL_SECONDS
+from .ownership import Ownership
 from .programs import (
     SINGLE_CALL_AGENT,
     Program,
@@ -50,10 +45,10 @@
     replay,
     report,
 )
-from .rules import may_stop
-from .verdict import RAN, verdict_from_name
+from .running import OnText, RunningCall
+from .verdict import NOT_RUN, RAN, verdict_from_name
 
-SINGLE_CALL_LIMITS = Agent(SINGLE_CALL_AGENT, "", max_calls=1)
+ONCE = "once"
 
 _logger = logging.getLogger(__name__)
 
@@ -72,19 +67,18 @@
     Args:
         tools: Parts of the scheduler that kinds of calls use.
         book: Committed state of the programs.
-        owns: Tells whether this scheduler serves a program.
-        shards: Number of shards of the whole system.
+        ownership: Tells which programs are served here.
+        lifecycle: Starts programs.
         inventories: Returns the inventory in force of an organisation.
     """
 
     __slots__ = (
         "_book",
-        "_busy",
         "_inventories",
         "_kinds",
-        "_owns",
+        "_lifecycle",
+        "_ownership",
         "_running",
-        "_shards",
         "_tools",
     )
 
@@ -93,70 +87,21 @@
         *,
         tools: Toolbox,
         book: ProgramBook,
-        owns: Callable[[str], bool],
-        shards: int,
+        ownership: Ownership,
+        lifecycle: Lifecycle,
         inventories: Callable[[str], Inventory],
     ) -> None:
         self._tools = tools
         self._book = book
-        self._owns = owns
-        self._shards = shards
+        self._ownership = ownership
+        self._lifecycle = lifecycle
         self._inventories = inventories
         self._kinds: dict[str, CallKind] = {}
         self._running: dict[tuple[str, int], RunningCall] = {}
-        self._busy: dict[int, int] = {}
 
     def __repr__(self) -> str:
         return f"CallService({len(self._running)} calls under way)"
 
-    def is_busy(self, shard: int) -> bool:
-        """Return whether work for a shard's programs is under way."""
-        return shard in self._busy
-
-    async def start_program(
-        self,
-        requester: Requester,
-        program: str,
-        *,
-        agent: str,
-        parent: str = "",
-        deadline_s: float = 0.0,
-    ) -> bool:
-        """Start a program; return whether it is new.
-
-        Args:
-            requester: Who asks.
-            program: Id of the program, made from the caller's idempotency key.
-            agent: Name of its agent.
-            parent: Id of the program that starts it, or empty.
-            deadline_s: Seconds from now by which it must end, or 0.
-
-        Raises:
-            NotOwnerError: Another scheduler owns the program.
-            NotFoundError: There is no such agent.
-            ConflictError: It was started before with another agent or parent.
-        """
-        with self._working_on(program):
-            known = self._book.find(program)
-            if known is not None:
-                if (known.agent, known.parent) != (agent, parent):
-                    raise ConflictError("this idempotency key started another program")
-                return False
-            if agent != SINGLE_CALL_AGENT:
-                self._inventories(requester.organisation).agent(agent)
-            now_s = self._tools.clock.wall()
-            record = ProgramStarted(
-                program=program,
-                organisation=requester.organisation,
-                user=requester.user,
-                agent=agent,
-                started_s=now_s,
-                parent=parent,
-                deadline_s=now_s + deadline_s if deadline_s else 0.0,
-            )
-            await self._tools.session.commit([record])
-            return True
-
     async def run_call(
         self, request: CallRequest, on_text: OnText | None = None
     ) -> Answer:
@@ -175,27 +120,17 @@
             ConflictError: The number was used for another call, or leaves a gap.
             CarobspurError: The call failed; the verdict says whether it ran.
         """
-        with self._working_on(request.program):
-            program = self._program(request.requester, request.program)
-            digest = _digest(request)
-            running = self._running.get((request.program, request.number))
-            if running is not None and running.digest != digest:
-                raise ConflictError("the call is under way with other content")
-            if running is None:
-                admission = admit_call(program, request.number, digest)
-                if isinstance(admission, ReplaySpilled):
-                    admission = await self._spilled(program, request.number, digest)
-                if isinstance(admission, Replay):
-                    return _answer(admission.call, is_replayed=True)
-                running = self._launch(program, request, digest, admission)
-            with running.listening(on_text):
-                return _answer(await asyncio.shield(running.task))
+        with self._ownership.working_on(request.program):
+            try:
+                return await self._run_admitted(request, on_text)
+            except CarobspurError as error:
+                raise self._judged(request, error) from error
 
     async def run_single(
         self, request: CallRequest, on_text: OnText | None = None
     ) -> Answer:
         """Run one call that belongs to no program of the caller's."""
-        await self.start_program(
+        await self._lifecycle.start(
             request.requester, request.program, agent=SINGLE_CALL_AGENT
         )
         return await self.run_call(request, on_text)
@@ -208,27 +143,77 @@
         self, requester: Requester, program: str, *, with_history: bool
     ) -> ProgramReport:
         """Return what a caller is told of a program."""
-        self._require_owner(program)
+        self._ownership.require(program)
         found = self._program(requester, program)
         history = await self._tools.histories.calls(found) if with_history else []
         return report(found, history=history)
 
-    async def end_program(
-        self, requester: Requester, program: str, reason: str
-    ) -> None:
-        """End a program and the sub-agents that are known here; idempotent."""
-        with self._working_on(program):
-            found = self._stoppable(requester, program)
-            ended = [found, *self._book.children(found.id)]
-            records: list[Record] = []
-            for item in ended:
-                if not item.ended:
-                    records.append(ProgramEnded(item.id, reason))
-            if records:
-                await self._tools.session.commit(records)
-                self._observe_end(found)
-            for item in ended:
-                self._tools.holder.after_end(item)
+    async def _run_admitted(
+        self, request: CallRequest, on_text: OnText | None
+    ) -> Answer:
+        digest = _digest(request)
+        if not self._is_known(request, digest):
+            await self._tools.outage.require_table()
+        running = self._running.get((request.program, request.number))
+        if running is not None and running.digest != digest:
+            raise ConflictError("the call is under way with other content")
+        program = self._program(request.requester, request.program)
+        if running is None:
+            admission = admit_call(program, request.number, digest)
+            if isinstance(admission, ReplaySpilled):
+                admission = await self._spilled(program, request.number, digest)
+            if isinstance(admission, Replay):
+                return _answer(admission.call, is_replayed=True)
+            running = self._launch(program, request, digest, admission)
+        with running.listening(on_text):
+            return _answer(await running.result())
+
+    def _is_known(self, request: CallRequest, digest: str) -> bool:
+        """Return whether a call is under way here, or has its answer for good."""
+        if (request.program, request.number) in self._running:
+            return True
+        program = self._own_program(request)
+        if program is None or not 1 <= request.number < program.next_number:
+            return False
+        if request.number <= program.spilled:
+            return True
+        return program.stored(request.number).digest == digest
+
+    def _judged(self, request: CallRequest, error: CarobspurError) -> CarobspurError:
+        """Return an error whose "not run" is true of every sending of the call.
+
+        Another scheduler may have sent the call where this one's lease has lapsed,
+        or an earlier sending may have left an intent.
+        """
+        if error.verdict != NOT_RUN:
+            return error
+        program = self._own_program(request)
+        intent = None if program is None else program.intent
+        is_open = intent is not None and intent.number == request.number
+        if not is_open and self._is_repeatable(request):
+            return error
+        if not self._tools.session.has_lease:
+            return error.weakened()
+        if is_open and not isinstance(error, ConflictError):
+            return error.weakened()
+        error.is_proven = True
+        return error
+
+    def _own_program(self, request: CallRequest) -> Program | None:
+        try:
+            return self._program(request.requester, request.program)
+        except NotFoundError:
+            return None
+
+    def _is_repeatable(self, request: CallRequest) -> bool:
+        try:
+            inventory = self._inventories(request.requester.organisation)
+        except NotFoundError:
+            return False
+        service = inventory.service(request.endpoint)
+        if service is not None:
+            return service.repeatable
+        return inventory.model(request.endpoint) is not None
 
     def _launch(
         self,
@@ -262,7 +247,7 @@
             organisation=program.organisation, program=program.id, call=request.number
         )
         started_s = self._tools.clock.monotonic()
-        with self._working_on(program.id):
+        with self._ownership.working_on(program.id):
             try:
                 stored = await self._execute(context, admission)
             except CarobspurError as error:
@@ -276,80 +261,24 @@
     async def _execute(
         self, context: CallContext, admission: RunNext | SettleIntent
     ) -> StoredCall:
-        kind = self._kind(context)
         match admission:
             case SettleIntent(intent):
-                return await kind.settle(context, intent)
+                return await self._kind(ONCE).settle(context, intent)
             case RunNext():
-                self._check_limits(context.program, context.inventory)
-                return await kind.run(context)
+                now_s = self._tools.clock.wall()
+                check_limits(context.program, context.inventory, now_s)
+                return await self._kind(_kind_name(context)).run(context)
 
-    def _kind(self, context: CallContext) -> CallKind:
-        name = _kind_name(context)
+    def _kind(self, name: str) -> CallKind:
         if name not in self._kinds:
             self._kinds[name] = plugin(PluginKind.CALLS, name)(self._tools)
         return self._kinds[name]
 
-    def _check_limits(self, program: Program, inventory: Inventory) -> None:
-        """Stop programs that loop: limits on calls, tokens and time."""
-        agent = SINGLE_CALL_LIMITS
-        if program.agent != SINGLE_CALL_AGENT:
-            agent = inventory.agent(program.agent)
-        now_s = self._tools.clock.wall()
-        if program.next_number > agent.max_calls:
-            raise LimitReachedError(f"the program made all its {agent.max_calls} calls")
-        if program.tokens_used >= agent.max_tokens:
-            raise LimitReachedError(f"the program used its {agent.max_tokens} tokens")
-        is_late = program.deadline_s and now_s > program.deadline_s
-        if now_s - program.started_s > agent.max_time_s or is_late:
-            raise LimitReachedError("the program's time is over")
-
-    def _observe_end(self, program: Program) -> None:
-        if program.agent == SINGLE_CALL_AGENT:
-            return
-        elapsed_s = self._tools.clock.wall() - program.started_s
-        agent = self._inventories(program.organisation).agent(program.agent)
-        PROGRAM_SECONDS.labels(program.organisation, agent.name).observe(elapsed_s)
-        is_met = "yes" if elapsed_s <= agent.objective_s else "no"
-        PROGRAM_OBJECTIVE.labels(program.organisation, agent.name, is_met).inc()
-
     def _program(self, requester: Requester, program: str) -> Program:
         is_caller = requester.role == Role.CALLER
         user = requester.user if is_caller else None
         return self._book.get(program, requester.organisation, user)
 
-    def _stoppable(self, requester: Requester, program: str) -> Program:
-        """Return a program if the organisation's rules let the requester stop it."""
-        found = self._book.get(program, requester.organisation, None)
-        rules = self._inventories(found.organisation).rules
-        allowed = may_stop(
-            rules,
-            role=requester.role,
-            user=requester.user,
-            program_user=found.user,
-        )
-        if not allowed:
-            self._program(requester, program)
-            raise ForbiddenError(f"the rules let no {requester.role} stop this program")
-        return found
-
-    def _require_owner(self, program: str) -> None:
-        if self._tools.session.is_lost or not self._owns(program):
-            raise NotOwnerError(f"program {program} belongs to another scheduler")
-
-    @contextmanager
-    def _working_on(self, program: str) -> Iterator[None]:
-        """Keep a program's shard from moving away."""
-        self._require_owner(program)
-        shard = shard_of(program, self._shards)
-        self._busy[shard] = self._busy.get(shard, 0) + 1
-        try:
-            yield
-        finally:
-            self._busy[shard] -= 1
-            if not self._busy[shard]:
-                del self._busy[shard]
-
 
 def _kind_name(context: CallContext) -> str:
     """Return which plug-in runs a call; the inventory decides, not the caller."""
@@ -359,7 +288,7 @@
     service = context.inventory.service(name)
     if service is None:
         raise NotFoundError(f"no endpoint is called {name!r}")
-    return "repeatable" if service.repeatable else "once"
+    return "repeatable" if service.repeatable else ONCE
 
 
 def _digest(request: CallRequest) -> str:
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -23,10 +23,10 @@
 from .view import ViewClient
 
 STOP_LIMIT_S = 60.0
+QUIET_S = 2.0
 # A body over the limit is read up to this multiple, so that its sender gets a problem
 # document; beyond it the connection is closed.
 BODY_READ_FACTOR = 2
-QUIET_S = 2.0
 
 _logger = logging.getLogger(__name__)
 
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
 import msgspec
 
@@ -17,23 +17,32 @@
 from .clock import Clock
 from .dispatch import Dispatcher, Urgency
 from .endpoints import Endpoints
-from .errors import CallError, NotFoundError
+from .errors import CallError, NotFoundError, RefusedError, SessionLostError
+from .fencing import FencingNumbers
 from .history import Histories
 from .holder import CacheHolder
 from .inventory import Inventory, Role
-from .journal import CallFinished, CallIntended, CallOutcome
+from .journal import CallFinished, CallIntended, CallOutcome, Record
+from .outage import COMMIT_LIMIT_S, OutageGuard
 from .pool import EndpointPool, EndpointState
 from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
-from .retry import Backoff
+from .retry import Backoff, RetryBudgets
 from .routing import RouteRequest
+from .running import RunningCall
 from .session import Session
-from .verdict import MAY_HAVE_RUN, RAN, verdict_name
+from .verdict import (
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    RAN,
+    Verdict,
+    verdict_from_name,
+    verdict_name,
+)
 
 MAX_SENDS = 3
 FIRST_WAIT_SHARE = 0.2
 
 Result = TypeVar("Result")
-OnText = Callable[[int, str], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,47 +70,6 @@
         return call_digest(self.endpoint, self.content)
 
 
-@dataclass(slots=True, eq=False)
-class RunningCall:
-    """A call under way, with all who listen to its stream.
-
-    Attributes:
-        digest: Digest of the call.
-        task: The task that runs it.
-        texts: Pieces of the answer so far.
-    """
-
-    digest: str
-    task: asyncio.Task[StoredCall] | None = None
-    texts: list[str] = field(default_factory=list)
-    _listeners: list[OnText] = field(default_factory=list)
-
-    def restart(self) -> None:
-        """Forget the pieces so far: the answer is generated anew."""
-        self.texts.clear()
-
-    def add_text(self, text: str) -> None:
-        """Take one piece of the answer and pass it on."""
-        index = len(self.texts)
-        self.texts.append(text)
-        for listener in self._listeners:
-            listener(index, text)
-
-    @contextmanager
-    def listening(self, listener: OnText | None) -> Iterator[None]:
-        """Pass all pieces, those so far first, to a listener during the body."""
-        if listener is None:
-            yield
-            return
-        for index, text in enumerate(self.texts):
-            listener(index, text)
-        self._listeners.append(listener)
-        try:
-            yield
-        finally:
-            self._listeners.remove(listener)
-
-
 @dataclass(frozen=True, slots=True)
 class CallContext:
     """One admitted call.
@@ -135,6 +103,19 @@
         return 0
 
 
+@dataclass(frozen=True, slots=True)
+class Price(Generic[Result]):
+    """Cost units of one sending of a call.
+
+    Attributes:
+        most: The most that it can cost.
+        of: Returns what it cost, from its result.
+    """
+
+    most: int
+    of: Callable[[Result], int]
+
+
 @dataclass(frozen=True, slots=True)
 class Toolbox:
     """Parts of the scheduler that kinds of calls use.
@@ -149,6 +130,9 @@
         holder: Keeps and releases engines' caches.
         histories: Reads programs' histories.
         data_centre: Where the scheduler stands.
+        fences: Fencing numbers of what is sent.
+        retries: Limits repeated sends.
+        outage: Tells whether the table answers.
     """
 
     clock: Clock
@@ -160,15 +144,19 @@
     holder: CacheHolder
     histories: Histories
     data_centre: str
+    fences: FencingNumbers
+    retries: RetryBudgets
+    outage: OutageGuard
 
     @asynccontextmanager
     async def reserved(
         self, context: CallContext, units: int
     ) -> AsyncIterator[Reservation]:
         """Reserve cost units; what is not settled in the body is given back."""
-        reservation = await self.budgets.reserve(
-            context.inventory, context.program.user, units
-        )
+        async with self.outage.limited(NOT_RUN):
+            reservation = await self.budgets.reserve(
+                context.inventory, context.program.user, units
+            )
         try:
             yield reservation
         finally:
@@ -210,6 +198,7 @@
         route: RouteRequest,
         candidates: list[EndpointState],
         send_to: Callable[[EndpointState], Awaitable[Result]],
+        price: Price[Result],
     ) -> tuple[Result, EndpointState]:
         """Send a repeatable call, to another endpoint after a failure.
 
@@ -218,6 +207,7 @@
             route: What the routing policy is told of it.
             candidates: Endpoints that serve it.
             send_to: Sends it to one endpoint.
+            price: What each sending costs.
 
         Returns:
             The result and the endpoint that gave it.
@@ -226,17 +216,51 @@
             CallError: The last endpoint's failure.
         """
         backoff = Backoff()
-        attempt = 0
-        while True:
-            attempt += 1
+        name = context.request.endpoint
+        self.retries.note_send(name)
+        failed: CallError | None = None
+        tried: list[EndpointState] = []
+        for _ in range(MAX_SENDS):
+            others = [item for item in candidates if item not in tried]
             try:
-                async with self.slot(context, route, candidates) as endpoint:
-                    return await self.observed(endpoint, send_to(endpoint)), endpoint
+                return await self._send_once(
+                    context, route, others or candidates, send_to, price, tried
+                )
+            except RefusedError as error:
+                raise (failed or error) from error
             except CallError as error:
-                if error.verdict == RAN or attempt == MAX_SENDS:
-                    raise
-            candidates = [c for c in candidates if c is not endpoint] or candidates
+                failed = error
+            if failed.verdict == RAN or not self.retries.may_repeat(name):
+                break
             await self.clock.sleep(backoff.next_s())
+        raise failed
+
+    async def _send_once(
+        self,
+        context: CallContext,
+        route: RouteRequest,
+        candidates: list[EndpointState],
+        send_to: Callable[[EndpointState], Awaitable[Result]],
+        price: Price[Result],
+        tried: list[EndpointState],
+    ) -> tuple[Result, EndpointState]:
+        """Reserve the most that one sending can cost, send, and pay what it cost.
+
+        Raises:
+            CallError: The sending failed; where it may have run, it is paid in full.
+        """
+        async with (
+            self.reserved(context, price.most) as reservation,
+            self.slot(context, route, candidates) as endpoint,
+        ):
+            tried.append(endpoint)
+            try:
+                result = await self.observed(endpoint, send_to(endpoint))
+            except CallError as error:
+                reservation.settle(0 if error.verdict == NOT_RUN else price.most)
+                raise
+            reservation.settle(min(price.most, price.of(result)))
+        return result, endpoint
 
     async def observed(
         self, endpoint: EndpointState, sending: Awaitable[Result]
@@ -251,6 +275,31 @@
         endpoint.breaker.on_success()
         return result
 
+    async def commit(
+        self, context: CallContext, records: list[Record], *, meanwhile: Verdict
+    ) -> None:
+        """Commit records of a call; after a limit, tell its callers to come back.
+
+        Args:
+            context: The call.
+            records: The records.
+            meanwhile: What is true of the call while the commit takes too long.
+
+        Raises:
+            SessionLostError: The session was taken over; the verdict claims nothing.
+        """
+        loop = asyncio.get_event_loop()
+        timer = loop.call_later(
+            COMMIT_LIMIT_S,
+            lambda: context.running.stall(self.outage.error(meanwhile)),
+        )
+        try:
+            await self.session.commit(records)
+        except SessionLostError as error:
+            raise error.weakened() from error
+        finally:
+            timer.cancel()
+
     async def finish(self, context: CallContext, outcome: CallOutcome) -> StoredCall:
         """Commit a call's outcome and return it as stored."""
         request = context.request
@@ -262,7 +311,8 @@
             input=request.content.decode(),
             outcome=outcome,
         )
-        await self.session.commit([record])
+        verdict = verdict_from_name(outcome.verdict)
+        await self.commit(context, [record], meanwhile=verdict)
         return context.program.stored(request.number)
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 
 from carobspur.inventory import (
     Agent,
@@ -104,7 +105,11 @@
 
 
 def some_settings(
-    number: int = 1, *, shards: int = 8, scheduler_options: str = ""
+    number: int = 1,
+    *,
+    shards: int = 8,
+    lease_s: float = LEASE_S,
+    scheduler_options: str = "",
 ) -> Settings:
     """Return the settings of an in-process instance."""
     options = scheduler_options.replace("\n", "\n        ")
@@ -123,7 +128,7 @@
         [scheduler]
         port = 2
         metrics_port = 3
-        lease_s = {LEASE_S}
+        lease_s = {lease_s}
         shards = {shards}
         {options}
         [control]
@@ -132,3 +137,8 @@
         platform_key_sha256 = {digest_of(PLATFORM_SECRET)}
         """
     )
+
+
+def json_of(text: str) -> object:
+    """Return a stored answer's content, or ``None`` where there is none."""
+    return json.loads(text) if text else None
