--- a/experiments/takeover.py
+++ b/experiments/takeover.py
@@ -23,7 +23,12 @@
 from urllib.request import Request, urlopen
 
 import msgspec
-from examples.deployment import Deployment, deployment, example_inventory
+from examples.deployment import (
+    PLATFORM_KEY,
+    Deployment,
+    deployment,
+    example_inventory,
+)
 from tests import builders
 from tests.virtual import run_virtual
 from tests.world import World
@@ -115,7 +120,7 @@
     inventory = msgspec.structs.replace(inventory, keys=keys, agents=agents)
     url = running.instances[0].control_url
     headers = {
-        "Authorization": f"Bearer {builders.OPERATOR_SECRET}",
+        "Authorization": f"Bearer {PLATFORM_KEY}",
         "If-Match": '"0"',
         "Carobspur-Change": "c1",
     }
