--- a/src/carobspur_standins/tool.py
+++ b/src/carobspur_standins/tool.py
@@ -46,6 +46,7 @@
         self._delay_s = delay_s
         self._fences: dict[str, int] = {}
         self._answers: dict[str, bytes] = {}
+        self._running: set[asyncio.Task[HttpResponse]] = set()
         self.runs: list[ToolRun] = []
 
     async def handle(self, request: Request, emit: Emit) -> HttpResponse:
@@ -67,13 +68,20 @@
         return self._answer(call)
 
     async def _run(self, request: Request) -> HttpResponse:
+        """Run a call to its end, also where its sender stops waiting."""
+        running = asyncio.ensure_future(self._carry_out(request))
+        self._running.add(running)
+        running.add_done_callback(self._running.discard)
+        return await asyncio.shield(running)
+
+    async def _carry_out(self, request: Request) -> HttpResponse:
         call = request.headers.get(CALL_ID_HEADER, "")
         fence = int(request.headers.get(FENCE_HEADER, "0"))
         if self._delay_s:
             await asyncio.sleep(self._delay_s)
         if self._checks_fencing and fence < self._fences.get(call, 0):
             return HttpResponse(HTTP_FENCED, b"")
-        self._fences[call] = fence
+        self._fences[call] = max(fence, self._fences.get(call, 0))
         self.runs.append(ToolRun(call, fence, msgspec.Raw(request.body)))
         content = ToolAnswer(len(self.runs), msgspec.Raw(request.body))
         self._answers[call] = msgspec.json.encode(content)
