--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -130,9 +130,12 @@
         self, request: CallRequest, on_text: OnText | None = None
     ) -> Answer:
         """Run one call that belongs to no program of the caller's."""
-        await self._lifecycle.start(
-            request.requester, request.program, agent=SINGLE_CALL_AGENT
-        )
+        try:
+            await self._lifecycle.start(
+                request.requester, request.program, agent=SINGLE_CALL_AGENT
+            )
+        except CarobspurError as error:
+            raise self._judged(request, error) from error
         return await self.run_call(request, on_text)
 
     async def _spilled(self, program: Program, number: int, digest: str) -> Replay:
--- a/src/carobspur/endpoints.py
+++ b/src/carobspur/endpoints.py
@@ -94,6 +94,7 @@
         content: JSON text of the input.
         timeout_s: Seconds to wait.
         send_once: Whether it may be sent only once.
+        is_fenced: Whether the service checks fencing numbers.
     """
 
     call_id: str
@@ -101,6 +102,7 @@
     content: bytes
     timeout_s: float
     send_once: bool = False
+    is_fenced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +243,7 @@
             send_once=order.send_once,
         )
         response = await self._fetch(message)
-        if response.status == HTTP_FENCED:
+        if order.is_fenced and response.status == HTTP_FENCED:
             raise EndpointRejectedError(
                 f"{address} refused an old fencing number", verdict=NOT_RUN
             )
--- a/src/carobspur/plugins/calls_once.py
+++ b/src/carobspur/plugins/calls_once.py
@@ -62,10 +62,14 @@
         ):
             fence = self._tools.fences.take(above=context.program.fence)
             intent = _intent(context, service, endpoint, fence)
-            with _after_intent():
-                await self._commit(context, intent)
-                await self._hold_back_if_stale(context, intent)
-                outcome = await self._send(context, service, intent, endpoint)
+            try:
+                with _after_intent():
+                    await self._commit(context, intent)
+                    await self._hold_back_if_stale(context, intent)
+                    outcome = await self._send(context, service, intent, endpoint)
+            except CarobspurError as error:
+                reservation.settle(0 if error.is_proven else service.cost)
+                raise
             reservation.settle(service.cost)
         return await self._tools.finish(context, with_cost(outcome, service.cost))
 
@@ -111,6 +115,7 @@
             content=context.request.content,
             timeout_s=service.timeout_s,
             send_once=True,
+            is_fenced=service.checks_fencing,
         )
         sending = self._tools.endpoints.run(endpoint.address, order)
         try:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -15,10 +15,10 @@
     GenerateResult,
     ToolOrder,
 )
-from carobspur.errors import EndpointTimeoutError
+from carobspur.errors import EndpointRejectedError, EndpointTimeoutError
 from carobspur.http import CurlClient, HttpError, HttpRequest, HttpResponse
 from carobspur.sse import Event, encode_event
-from carobspur.verdict import MAY_HAVE_RUN
+from carobspur.verdict import MAY_HAVE_RUN, NOT_RUN, RAN
 
 
 class _Server:
@@ -109,3 +109,16 @@
         order = ToolOrder("p1.1", 1, b"{}", 1.0)
         answer = asyncio.run(endpoints.run("http://x", order))
         self.assertEqual(msgspec.json.decode(answer), "paid: 5")
+
+
+class FencedTest(unittest.TestCase):
+    def verdict(self, *, is_fenced: bool) -> object:
+        endpoints = Endpoints(_Answering(lambda _: HttpResponse(412, b"")))
+        order = ToolOrder("p1.1", 1, b"{}", 1.0, is_fenced=is_fenced)
+        with self.assertRaises(EndpointRejectedError) as caught:
+            asyncio.run(endpoints.run("http://x", order))
+        return caught.exception.verdict
+
+    def test_only_a_tool_that_checks_fencing_proves_by_it(self) -> None:
+        self.assertEqual(self.verdict(is_fenced=True), NOT_RUN)
+        self.assertEqual(self.verdict(is_fenced=False), RAN)
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -23,7 +23,7 @@
 
 POINTS = ("/v1/commit", "/v1/run", "/v1/generate")
 LEASE_S = 1.0
-FROZEN_S = 2 * LEASE_S
+FROZEN_S = 4 * LEASE_S
 SETTLED_S = FROZEN_S + LEASE_S
 MAX_TRIES = 12
 SCRIPT = (
@@ -69,11 +69,13 @@
         return await self._fail(request)
 
     def _note_stale(self, request: HttpRequest) -> None:
-        session = self.world.nodes[self.owner].scheduler.session.id
-        held = {row.key for row in self.world.table.rows}
-        if request.url.endswith("/v1/run") and f"session/{session}" not in held:
+        if request.url.endswith("/v1/run") and not self._is_held():
             self.stale.append("a call was sent after the session was taken over")
 
+    def _is_held(self) -> bool:
+        session = self.world.nodes[self.owner].scheduler.session.id
+        return f"session/{session}" in {row.key for row in self.world.table.rows}
+
     async def _fail(self, request: HttpRequest) -> HttpResponse:
         match self.failure:
             case Failure.DIE_BEFORE:
@@ -100,6 +102,8 @@
         gate.freeze()
         asyncio.get_event_loop().call_later(FROZEN_S, gate.thaw)
         await gate.passed()
+        if self._is_held():
+            self.stale.append("the freeze ended before a takeover")
 
 
 @dataclass
