--- a/tests/world.py
+++ b/tests/world.py
@@ -205,6 +205,7 @@
         *,
         shards: int = 8,
         lease_s: float = builders.LEASE_S,
+        tool_delay_s: float = 0.0,
         note: Note = lambda request, response: None,
         engines: dict[str, ModelEngine] | None = None,
         scheduler_options: str = "",
@@ -222,7 +223,9 @@
             for number, url in enumerate(builders.ENGINE_URLS)
         }
         tool = next(item for item in self.inventory.services if not item.repeatable)
-        self.tool = ToolService(checks_fencing=tool.checks_fencing)
+        self.tool = ToolService(
+            checks_fencing=tool.checks_fencing, delay_s=tool_delay_s
+        )
         self.plain = ToolService()
         self.client = InProcessClient(
             {
