--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 from urllib.error import URLError
@@ -19,7 +20,8 @@
 
 import msgspec
 
-from carobspur.inventory import Inventory, parse_inventory
+from carobspur.inventory import Inventory
+from carobspur.inventory_checks import parse_inventory
 
 HOST = "127.0.0.1"
 LOWEST_PORT = 20_000
@@ -28,6 +30,7 @@
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
 EXAMPLES = Path(__file__).parent
+PLATFORM_KEY = "platform-example-key"
 
 _SETTINGS = """\
 [instance]
@@ -49,6 +52,7 @@
 port = {control}
 peer_port = {control_peer}
 poll_s = 0.1
+platform_key_sha256 = {platform_key_sha256}
 [logs]
 level = {log_level}
 """
@@ -205,6 +209,7 @@
                 lease_s=self._lease_s,
                 scheduler_options=self._scheduler_options,
                 log_level=self._log_level,
+                platform_key_sha256=sha256(PLATFORM_KEY.encode()).hexdigest(),
             )
         )
         for role in ("control", "scheduler", "entry"):
--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 import msgspec
@@ -197,6 +197,17 @@
         if self._policy.gives_orders:
             self._order(engine.address, HoldOrder(program, "", 0.0, self._fence))
 
+    def release(self, address: str, programs: Iterable[str], *, fence: int) -> None:
+        """Release all that an engine keeps of some programs.
+
+        Args:
+            address: The engine.
+            programs: Programs that are gone.
+            fence: Fencing number of the order.
+        """
+        for program in programs:
+            self._order(address, HoldOrder(program, "", 0.0, fence))
+
     def _order(self, address: str, order: HoldOrder) -> None:
         self._start(self._send(address, order))
 
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -71,9 +71,13 @@
 )
 SHOW_PROGRAM = Method("show_program", messages.ShowProgram, messages.ProgramDocument)
 END_PROGRAM = Method("end_program", messages.EndProgram, messages.Empty)
+ADOPT_CHILD = Method("adopt_child", messages.AdoptChild, messages.Empty)
+END_CHILD = Method("end_child", messages.EndChild, messages.Empty)
 DRAIN = Method("drain", messages.Drain, messages.Empty)
+GET_STATUS = Method("get_status", messages.GetStatus, messages.SchedulerStatus)
 GET_VIEW = Method("get_view", messages.GetView, messages.View)
 GOSSIP = Method("gossip", messages.Gossip, messages.Gossip)
+SWEEP_CACHE = Method("sweep_cache", messages.SweepCache, messages.CacheSwept)
 RECONCILE = Method("reconcile", messages.Reconcile, messages.Reconciled)
 
 
@@ -122,6 +126,7 @@
         message=error.message,
         retry_after_s=error.retry_after_s,
         detail=error.detail,
+        proven=error.is_proven,
     )
 
 
@@ -133,6 +138,7 @@
         verdict=verdict_from_name(failure.verdict),
         retry_after_s=failure.retry_after_s,
         detail=failure.detail or "",
+        is_proven=bool(failure.proven),
     )
 
 
@@ -308,16 +314,17 @@
         self._next_id += 1
         call_id = self._next_id
         pending = _PendingCall(method, on_part)
-        self._pending[call_id] = pending
-        _write_frame(
-            self._stream,
-            messages.Frame(
-                id=call_id,
-                kind=messages.FrameKind.REQUEST,
-                method=method.name,
-                body=encode(request),
-            ),
+        frame = messages.Frame(
+            id=call_id,
+            kind=messages.FrameKind.REQUEST,
+            method=method.name,
+            body=encode(request),
         )
+        try:
+            _write_frame(self._stream, frame)
+        except StreamClosedError as error:
+            raise PeerUnreachableError("the peer closed the connection") from error
+        self._pending[call_id] = pending
         try:
             return await asyncio.wait_for(pending.future, timeout_s)
         except (TimeoutError, asyncio.CancelledError) as error:
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 
 from ..endpoints import (
@@ -13,15 +15,15 @@
     extend_prefix_key,
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
-from ..execution import CallContext, Toolbox
-from ..history import ModelHistory, model_history
+from ..execution import CallContext, Price, Toolbox
+from ..history import model_prefix
 from ..holds import HoldDecision, Keep
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
 from ..metrics import PREFIX_TOKENS
 from ..pool import CachedPrefix, EndpointState
-from ..programs import StoredCall
+from ..programs import Prefix, StoredCall
 from ..routing import RouteRequest
 
 
@@ -42,18 +44,15 @@
         """Generate an answer and commit it; see :class:`..execution.CallKind`."""
         model = _model(context)
         content = decode_model_input(context.request.content)
-        history = model_history(context.program, model.name)
+        history = model_prefix(context.program, model.name)
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
-        most = _cost(model, new_tokens, content.max_tokens)
-        async with self._tools.reserved(context, most) as reservation:
-            result, engine = await self._generate(context, model, content, history)
-            cost = min(most, _cost(model, new_tokens, result.output_tokens))
-            reservation.settle(cost)
+        price = _price(model, new_tokens, content.max_tokens)
+        result, engine = await self._generate(context, model, content, history, price)
         outcome = CallOutcome(
             output=msgspec.json.encode(result).decode(),
-            cost_units=cost,
+            cost_units=min(price.most, price.of(result)),
             input_tokens=new_tokens,
             output_tokens=result.output_tokens,
             engine=engine.address,
@@ -71,7 +70,8 @@
         context: CallContext,
         model: Model,
         content: ModelInput,
-        history: ModelHistory,
+        history: Prefix,
+        price: Price[GenerateResult],
     ) -> tuple[GenerateResult, EndpointState]:
         self._recall_home(context, history)
         holder, now_s = self._tools.holder, self._tools.clock.monotonic()
@@ -100,19 +100,19 @@
         )
 
         async def _send_to(engine: EndpointState) -> GenerateResult:
-            context.running.restart()
+            context.running.restart(str(self._tools.fences.take()))
             held = _held(order, self._decide(context, history, engine))
             return await self._generate_on(engine, context, held, history, model)
 
         candidates = self._tools.pool.serving(context.inventory, model.name)
-        return await self._tools.send(context, route, candidates, _send_to)
+        return await self._tools.send(context, route, candidates, _send_to, price)
 
-    def _recall_home(self, context: CallContext, history: ModelHistory) -> None:
+    def _recall_home(self, context: CallContext, history: Prefix) -> None:
         """After a takeover, take the engine of the last turn for the history's home."""
         program, model = context.program.id, context.request.endpoint
-        if not history.turns or self._tools.pool.home(program, model) is not None:
+        if not history.engine or self._tools.pool.home(program, model) is not None:
             return
-        engine = self._tools.pool.find(history.turns[-1].outcome.engine)
+        engine = self._tools.pool.find(history.engine)
         if engine is not None:
             now_s = self._tools.clock.monotonic()
             cached = CachedPrefix(history.key, history.tokens, now_s)
@@ -123,7 +123,7 @@
         engine: EndpointState,
         context: CallContext,
         order: GenerateRequest,
-        history: ModelHistory,
+        history: Prefix,
         model: Model,
     ) -> GenerateResult:
         """Send the new part only, and the whole history where it is missing."""
@@ -133,12 +133,13 @@
             has_come = await self._tools.holder.bring(
                 order.program, order.model, history.key, engine
             )
-            order = order if has_come else _with_history(order, history)
+            if not has_come:
+                order = await self._with_history(order, context)
         try:
             result = await self._send(engine, context, order, model)
         except PrefixLostError:
             self._tools.pool.unsettle(order.program)
-            order = _with_history(order, history)
+            order = await self._with_history(order, context)
             result = await self._send(engine, context, order, model)
         organisation = context.program.organisation
         found = min(result.cached_tokens, history.tokens)
@@ -146,6 +147,13 @@
         PREFIX_TOKENS.labels(organisation, "no").inc(history.tokens - found)
         return result
 
+    async def _with_history(
+        self, order: GenerateRequest, context: CallContext
+    ) -> GenerateRequest:
+        histories = self._tools.histories
+        text = await histories.text(context.program, order.model)
+        return msgspec.structs.replace(order, history=text)
+
     async def _send(
         self,
         engine: EndpointState,
@@ -157,14 +165,14 @@
             engine.address,
             order,
             timeout_s=model.timeout_s,
-            on_text=context.running.add_text,
+            on_text=partial(context.running.add_text, context.running.generation),
         )
 
     def _note_prefix(
         self,
         context: CallContext,
         engine: EndpointState,
-        history: ModelHistory,
+        history: Prefix,
         content: ModelInput,
         result: GenerateResult,
     ) -> None:
@@ -180,7 +188,7 @@
         self._tools.holder.after_call(program.id, model, key, decision)
 
     def _decide(
-        self, context: CallContext, history: ModelHistory, engine: EndpointState
+        self, context: CallContext, history: Prefix, engine: EndpointState
     ) -> HoldDecision:
         weights = context.inventory.rules.weights
         return self._tools.holder.decide(
@@ -196,8 +204,16 @@
     return model
 
 
-def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
-    return input_tokens * model.input_cost + output_tokens * model.output_cost
+def _price(model: Model, new_tokens: int, max_tokens: int) -> Price[GenerateResult]:
+    """Return what one sending costs: new tokens read and tokens generated.
+
+    History that an engine reads again is the pool's cost and not the caller's.
+    """
+
+    def _cost(output_tokens: int) -> int:
+        return new_tokens * model.input_cost + output_tokens * model.output_cost
+
+    return Price(_cost(max_tokens), lambda result: _cost(result.output_tokens))
 
 
 def _held(order: GenerateRequest, decision: HoldDecision) -> GenerateRequest:
@@ -206,7 +222,3 @@
             return msgspec.structs.replace(order, hold_s=ttl_s)
         case _:
             return order
-
-
-def _with_history(order: GenerateRequest, history: ModelHistory) -> GenerateRequest:
-    return msgspec.structs.replace(order, history=history.text())
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -14,12 +14,15 @@
     CallFinished,
     CallIntended,
     CallOutcome,
+    ChildAdopted,
+    ChildEnded,
     ProgramEnded,
     ProgramStarted,
     Record,
 )
 
 SINGLE_CALL_AGENT = "single-call"
+NEVER_STARTED = "never-started"
 _ID_HEX_DIGITS = 32
 
 
@@ -33,6 +36,30 @@
     outcome: CallOutcome
 
 
+class Segment(msgspec.Struct, frozen=True):
+    """Calls of a program that moved to an object; numbers include both ends."""
+
+    key: str
+    first: int
+    last: int
+
+
+class Prefix(msgspec.Struct, frozen=True):
+    """A program's conversation with one model, up to one of its calls.
+
+    Attributes:
+        key: Key by which engines know the whole text; empty for no turns.
+        tokens: Length of the text.
+        upto: Number of the last call that it takes into account.
+        engine: Address of the engine that ran the last turn.
+    """
+
+    key: str = ""
+    tokens: int = 0
+    upto: int = 0
+    engine: str = ""
+
+
 class Program(msgspec.Struct):
     """A program as its records made it.
 
@@ -44,12 +71,16 @@
         started_s: Start, seconds since 1970.
         parent: Id of the program that started it, or empty.
         deadline_s: Seconds since 1970 by which it must end, or 0.
-        calls: Finished calls in order; call ``n`` stands at ``n - 1``.
+        segments: Where the oldest finished calls are, in order.
+        calls: Finished calls after those, in order.
+        prefixes: Conversations by model, so that they need not be read again.
         intent: A call that may not be repeated and has no outcome yet.
         ended: Whether it takes no more calls.
         end_reason: Why it ended.
         tokens_used: Model tokens over all calls.
         attained_units: Cost units over all calls.
+        children: Ids of its sub-agents that are not known to have ended.
+        fence: Highest fencing number known to have been used for its calls.
     """
 
     id: str
@@ -59,17 +90,30 @@
     started_s: float
     parent: str = ""
     deadline_s: float = 0.0
+    segments: list[Segment] = []
     calls: list[StoredCall] = []
+    prefixes: dict[str, Prefix] = {}
     intent: CallIntended | None = None
     ended: bool = False
     end_reason: str = ""
     tokens_used: int = 0
     attained_units: int = 0
+    fence: int = 0
+    children: list[str] = []
 
     @property
     def next_number(self) -> int:
         """The number that the next new call must carry."""
-        return len(self.calls) + 1
+        return self.spilled + len(self.calls) + 1
+
+    @property
+    def spilled(self) -> int:
+        """Number of the last call that is in an object, or 0."""
+        return self.segments[-1].last if self.segments else 0
+
+    def stored(self, number: int) -> StoredCall:
+        """Return a finished call that is not in an object."""
+        return self.calls[number - self.spilled - 1]
 
 
 class ProgramReport(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -94,6 +138,11 @@
     call: StoredCall
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaySpilled:
+    """The call finished before; its stored answer must be read from an object."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunNext:
     """The call is the program's next one."""
@@ -106,7 +155,7 @@
     intent: CallIntended
 
 
-Admission: TypeAlias = Replay | RunNext | SettleIntent
+Admission: TypeAlias = Replay | ReplaySpilled | RunNext | SettleIntent
 
 
 def program_id(organisation: str, user: str, key: str) -> str:
@@ -155,20 +204,31 @@
         ConflictError: The number was used for another call, or leaves a gap.
         ProgramEndedError: The program takes no new calls.
     """
+    if 1 <= number <= program.spilled:
+        return ReplaySpilled()
     if 1 <= number < program.next_number:
-        stored = program.calls[number - 1]
-        if stored.digest != digest:
+        return replay(program, program.stored(number), digest)
+    intent = program.intent
+    if intent is not None and intent.number == number:
+        if intent.digest != digest:
             raise _conflict(program, f"call {number} had other content")
-        return Replay(stored)
+        return SettleIntent(intent)
     if program.ended:
         raise ProgramEndedError(f"program {program.id} has ended: {program.end_reason}")
     if number != program.next_number:
         raise _conflict(program, f"call {number} is out of order")
-    if program.intent is None:
-        return RunNext()
-    if program.intent.digest != digest:
-        raise _conflict(program, f"call {number} had other content")
-    return SettleIntent(program.intent)
+    return RunNext()
+
+
+def replay(program: Program, stored: StoredCall, digest: str) -> Replay:
+    """Return the replay of a finished call.
+
+    Raises:
+        ConflictError: The call had other content.
+    """
+    if stored.digest != digest:
+        raise _conflict(program, f"call {stored.number} had other content")
+    return Replay(stored)
 
 
 def _conflict(program: Program, reason: str) -> ConflictError:
@@ -202,25 +262,19 @@
         """Return a program, or ``None``."""
         return self._programs.get(program)
 
-    def get(self, program: str, organisation: str, user: str) -> Program:
-        """Return a program if this user may see it.
+    def get(self, program: str, organisation: str, user: str | None) -> Program:
+        """Return a program if this user, or with ``None`` the organisation, may.
 
         Raises:
             NotFoundError: There is no such program for this user.
         """
         found = self._programs.get(program)
-        is_own = found is not None and (found.organisation, found.user) == (
-            organisation,
-            user,
-        )
-        if not is_own:
+        if found is None or found.organisation != organisation:
+            raise NotFoundError(f"no program {program!r}")
+        if user is not None and found.user != user:
             raise NotFoundError(f"no program {program!r}")
         return found
 
-    def children(self, program: str) -> list[Program]:
-        """Return the programs that a program started, of those known here."""
-        return [item for item in self._programs.values() if item.parent == program]
-
     def add(self, program: Program) -> None:
         """Take a program from a snapshot."""
         self._programs[program.id] = program
@@ -245,6 +299,10 @@
                 self._abandon(record)
             case ProgramEnded():
                 self._end(record)
+            case ChildAdopted():
+                self._adopt(record)
+            case ChildEnded():
+                self._forget_child(record)
 
     def _start(self, record: ProgramStarted) -> None:
         if record.program in self._programs:
@@ -257,12 +315,14 @@
             started_s=record.started_s,
             parent=record.parent,
             deadline_s=record.deadline_s,
+            ended=record.agent == NEVER_STARTED,
         )
 
     def _intend(self, record: CallIntended) -> None:
         program = self._programs[record.program]
         if record.number == program.next_number:
             program.intent = record
+            program.fence = max(program.fence, record.fence)
 
     def _finish(self, record: CallFinished) -> None:
         program = self._programs[record.program]
@@ -286,6 +346,7 @@
         program = self._programs[record.program]
         if program.intent is not None and program.intent.number == record.number:
             program.intent = None
+        program.fence = max(program.fence, record.fence)
 
     def _end(self, record: ProgramEnded) -> None:
         program = self._programs[record.program]
@@ -293,9 +354,19 @@
             program.ended = True
             program.end_reason = record.reason
 
+    def _adopt(self, record: ChildAdopted) -> None:
+        children = self._programs[record.program].children
+        if record.child not in children:
+            children.append(record.child)
+
+    def _forget_child(self, record: ChildEnded) -> None:
+        children = self._programs[record.program].children
+        if record.child in children:
+            children.remove(record.child)
+
 
-def report(program: Program, *, with_history: bool) -> ProgramReport:
-    """Return what a caller is told of a program."""
+def report(program: Program, *, history: list[StoredCall]) -> ProgramReport:
+    """Return what a caller is told of a program, with the calls given."""
     return ProgramReport(
         program=program.id,
         agent=program.agent,
@@ -306,5 +377,5 @@
         parent=program.parent,
         tokens_used=program.tokens_used,
         cost_units=program.attained_units,
-        history=list(program.calls) if with_history else [],
+        history=history,
     )
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,17 +14,23 @@
 from typing import Any
 from urllib.request import Request, urlopen
 
+import msgspec
 from examples.caller import Caller, Refusal
-from examples.deployment import Deployment, Instance, example_inventory
+from examples.deployment import (
+    PLATFORM_KEY,
+    Deployment,
+    Instance,
+    example_inventory,
+)
 
 from carobspur.inventory import encode_inventory
+from carobspur.journal import decode_chunk
 from carobspur.placement import shard_of
 
 SHARDS = 64
 LIMIT_S = 60.0
 LEASE_S = 1.0
 CALLER_KEY = "oro-example-caller"
-OPERATOR_KEY = "oro-example-operator"
 
 
 def get_json(url: str, *, key: str = "") -> Any:
@@ -70,7 +76,7 @@
             method="PUT",
             data=encode_inventory(self.inventory),
             headers={
-                "Authorization": f"Bearer {OPERATOR_KEY}",
+                "Authorization": f"Bearer {PLATFORM_KEY}",
                 "If-Match": '"0"',
                 "Carobspur-Change": "first",
             },
@@ -86,9 +92,9 @@
         table = self.running.platform["table"]
         key = f"shard%2F{shard_of(program, SHARDS):05d}"
         row = get_json(f"{table}/v1/rows/{key}")
-        session = _value(row)["session"]
+        session = json.loads(row_value(row))["session"]
         row = get_json(f"{table}/v1/rows/session%2F{session}")
-        name = _value(row)["instance"]
+        name = json.loads(row_value(row))["instance"]
         return next(item for item in self.running.instances if item.id == name)
 
     def other(self, instance: Instance) -> Instance:
@@ -159,13 +165,27 @@
         codes = [item.popen.wait(LIMIT_S) for item in leaving.processes.values()]
         self.assertEqual(codes, [0, 0, 0])
 
+    def test_table_outage_passes(self) -> None:
+        caller = self.caller(self.running.instances[0])
+        program = caller.start("quote")
+        caller.call(program, 1, "payout", {"pesos": 5})
+        table = self.running.platform["table"]
+        self.fault(table, kind="drop")
+        with self.assertRaises(Refusal) as refused:
+            caller.call(program, 2, "payout", {"pesos": 6})
+        self.assertIn(refused.exception.problem["verdict"], ("not_run", "may_have_run"))
+        self.fault(table, kind="none")
+        answer = eventually(lambda: caller.call(program, 2, "payout", {"pesos": 6}))
+        self.assertEqual(answer["number"], 2)
+        self.assertEqual(self.runs(), [f"{program}.1", f"{program}.2"])
+
     def _is_intended(self, program: str) -> bool:
         table = self.running.platform["table"]
         rows = get_json(f"{table}/v1/rows?prefix=journal%2F")["rows"]
         return any(
             record["type"] == "intended" and record["program"] == program
             for row in rows
-            for record in _value(row)
+            for record in msgspec.to_builtins(decode_chunk(row_value(row)).records)
         )
 
     def _engines_run(self, calls: int) -> bool:
@@ -173,5 +193,5 @@
         return sum(item["running"] for item in loads) >= calls
 
 
-def _value(row: dict[str, Any]) -> Any:
-    return json.loads(base64.b64decode(row["value"]))
+def row_value(row: dict[str, Any]) -> bytes:
+    return base64.b64decode(row["value"])
