--- a/experiments/virtual_world.py
+++ b/experiments/virtual_world.py
@@ -15,7 +15,8 @@
 from tests.world import World, _serve
 
 from carobspur.http import HttpError, HttpRequest, HttpResponse
-from carobspur.inventory import Allowance, Engine, Inventory, Key, Role, parse_inventory
+from carobspur.inventory import Allowance, Engine, Inventory, Key, Role
+from carobspur.inventory_checks import parse_inventory
 from carobspur.load_driver import Target
 from carobspur.verdict import NOT_RUN
 from carobspur.workload import EngineSpeed, Workload
--- a/src/carobspur/pool.py
+++ b/src/carobspur/pool.py
@@ -62,7 +62,10 @@
         self.is_probing = False
 
     def on_failure(self, now_s: float) -> None:
-        """Note that a call failed."""
+        """Note that a call failed; one sent before it opened changes nothing."""
+        is_stale = self.failures >= FAILURES_TO_OPEN and not self.is_probing
+        if is_stale:
+            return
         self.failures += 1
         self.is_probing = False
         if self.failures >= FAILURES_TO_OPEN:
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -96,6 +96,7 @@
         self._forwarder = Forwarder(peers, view, clock)
         self._book = ProgramBook()
         self._pool = EndpointPool()
+        self._pool_shape = (-1, 0)
         self._session: Session | None = None
         self._holder: CacheHolder | None = None
         self._keeper: ShardKeeper | None = None
@@ -231,7 +232,10 @@
         """Follow a change of control's view."""
         self._forwarder.leave_lost_owners()
         schedulers = max(1, len(self._view.sessions))
-        self._pool.update(self._view.inventories, schedulers=schedulers)
+        shape = (self._view.revision, schedulers)
+        if shape != self._pool_shape:
+            self._pool.update(self._view.inventories, schedulers=schedulers)
+            self._pool_shape = shape
         for load in self._view.loads:
             state = self._pool.find(load.address)
             if state is not None:
@@ -242,7 +246,8 @@
                     load.kv_capacity_tokens,
                     self._clock.monotonic() - load.age_s,
                 )
-                state.take_report(report)
+                if load.reachable:
+                    state.take_report(report)
                 state.is_leaving = load.leaving
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
