--- a/experiments/real_world.py
+++ b/experiments/real_world.py
@@ -8,7 +8,7 @@
 from urllib.request import Request, urlopen
 
 import msgspec
-from examples.deployment import Deployment
+from examples.deployment import PLATFORM_KEY, Deployment
 from tests import builders
 
 from carobspur.inventory import Inventory, encode_inventory
@@ -74,7 +74,7 @@
         method="PUT",
         data=encode_inventory(inventory),
         headers={
-            "Authorization": f"Bearer {builders.OPERATOR_SECRET}",
+            "Authorization": f"Bearer {PLATFORM_KEY}",
             "If-Match": '"0"',
             "Carobspur-Change": "first",
         },
