--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -344,7 +344,7 @@
     """
     program = context.program
     most_s = program.deadline_s - now_s if program.deadline_s else None
-    has_run = bool(program.calls or program.parent)
+    has_run = program.next_number > 1 or bool(program.parent)
     if has_run or program.agent == SINGLE_CALL_AGENT:
         return most_s
     agent = context.inventory.agent(program.agent)
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -246,7 +246,8 @@
                     load.kv_capacity_tokens,
                     self._clock.monotonic() - load.age_s,
                 )
-                state.take_report(report)
+                if load.reachable:
+                    state.take_report(report)
                 state.is_leaving = load.leaving
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
--- a/tests/test_random_sessions.py
+++ b/tests/test_random_sessions.py
@@ -77,6 +77,24 @@
         self._fault(builders.TABLE_URL, FaultKind.NONE)
         self._fault(builders.TOOL_URL, FaultKind.NONE)
 
+    async def supervise(self) -> None:
+        """Replace schedulers that ended because their sessions were taken over."""
+        while True:
+            await asyncio.sleep(RETRY_S)
+            for number, node in list(self.world.nodes.items()):
+                if node.scheduler.session.is_lost and not node.gate.is_frozen:
+                    self.world.kill(number)
+                    await self._join()
+
+    async def history(self, program: str) -> list[Any]:
+        """Return a program's history once it has an owner again."""
+        for _ in range(MAX_ATTEMPTS):
+            reply = await self.world.ask("GET", f"/v1/programs/{program}/history")
+            if reply.status == 200:
+                return reply.json["history"]
+            await asyncio.sleep(RETRY_S)
+        raise AssertionError(f"no history of {program}: {reply.body!r}")
+
     async def run_program(self, caller: Caller) -> None:
         for number, kind in enumerate(caller.kinds, start=1):
             await self._run_call(caller, number, kind)
@@ -186,10 +204,12 @@
             for index, kinds in enumerate(programs):
                 program = await world.start_program(f"k{index}")
                 run.callers.append(Caller(program, kinds))
+            supervising = asyncio.ensure_future(run.supervise())
             await asyncio.gather(
                 run.trouble(steps), *(run.run_program(c) for c in run.callers)
             )
             await self.check(run)
+            supervising.cancel()
 
         run_virtual(scenario, seed=seed)
 
@@ -199,8 +219,7 @@
         for caller in run.callers:
             for number in caller.not_run - caller.answers.keys():
                 self.assertNotIn(f"{caller.program}.{number}", runs)
-            reply = await run.world.ask("GET", f"/v1/programs/{caller.program}/history")
-            history = reply.json["history"]
+            history = await run.history(caller.program)
             self.assertEqual(
                 [call["number"] for call in history],
                 list(range(1, len(caller.kinds) + 1)),
--- a/tests/world.py
+++ b/tests/world.py
@@ -125,6 +125,11 @@
         self._open = asyncio.Event()
         self._open.set()
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether everything is held back."""
+        return not self._open.is_set()
+
     def freeze(self) -> None:
         """Hold everything back from now on."""
         self._open.clear()
