--- a/experiments/membership_slopes.py
+++ b/experiments/membership_slopes.py
@@ -46,6 +46,8 @@
     asked_per_s = (fleet.loads_asked - asked) / node_seconds
     ages_s = load_ages_s(fleet)
     suspected = wrongly_suspected(fleet)
+    controls = fleet.controls.values()
+    alone = sum(not control.rounds.is_in_contact for control in controls) / size
     changes_sent = fleet.traffic.sent_bytes
     took_s = [await fleet.until_in_force(await fleet.change()) for _ in range(CHANGES)]
     change_bytes = (fleet.traffic.sent_bytes - changes_sent) / size / CHANGES
@@ -55,7 +57,7 @@
         f" {100 * used_s / node_seconds:6.2f} {reads_per_s:7.1f} {rows_per_s:7.0f}"
         f" {asked_per_s:6.2f} {max(took_s):7.2f} {statistics.median(ages_s):6.2f}"
         f" {max(ages_s):7.2f} {2 * change_bytes:8.0f}"
-        f" {100 * suspected:9.2f}"
+        f" {100 * suspected:9.2f} {100 * alone:7.1f}"
     )
 
 
@@ -82,7 +84,7 @@
     logging.disable(logging.CRITICAL)
     print(
         "nodes engines  msg/s   kB/s  %core reads/s  rows/s asks/s force_s"
-        "  age50 age_max B/change suspect_%"
+        "  age50 age_max B/change suspect_%  alone_%"
     )
     for size in map(int, sys.argv[1:] or ["7", "30", "90"]):
         print(run_virtual(lambda size=size: measure(size)), flush=True)
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -9,14 +9,14 @@
 from collections.abc import Coroutine, Mapping
 from typing import Any
 
-import fire
 import tornado.web
 
+from .burn_recorder import BurnRecorder
 from .clock import Clock, LoopClock
 from .configuration import HEAD_KEY, Configuration
 from .control_peers import ControlPeers
 from .control_view import ControlView
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .endpoint_loads import LoadReports, LoadSample, watched_endpoints
 from .errors import CarobspurError, StoreError
 from .gossip import Gossip
@@ -35,12 +35,14 @@
     usable_instances,
     write_instance,
 )
-from .operators import operator_routes
+from .operator_actions import operator_routes
 from .peers import PeerServer, peer_client
+from .problem import NoSuchPathHandler
 from .settings import Settings
 from .sweep import SWEEP_PERIOD_S, CacheSweep
 from .table import HttpTable, Table
 from .table_reader import TableReader, reader_order
+from .tls import peer_client_context, peer_server_context, public_server_context
 
 _logger = logging.getLogger(__name__)
 
@@ -115,6 +117,16 @@
         """Reads and changes inventories."""
         return self._configuration
 
+    @property
+    def table(self) -> Table:
+        """The table service."""
+        return self._table
+
+    @property
+    def shards(self) -> int:
+        """Number of shards of the system."""
+        return self._settings.scheduler.shards
+
     @property
     def revision(self) -> int:
         """Inventory revision in force here; -1 before the first read."""
@@ -125,6 +137,11 @@
         """Inventories in force, by organisation."""
         return self._in_force.inventories
 
+    @property
+    def revisions(self) -> dict[str, int]:
+        """Revision of each organisation's inventory in force."""
+        return self._in_force.revisions
+
     @property
     def sessions(self) -> list[Any]:
         """Schedulers that have sessions, as ``SessionInfo`` messages."""
@@ -303,7 +320,8 @@
     client = CurlClient()
     platform = settings.platform
     host = settings.instance.host
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         control = Control(
             settings=settings,
             clock=clock,
@@ -314,16 +332,32 @@
             client=client,
             peers=peers,
         )
-        server = PeerServer()
+        recorder = BurnRecorder(
+            table=control.table,
+            client=client,
+            clock=clock,
+            instance=settings.instance.id,
+            metrics_url=f"http://{host}:{settings.scheduler.metrics_port}",
+        )
+        server = PeerServer(ssl_options=peer_server_context(tls))
         serving = ControlPeers(control)
         serving.register(server)
         server.listen(settings.control.peer_port, host)
+        routes = operator_routes(
+            control, peers, platform_key_sha256=settings.control.platform_key_sha256
+        )
         app = tornado.web.Application(
-            [*health_routes(lambda: control.is_current), *operator_routes(control)]
+            [*health_routes(lambda: control.is_current), *routes],
+            default_handler_class=NoSuchPathHandler,
         )
         async with (
-            background(*control.loops()),
-            http_server(app, host, settings.control.port),
+            background(*control.loops(), recorder.run()),
+            http_server(
+                app,
+                host,
+                settings.control.port,
+                ssl_options=public_server_context(tls),
+            ),
         ):
             await stopping.wait()
             await _announce_leaving(control)
@@ -342,4 +376,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-control``."""
-    fire.Fire(lambda settings: run_daemon("control", settings, serve))
+    daemon_main("control", serve)
--- a/src/carobspur/heartbeats.py
+++ b/src/carobspur/heartbeats.py
@@ -15,6 +15,7 @@
 
 SUSPECT_AFTER_S = 5.0
 CONTACT_AGE_S = 3.0
+SLOWER_FROM_INSTANCES = 90
 MAX_HEARTBEATS = 64
 MAX_NAMES = 65_536
 
@@ -90,7 +91,12 @@
 
     def is_silent(self, instance: str, now_s: float) -> bool:
         """Return whether an instance was not heard for the time of suspicion."""
-        return self.age_s(instance, now_s) > SUSPECT_AFTER_S
+        return self.age_s(instance, now_s) > self.suspect_after_s
+
+    @property
+    def suspect_after_s(self) -> float:
+        """Silence after which an instance is suspected; messages hold a part of all."""
+        return SUSPECT_AFTER_S * max(1.0, len(self._heard) / SLOWER_FROM_INSTANCES)
 
     def age_s(self, instance: str, now_s: float) -> float:
         """Return how long ago an instance's counter was seen to advance."""
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -23,17 +23,20 @@
   3: required string message,
   4: optional double retry_after_s,
   5: optional string detail,
+  6: optional bool proven,
 }
 
 struct Empty {
 }
 
-// Who asks, as the entry process established it from the caller's key. A scheduler
-// whose inventory revision is lower than the entry's must not judge the request yet.
+// Who asks, as entry or control established it from a key; role is the key's, a
+// caller's where it is left out. A scheduler whose inventory revision is lower than
+// the asker's must not judge the request yet.
 struct Caller {
   1: required string organisation,
   2: required string user,
   3: required i64 revision,
+  4: optional string role,
 }
 
 struct StartProgram {
@@ -58,10 +61,11 @@
   6: required bool stream,
 }
 
-// A piece of a streamed answer; index counts from 0 within the call.
+// A piece of a streamed answer; index counts from 0 within one generation of it.
 struct CallPart {
   1: required i32 index,
   2: required string text,
+  3: required string generation,
 }
 
 struct CallAnswer {
@@ -100,10 +104,37 @@
   3: required string reason,
 }
 
+// Notes a sub-agent with its parent, before it starts.
+struct AdoptChild {
+  1: required Caller caller,
+  2: required string parent,
+  3: required string child,
+}
+
+// Ends a sub-agent whose parent has ended.
+struct EndChild {
+  1: required Caller caller,
+  2: required string parent,
+  3: required string child,
+}
+
 struct Drain {
   1: required bool leaving,
 }
 
+// What a scheduler is at, for operators of one organisation or of the platform.
+struct GetStatus {
+  1: required string organisation,
+}
+
+struct SchedulerStatus {
+  1: required i64 revision,
+  2: required bool ready,
+  3: required bool leaving,
+  4: required i32 shards,
+  5: required i32 programs,
+}
+
 // Asks a control process for its view; the answer holds what changed since the
 // change that the asker names, or everything where it names none that is known.
 struct GetView {
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 
 from ..endpoints import (
@@ -13,7 +15,7 @@
     extend_prefix_key,
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
-from ..execution import CallContext, Toolbox
+from ..execution import CallContext, Price, Toolbox
 from ..history import model_prefix
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
@@ -45,14 +47,11 @@
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
-        most = _cost(model, new_tokens, content.max_tokens)
-        async with self._tools.reserved(context, most) as reservation:
-            result, engine = await self._generate(context, model, content, history)
-            cost = min(most, _cost(model, new_tokens, result.output_tokens))
-            reservation.settle(cost)
+        price = _price(model, new_tokens, content.max_tokens)
+        result, engine = await self._generate(context, model, content, history, price)
         outcome = CallOutcome(
             output=msgspec.json.encode(result).decode(),
-            cost_units=cost,
+            cost_units=min(price.most, price.of(result)),
             input_tokens=new_tokens,
             output_tokens=result.output_tokens,
             engine=engine.address,
@@ -71,7 +70,9 @@
         model: Model,
         content: ModelInput,
         history: Prefix,
+        price: Price[GenerateResult],
     ) -> tuple[GenerateResult, EndpointState]:
+        self._recall_home(context, history)
         route = RouteRequest(
             program=context.program.id,
             model=model.name,
@@ -80,6 +81,8 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
+            can_move=self._can_move(context),
+            weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
             call_id=context.call_id,
@@ -94,11 +97,30 @@
         )
 
         async def _send_to(engine: EndpointState) -> GenerateResult:
-            context.running.restart()
+            context.running.restart(str(self._tools.fences.take()))
             return await self._generate_on(engine, context, order, history, model)
 
-        candidates = self._tools.pool.engines(context.inventory, model.name)
-        return await self._tools.send(context, route, candidates, _send_to)
+        candidates = self._tools.pool.serving(context.inventory, model.name)
+        return await self._tools.send(context, route, candidates, _send_to, price)
+
+    def _recall_home(self, context: CallContext, history: Prefix) -> None:
+        """After a takeover, take the engine of the last turn for the history's home."""
+        program, model = context.program.id, context.request.endpoint
+        if not history.engine or self._tools.pool.home(program, model) is not None:
+            return
+        engine = self._tools.pool.find(history.engine)
+        if engine is not None:
+            now_s = self._tools.clock.monotonic()
+            cached = CachedPrefix(history.key, history.tokens, now_s)
+            self._tools.pool.settle(program, model, engine, cached)
+
+    def _can_move(self, context: CallContext) -> bool:
+        """Return whether an engine that has the history can be asked to export it."""
+        program, model = context.program.id, context.request.endpoint
+        home = self._tools.pool.home(program, model)
+        if home is None:
+            return False
+        return home.breaker.allows(self._tools.clock.monotonic())
 
     async def _generate_on(
         self,
@@ -112,11 +134,15 @@
         cached = engine.prefixes.get((order.program, order.model))
         should_have_it = cached is not None and cached.key == history.key
         if history.key and not should_have_it:
-            order = await self._with_history(order, context)
+            has_come = await self._tools.holder.bring(
+                order.program, order.model, history.key, engine
+            )
+            if not has_come:
+                order = await self._with_history(order, context)
         try:
             result = await self._send(engine, context, order, model)
         except PrefixLostError:
-            engine.prefixes.pop((order.program, order.model), None)
+            self._tools.pool.unsettle(order.program)
             order = await self._with_history(order, context)
             result = await self._send(engine, context, order, model)
         organisation = context.program.organisation
@@ -143,7 +169,7 @@
             engine.address,
             order,
             timeout_s=model.timeout_s,
-            on_text=context.running.add_text,
+            on_text=partial(context.running.add_text, context.running.generation),
         )
 
     def _note_prefix(
@@ -158,10 +184,10 @@
         program, model = context.program, context.request.endpoint
         key = extend_prefix_key(history.key, content.prompt, result.text)
         tokens = history.tokens + count_tokens(content.prompt) + result.output_tokens
-        for other in self._tools.pool:
-            other.prefixes.pop((program.id, model), None)
-        now_s = self._tools.clock.monotonic()
-        engine.prefixes[(program.id, model)] = CachedPrefix(key, tokens, now_s)
+        cached = CachedPrefix(key, tokens, self._tools.clock.monotonic())
+        former = self._tools.pool.settle(program.id, model, engine, cached)
+        if former is not None:
+            self._tools.holder.after_move(program.id, former)
         self._tools.holder.after_call(program, model, engine, key, tokens)
 
 
@@ -173,5 +199,13 @@
     return model
 
 
-def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
-    return input_tokens * model.input_cost + output_tokens * model.output_cost
+def _price(model: Model, new_tokens: int, max_tokens: int) -> Price[GenerateResult]:
+    """Return what one sending costs: new tokens read and tokens generated.
+
+    History that an engine reads again is the pool's cost and not the caller's.
+    """
+
+    def _cost(output_tokens: int) -> int:
+        return new_tokens * model.input_cost + output_tokens * model.output_cost
+
+    return Price(_cost(max_tokens), lambda result: _cost(result.output_tokens))
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -6,44 +6,55 @@
 import logging
 from typing import Any
 
-import fire
 import msgspec
 import tornado.web
 
 from .budgets import Budgets
 from .calls import CallService
 from .clock import Clock, LoopClock
-from .daemon import background, http_server, run_daemon
+from .daemon import background, daemon_main, http_server
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import NotReadyError, SessionLostError
 from .execution import CallRequest, Requester, Toolbox
+from .fencing import FencingNumbers
+from .forward import Forwarder
 from .health import health_routes
 from .history import Histories
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
+from .inventory import Role
 from .kernel import PluginKind, plugin
+from .lifecycle import Lifecycle
 from .metrics import PROGRAMS, SHARDS
 from .objects import HttpObjects, Objects
+from .outage import OutageGuard
+from .ownership import Ownership
 from .peers import (
+    ADOPT_CHILD,
     DRAIN,
+    END_CHILD,
     END_PROGRAM,
+    GET_STATUS,
     RUN_CALL,
     RUN_SINGLE_CALL,
     SHOW_PROGRAM,
     START_PROGRAM,
     SWEEP_CACHE,
     Emit,
+    PeerClient,
     PeerServer,
     messages,
     peer_client,
 )
 from .pool import EndpointPool, LoadReport
 from .programs import ProgramBook
+from .retry import RetryBudgets
 from .session import Session
 from .settings import Settings
 from .shards import ShardKeeper
 from .table import HttpTable, Table
+from .tls import peer_client_context, peer_server_context
 from .view import ViewClient
 
 ROWS_PER_COMMIT = 2
@@ -62,6 +73,7 @@
         objects: The object store.
         client: HTTP client towards endpoints.
         view: Copy of control's view.
+        peers: Client of our own processes.
     """
 
     def __init__(
@@ -73,6 +85,7 @@
         objects: Objects,
         client: HttpClient,
         view: ViewClient,
+        peers: PeerClient,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -80,14 +93,19 @@
         self._objects = objects
         self._client = client
         self._view = view
+        self._forwarder = Forwarder(peers, view, clock)
         self._book = ProgramBook()
         self._pool = EndpointPool()
         self._session: Session | None = None
         self._holder: CacheHolder | None = None
         self._described = (0, 0)
         self._keeper: ShardKeeper | None = None
+        self._ownership: Ownership | None = None
+        self._lifecycle: Lifecycle | None = None
+        self._budgets: Budgets | None = None
         self._calls: CallService | None = None
         self._dispatcher: Dispatcher | None = None
+        self._draining: asyncio.Future[None] | None = None
 
     @property
     def session(self) -> Session | None:
@@ -110,6 +128,17 @@
             raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
         return self._calls
 
+    @property
+    def lifecycle(self) -> Lifecycle:
+        """The service that starts and ends programs.
+
+        Raises:
+            NotReadyError: The scheduler is still starting.
+        """
+        if self._lifecycle is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
+        return self._lifecycle
+
     async def open(self, port: int) -> None:
         """Open the session; afterwards calls can be served.
 
@@ -134,7 +163,7 @@
             policy=plugin(PluginKind.ROUTING, options.routing)(),
             max_waiting=options.max_waiting,
         )
-        self._calls = self._build_calls(self._session, self._dispatcher)
+        self._build_services(self._session, self._dispatcher)
         self._keeper = ShardKeeper(
             table=self._table,
             objects=self._objects,
@@ -144,11 +173,11 @@
             shards=options.shards,
             lease_s=options.lease_s,
             checkpoint_commits=options.checkpoint_commits,
-            is_busy=self._calls.is_busy,
+            is_busy=self._ownership.is_busy,
         )
         self.take_view()
 
-    def _build_calls(self, session: Session, dispatcher: Dispatcher) -> CallService:
+    def _build_services(self, session: Session, dispatcher: Dispatcher) -> None:
         options = self._settings.scheduler
         self._holder = CacheHolder(
             self._client,
@@ -161,7 +190,9 @@
             session=session,
             clock=self._clock,
             grant_units=options.grant_units,
+            schedulers=lambda: len(self._view.sessions),
         )
+        self._budgets = budgets
         tools = Toolbox(
             clock=self._clock,
             session=session,
@@ -172,12 +203,25 @@
             holder=self._holder,
             histories=Histories(self._objects),
             data_centre=self._settings.instance.data_centre,
+            fences=FencingNumbers(session.epoch),
+            retries=RetryBudgets(),
+            outage=OutageGuard(session, self._clock, options.lease_s),
+        )
+        self._ownership = Ownership(
+            session=session, owns=self._owns, shards=options.shards
         )
-        return CallService(
+        self._lifecycle = Lifecycle(
             tools=tools,
             book=self._book,
-            owns=self._owns,
-            shards=options.shards,
+            ownership=self._ownership,
+            inventories=self._view.inventory,
+            forwarder=self._forwarder,
+        )
+        self._calls = CallService(
+            tools=tools,
+            book=self._book,
+            ownership=self._ownership,
+            lifecycle=self._lifecycle,
             inventories=self._view.inventory,
         )
 
@@ -186,6 +230,7 @@
 
     def take_view(self) -> None:
         """Follow a change of control's view."""
+        self._forwarder.leave_lost_owners()
         schedulers = max(1, len(self._view.sessions))
         described = (self._view.inventory_updates, schedulers)
         if described != self._described:
@@ -205,6 +250,10 @@
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
 
+    async def run(self) -> None:
+        """Do what is due from time to time until the task is cancelled."""
+        await asyncio.gather(self.lifecycle.run(), self._budgets.run())
+
     async def leave(self) -> None:
         """Hand everything over to others and end the session."""
         if self._keeper is None or self._session is None:
@@ -213,6 +262,7 @@
             await asyncio.wait_for(self._keeper.leave(), DRAIN_LIMIT_S)
         except (TimeoutError, SessionLostError) as error:
             _logger.warning("not everything was handed over: %r", error)
+        await self._budgets.release()
         await self._session.close()
 
     def register(self, server: PeerServer) -> None:
@@ -222,8 +272,11 @@
         server.handle(RUN_SINGLE_CALL, self._run_single_call)
         server.handle(SHOW_PROGRAM, self._show_program)
         server.handle(END_PROGRAM, self._end_program)
+        server.handle(ADOPT_CHILD, self._adopt_child)
+        server.handle(END_CHILD, self._end_child)
         server.handle(DRAIN, self._drain)
         server.handle(SWEEP_CACHE, self._sweep_cache)
+        server.handle(GET_STATUS, self._get_status)
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -246,10 +299,11 @@
                 f"inventory revision {caller.revision} is not in force here yet",
                 retry_after_s=1.0,
             )
-        return Requester(caller.organisation, caller.user)
+        role = Role(caller.role or Role.CALLER)
+        return Requester(caller.organisation, caller.user, role)
 
     async def _start_program(self, request: Any, emit: Emit) -> Any:
-        created = await self.calls.start_program(
+        created = await self.lifecycle.start(
             self._requester(request.caller),
             request.program,
             agent=request.agent,
@@ -289,11 +343,21 @@
         return messages.ProgramDocument(document=msgspec.json.encode(found))
 
     async def _end_program(self, request: Any, emit: Emit) -> Any:
-        await self.calls.end_program(
+        await self.lifecycle.end(
             self._requester(request.caller), request.program, request.reason
         )
         return messages.Empty()
 
+    async def _adopt_child(self, request: Any, emit: Emit) -> Any:
+        requester = self._requester(request.caller)
+        await self.lifecycle.adopt(requester, request.parent, request.child)
+        return messages.Empty()
+
+    async def _end_child(self, request: Any, emit: Emit) -> Any:
+        requester = self._requester(request.caller)
+        await self.lifecycle.end_child(requester, request.parent, request.child)
+        return messages.Empty()
+
     async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
         """Release what an engine keeps of own programs that are gone.
 
@@ -311,13 +375,35 @@
         return self._owns(program) and (found is None or found.ended)
 
     async def _drain(self, request: Any, emit: Emit) -> Any:
+        if self._keeper is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
         if request.leaving:
-            await self.leave()
+            self._draining = asyncio.ensure_future(self._keeper.leave())
+        else:
+            await self._keeper.stay()
         return messages.Empty()
 
+    async def _get_status(self, request: Any, emit: Emit) -> Any:
+        mine = [
+            item
+            for item in self._book.programs
+            if item.organisation == request.organisation and not item.ended
+        ]
+        keeper = self._keeper
+        return messages.SchedulerStatus(
+            revision=self._view.revision,
+            ready=self._view.is_ready and keeper is not None,
+            leaving=keeper is not None and keeper.is_leaving,
+            shards=0 if keeper is None else len(keeper.owned),
+            programs=len(mine),
+        )
+
 
 def _text_emitter(emit: Emit) -> Any:
-    return lambda index, text: emit(messages.CallPart(index=index, text=text))
+    def _emit_text(generation: str, index: int, text: str) -> None:
+        emit(messages.CallPart(index=index, text=text, generation=generation))
+
+    return _emit_text
 
 
 def _answer_message(answer: Any) -> Any:
@@ -341,7 +427,8 @@
     table = HttpTable(client, platform.table_url, timeout_s=platform.table_timeout_s)
     objects = HttpObjects(client, platform.objects_url)
     host = settings.instance.host
-    async with peer_client() as peers:
+    tls = settings.tls
+    async with peer_client(ssl_options=peer_client_context(tls)) as peers:
         view = ViewClient(
             peers, clock=clock, host=host, port=settings.control.peer_port
         )
@@ -352,8 +439,9 @@
             objects=objects,
             client=client,
             view=view,
+            peers=peers,
         )
-        server = PeerServer()
+        server = PeerServer(ssl_options=peer_server_context(tls))
         scheduler.register(server)
         server.listen(settings.scheduler.port, host)
         await _open(scheduler, settings.scheduler.port, clock, stopping)
@@ -364,7 +452,7 @@
             health_routes(lambda: bool(scheduler.keeper.owned))
         )
         async with (
-            background(view_loop, scheduler.keeper.run()),
+            background(view_loop, scheduler.keeper.run(), scheduler.run()),
             http_server(app, host, settings.scheduler.metrics_port),
         ):
             await _until_stop(scheduler, stopping)
@@ -405,4 +493,4 @@
 
 def main() -> None:
     """Entry point of ``carobspur-scheduler``."""
-    fire.Fire(lambda settings: run_daemon("scheduler", settings, serve))
+    daemon_main("scheduler", serve)
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +11,7 @@
 from .clock import Clock
 from .errors import CarobspurError, NotFoundError, NotReadyError, UnauthenticatedError
 from .inventory import Inventory, Key
+from .keys import KeyIndex
 from .metrics import REVISION
 from .peers import GET_VIEW, PeerClient, messages
 from .placement import shard_of
@@ -83,7 +83,7 @@
         self._loads: list[Any] = []
         self._inventories: dict[str, Inventory] = {}
         self._inventory_updates = 0
-        self._keys: dict[str, tuple[Inventory, Key]] = {}
+        self._keys = KeyIndex()
 
     def __repr__(self) -> str:
         return f"ViewClient(revision={self._revision})"
@@ -148,10 +148,10 @@
         """
         if not self._incarnation:
             raise NotReadyError("no configuration yet", retry_after_s=1.0)
-        found = self._keys.get(hashlib.sha256(secret.encode()).hexdigest())
-        if found is None:
+        owner = self._keys.find(secret)
+        if owner is None:
             raise UnauthenticatedError("the key is not known")
-        return found
+        return self._inventories[owner.organisation], owner.key
 
     def owner_of(self, program: str) -> Any | None:
         """Return the ``SessionInfo`` of the scheduler that owns a program."""
@@ -212,9 +212,5 @@
     def _take_inventories(self, changed: list[Inventory]) -> None:
         self._inventory_updates += 1
         for inventory in changed:
-            former = self._inventories.get(inventory.organisation)
-            for key in former.keys if former is not None else ():
-                self._keys.pop(key.sha256, None)
             self._inventories[inventory.organisation] = inventory
-            for key in inventory.keys:
-                self._keys[key.sha256] = (inventory, key)
+            self._keys.replace(inventory)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 
 from carobspur.inventory import (
     Agent,
@@ -25,6 +26,7 @@
 ORGANISATION = "oro-recupero"
 CALLER_SECRET = "caller-secret"
 OPERATOR_SECRET = "operator-secret"
+PLATFORM_SECRET = "platform-secret"
 TABLE_URL = "http://10.0.0.1:1"
 OBJECTS_URL = "http://10.0.0.1:2"
 LIVE_LIST_URL = "http://10.0.0.1:3"
@@ -79,6 +81,7 @@
                 checks_fencing=checks_fencing,
                 timeout_s=5.0,
                 cost=10,
+                shared=True,
             ),
             Service(
                 "vault",
@@ -86,6 +89,7 @@
                 [Replica(PLAIN_URL, "dc-2")],
                 repeatable=True,
                 timeout_s=5.0,
+                shared=True,
             ),
         ],
         agents=[Agent("quote", "counter", max_calls=max_calls)],
@@ -95,13 +99,17 @@
         ],
         rules=Rules(
             classes=[PriorityClass("counter", 0)],
-            stop=[StopRule(Role.OPERATOR, own_only=False)],
+            stop=[StopRule(Role.CALLER), StopRule(Role.OPERATOR, own_only=False)],
         ),
     )
 
 
 def some_settings(
-    number: int = 1, *, shards: int = 8, scheduler_options: str = ""
+    number: int = 1,
+    *,
+    shards: int = 8,
+    lease_s: float = LEASE_S,
+    scheduler_options: str = "",
 ) -> Settings:
     """Return the settings of an in-process instance."""
     options = scheduler_options.replace("\n", "\n        ")
@@ -120,11 +128,17 @@
         [scheduler]
         port = 2
         metrics_port = 3
-        lease_s = {LEASE_S}
+        lease_s = {lease_s}
         shards = {shards}
         {options}
         [control]
         port = 4
         peer_port = 5
+        platform_key_sha256 = {digest_of(PLATFORM_SECRET)}
         """
     )
+
+
+def json_of(text: str) -> object:
+    """Return a stored answer's content, or ``None`` where there is none."""
+    return json.loads(text) if text else None
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -261,7 +261,9 @@
     async def _import(self, configuration: Configuration, units: int) -> ImportResult:
         inventory = self.inventory(units=units)
         if self._changes > 1:
-            changing = builders.an_inventory(CHANGING, units=units + self._changes)
+            changing = builders.an_inventory(
+                CHANGING, secret_prefix=CHANGING, units=units + self._changes
+            )
             inventory = msgspec.structs.replace(changing, engines=[])
         known = await configuration.organisation(inventory.organisation)
         return await configuration.import_inventory(
