--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -183,7 +183,7 @@
             self._client,
             plugin(PluginKind.HOLDS, options.holds)(),
             self._pool,
-            session.epoch,
+            self._order_fence,
         )
         budgets = Budgets(
             table=self._table,
@@ -239,13 +239,14 @@
         for load in self._view.loads:
             state = self._pool.find(load.address)
             if state is not None:
-                state.load = LoadReport(
+                report = LoadReport(
                     load.running,
                     load.waiting,
                     load.kv_used_tokens,
                     load.kv_capacity_tokens,
                     self._clock.monotonic() - load.age_s,
                 )
+                state.take_report(report)
                 state.is_leaving = load.leaving
         if self._dispatcher is not None:
             self._dispatcher.dispatch()
@@ -359,17 +360,22 @@
         return messages.Empty()
 
     async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
-        """Release what an engine keeps of own programs that are gone.
-
-        The highest fencing number of all sessions is used, since an engine may keep
-        one for all its senders; a late order costs no more than a recomputed prefix.
-        """
+        """Release what an engine keeps of own programs that are gone."""
         gone = [item for item in request.programs if self._is_gone(item)]
-        fence = max((item.epoch for item in self._view.sessions), default=0)
         if self._holder is not None:
-            self._holder.release(request.address, gone, fence=fence)
+            self._holder.release(request.address, gone)
         return messages.CacheSwept(released=len(gone))
 
+    def _order_fence(self) -> int:
+        """Return the fencing number of cache orders: the youngest session's epoch.
+
+        With its own epoch only the youngest scheduler would be heard by an engine
+        that keeps one number for all senders. A late order of a holder that was
+        replaced costs no more than a prefix that is computed again.
+        """
+        epochs = [item.epoch for item in self._view.sessions]
+        return max([self._session.epoch, *epochs])
+
     def _is_gone(self, program: str) -> bool:
         found = self._book.find(program)
         return self._owns(program) and (found is None or found.ended)
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -82,8 +82,8 @@
         self._owners: list[str] = []
         self._loads: list[Any] = []
         self._inventories: dict[str, Inventory] = {}
-        self._inventory_updates = 0
         self._keys = KeyIndex()
+        self._inventory_updates = 0
 
     def __repr__(self) -> str:
         return f"ViewClient(revision={self._revision})"
