--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -24,7 +24,7 @@
     Requester,
     Toolbox,
 )
-from .inventory import Inventory
+from .inventory import Inventory, Role
 from .kernel import PluginKind, plugin
 from .lifecycle import Lifecycle
 from .limits import check_limits
@@ -278,7 +278,9 @@
         return self._kinds[name]
 
     def _program(self, requester: Requester, program: str) -> Program:
-        return self._book.get(program, requester.organisation, requester.user)
+        is_caller = requester.role == Role.CALLER
+        user = requester.user if is_caller else None
+        return self._book.get(program, requester.organisation, user)
 
 
 def _kind_name(context: CallContext) -> str:
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -21,7 +21,7 @@
 from .fencing import FencingNumbers
 from .history import Histories
 from .holder import CacheHolder
-from .inventory import Inventory
+from .inventory import Inventory, Role
 from .journal import CallFinished, CallIntended, CallOutcome, Record
 from .outage import COMMIT_LIMIT_S, OutageGuard
 from .pool import EndpointPool, EndpointState
@@ -47,10 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Requester:
-    """Who asks, as the entry process established it."""
+    """Who asks, as entry or control established it from a key."""
 
     organisation: str
     user: str
+    role: Role = Role.CALLER
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/lifecycle.py
+++ b/src/carobspur/lifecycle.py
@@ -12,15 +12,22 @@
 from collections.abc import Callable
 from typing import Any
 
-from .errors import CarobspurError, ConflictError, NotFoundError, ProgramEndedError
+from .errors import (
+    CarobspurError,
+    ConflictError,
+    ForbiddenError,
+    NotFoundError,
+    ProgramEndedError,
+)
 from .execution import Requester, Toolbox
 from .forward import Forwarder
-from .inventory import Inventory
+from .inventory import Inventory, Role
 from .journal import ChildAdopted, ChildEnded, ProgramEnded, ProgramStarted, Record
 from .metrics import PROGRAM_OBJECTIVE, PROGRAM_SECONDS
 from .ownership import Ownership
 from .peers import ADOPT_CHILD, END_CHILD, messages
 from .programs import NEVER_STARTED, SINGLE_CALL_AGENT, Program, ProgramBook
+from .rules import may_stop
 from .verdict import MAY_HAVE_RUN
 
 SWEEP_PERIOD_S = 1.0
@@ -112,7 +119,7 @@
         """
         with self._ownership.working_on(program):
             await self._tools.outage.require_table()
-            found = self._book.get(program, requester.organisation, requester.user)
+            found = self._stoppable(requester, program)
             await self._end(found, reason)
             try:
                 await asyncio.wait_for(self._tell_children(found), END_WAIT_S)
@@ -153,6 +160,21 @@
                 if program.ended and program.children:
                     await self._tell_children(program)
 
+    def _stoppable(self, requester: Requester, program: str) -> Program:
+        """Return a program if the organisation's rules let the requester stop it."""
+        found = self._book.get(program, requester.organisation, None)
+        allowed = may_stop(
+            self._inventories(found.organisation).rules,
+            role=requester.role,
+            user=requester.user,
+            program_user=found.user,
+        )
+        if allowed:
+            return found
+        if requester.role == Role.CALLER:
+            self._book.get(program, requester.organisation, requester.user)
+        raise ForbiddenError(f"the rules let no {requester.role} stop this program")
+
     async def _end(self, program: Program, reason: str) -> None:
         if not program.ended:
             await self._commit(ProgramEnded(program.id, reason))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 from carobspur.clock import LoopClock
 from carobspur.configuration import Configuration, ImportResult
 from carobspur.control import Control
+from carobspur.control_peers import ControlPeers
 from carobspur.endpoint_loads import EngineLoad
 from carobspur.errors import (
     PeerDisconnectedError,
@@ -216,7 +217,7 @@
             peers=link,
         )
         server = PeerServer()
-        control.register(server)
+        ControlPeers(control).register(server)
         self.controls[number] = control
         self.servers[number] = server
         self.numbers[self._host(number)] = number
@@ -260,7 +261,9 @@
     async def _import(self, configuration: Configuration, units: int) -> ImportResult:
         inventory = self.inventory(units=units)
         if self._changes > 1:
-            changing = builders.an_inventory(CHANGING, units=units + self._changes)
+            changing = builders.an_inventory(
+                CHANGING, secret_prefix=CHANGING, units=units + self._changes
+            )
             inventory = msgspec.structs.replace(changing, engines=[])
         known = await configuration.organisation(inventory.organisation)
         return await configuration.import_inventory(
