A woken holder has a test of its own; grants and requests become modules

The new test takes the session over at the instant after the intent: without the check the payout runs, with it it doesn't.

--- a/src/carobspur/budgets.py
+++ b/src/carobspur/budgets.py
@@ -12,13 +12,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from urllib.parse import quote
 
 import msgspec
 
 from .clock import Clock
 from .errors import BudgetExhaustedError, CarobspurError, StoreConflictError
+from .grants import Account, BudgetRow, Reservation, draw
 from .inventory import Allowance, Inventory
 from .session import Session
 from .table import ABSENT_VERSION, Check, Table, Write
@@ -26,7 +26,6 @@
 BUDGET_PREFIX = "budget/"
 MAX_DRAW_TRIES = 20
 GRANTS_PER_SCHEDULER = 4
-LOW_GRANT_DIVISOR = 2
 IDLE_RETURN_S = 10.0
 RETURN_PERIOD_S = 5.0
 EXHAUSTED_PAUSE_S = 1.0
@@ -34,118 +33,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class BudgetRow(msgspec.Struct, frozen=True):
-    """Content of an allowance's row.
-
-    Attributes:
-        window: Number of the current window since 1970.
-        spent: Units that sessions reported as spent in it.
-        open: Units that sessions hold as grants, by session.
-    """
-
-    window: int
-    spent: int = 0
-    open: dict[str, int] = {}
-
-    @property
-    def committed(self) -> int:
-        """Units that are spent or may be."""
-        return self.spent + sum(self.open.values())
-
-
-def draw(
-    row: BudgetRow,
-    *,
-    session: str,
-    allowance: int,
-    used: int,
-    held: int,
-    need: int,
-    wish: int,
-) -> BudgetRow | None:
-    """Return the row after a draw, or ``None`` where too little is left.
-
-    Args:
-        row: The row as it stands, already in the current window.
-        session: Who draws.
-        allowance: Units that the window allows.
-        used: Units the session spent since it last wrote the row.
-        held: Units of its grant that are left, reserved ones included.
-        need: Further units that it must have.
-        wish: Further units that it would like, at least ``need``.
-    """
-    others = sum(units for name, units in row.open.items() if name != session)
-    spent = row.spent + used
-    left = allowance - spent - others - held
-    if left < need:
-        return None
-    granted = held + min(wish, left)
-    return BudgetRow(row.window, spent, {**row.open, session: granted})
-
-
-@dataclass(slots=True, eq=False)
-class _Account:
-    """One allowance as this scheduler sees it; all amounts in cost units."""
-
-    key: str
-    allowance: Allowance
-    window: int = -1
-    held: int = 0
-    reserved: int = 0
-    used: int = 0
-    waiting: int = 0
-    drawn_under: int = 0
-    last_grant: int = 0
-    last_use_s: float = 0.0
-    no_draw_until_s: float = 0.0
-    drawing: asyncio.Task[None] | None = None
-
-    @property
-    def free(self) -> int:
-        return self.held - self.reserved
-
-    @property
-    def is_low(self) -> bool:
-        return self.free < self.last_grant // LOW_GRANT_DIVISOR
-
-    def roll(self, window: int) -> None:
-        """Enter a window; windows never go back, whatever a clock says."""
-        if window > self.window:
-            self.window = window
-            self.held = 0
-            self.used = 0
-            self.reserved = 0
-
-    def apply(self, allowance: Allowance) -> None:
-        """Follow a changed allowance; under a lower one the free units are void."""
-        self.allowance = allowance
-        if allowance.units < self.drawn_under:
-            self.held = self.reserved
-            self.drawn_under = allowance.units
-
-
-@dataclass(slots=True)
-class Reservation:
-    """Units set aside for one call; settle it once the cost is known."""
-
-    units: int
-    _parts: list[tuple[_Account, int]] = field(default_factory=list)
-
-    def settle(self, used: int) -> None:
-        """Spend part of the units and give back the rest; only the first time.
-
-        Args:
-            used: Units that the call cost, at most ``units``.
-        """
-        for account, window in self._parts:
-            if account.window != window:
-                continue
-            account.reserved -= self.units
-            account.held -= used
-            account.used += used
-        self._parts.clear()
-
-
 class Budgets:
     """The grants of one scheduler.
 
@@ -181,7 +68,7 @@
         self._clock = clock
         self._grant_units = grant_units
         self._schedulers = schedulers
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, Account] = {}
 
     def __repr__(self) -> str:
         return f"Budgets({len(self._accounts)} accounts)"
@@ -203,7 +90,7 @@
         try:
             for account in self._accounts_for(inventory, user):
                 await self._reserve_in(account, units)
-                reservation._parts.append((account, account.window))
+                reservation.add(account)
         except BaseException:
             reservation.settle(0)
             raise
@@ -225,7 +112,7 @@
             if account.free > 0:
                 await self._give_back(account)
 
-    def _accounts_for(self, inventory: Inventory, user: str) -> list[_Account]:
+    def _accounts_for(self, inventory: Inventory, user: str) -> list[Account]:
         """Return the accounts of a call, the stricter of two allowances for one."""
         strictest: dict[str, Allowance] = {}
         for allowance in inventory.allowances:
@@ -240,14 +127,14 @@
                 strictest[key] = allowance
         return [self._account(key, item) for key, item in strictest.items()]
 
-    def _account(self, key: str, allowance: Allowance) -> _Account:
+    def _account(self, key: str, allowance: Allowance) -> Account:
         account = self._accounts.get(key)
         if account is None:
-            account = self._accounts[key] = _Account(key, allowance)
+            account = self._accounts[key] = Account(key, allowance)
         account.apply(allowance)
         return account
 
-    async def _reserve_in(self, account: _Account, units: int) -> None:
+    async def _reserve_in(self, account: Account, units: int) -> None:
         account.roll(self._window(account.allowance))
         account.last_use_s = self._clock.monotonic()
         if account.waiting or account.free < units:
@@ -259,7 +146,7 @@
         account.reserved += units
         self._draw_ahead(account)
 
-    async def _draw_until(self, account: _Account, units: int) -> None:
+    async def _draw_until(self, account: Account, units: int) -> None:
         """Draw until units are free; a draw under way is waited for first."""
         while account.free < units:
             other = account.drawing
@@ -268,14 +155,14 @@
                 continue
             await asyncio.shield(self._start_draw(account, units))
 
-    def _draw_ahead(self, account: _Account) -> None:
+    def _draw_ahead(self, account: Account) -> None:
         """Draw before the grant is used up, off the path of any call."""
         now_s = self._clock.monotonic()
         may_draw = account.drawing is None and now_s >= account.no_draw_until_s
         if account.is_low and may_draw:
             self._start_draw(account, 0)
 
-    def _start_draw(self, account: _Account, units: int) -> asyncio.Task[None]:
+    def _start_draw(self, account: Account, units: int) -> asyncio.Task[None]:
         account.drawing = asyncio.ensure_future(self._draw(account, units))
         account.drawing.add_done_callback(lambda task: _end_draw(account, task))
         return account.drawing
@@ -283,7 +170,7 @@
     def _window(self, allowance: Allowance) -> int:
         return int(self._clock.wall() // allowance.window_s)
 
-    async def _draw(self, account: _Account, units: int) -> None:
+    async def _draw(self, account: Account, units: int) -> None:
         for _ in range(MAX_DRAW_TRIES):
             row, version = await self._read(account)
             allowance = account.allowance
@@ -308,7 +195,7 @@
             f"{account.key}: too many schedulers draw at once", retry_after_s=1.0
         )
 
-    async def _give_back(self, account: _Account) -> None:
+    async def _give_back(self, account: Account) -> None:
         """Shorten a grant to what is reserved; what fails is kept."""
         try:
             row, version = await self._read(account)
@@ -321,7 +208,7 @@
         except CarobspurError as error:
             _logger.info("%s: not given back: %s", account.key, error.message)
 
-    async def _read(self, account: _Account) -> tuple[BudgetRow, int]:
+    async def _read(self, account: Account) -> tuple[BudgetRow, int]:
         """Return an account's row in the later of its and the account's window."""
         stored = await self._table.read(account.key)
         if stored is None:
@@ -332,13 +219,13 @@
             row = BudgetRow(account.window)
         return row, stored.version
 
-    def _wish(self, account: _Account, row: BudgetRow) -> int:
+    def _wish(self, account: Account, row: BudgetRow) -> int:
         """Return a grant that leaves most of what is left to the other sessions."""
         left = account.allowance.units - row.committed
         share = left // (GRANTS_PER_SCHEDULER * max(1, self._schedulers()))
         return max(0, min(self._grant_units, share))
 
-    async def _write(self, account: _Account, row: BudgetRow, version: int) -> bool:
+    async def _write(self, account: Account, row: BudgetRow, version: int) -> bool:
         """Write a row; return whether nobody else did so first."""
         used, held = account.used, account.held
         try:
@@ -355,7 +242,7 @@
             account.last_grant = grant or account.last_grant
         return True
 
-    def _exhausted(self, account: _Account) -> BudgetExhaustedError:
+    def _exhausted(self, account: Account) -> BudgetExhaustedError:
         window_s = account.allowance.window_s
         wait_s = (account.window + 1) * window_s - self._clock.wall()
         owner = account.key.split("/")[2] or "the organisation"
@@ -365,7 +252,7 @@
         )
 
 
-def _end_draw(account: _Account, task: asyncio.Task[None]) -> None:
+def _end_draw(account: Account, task: asyncio.Task[None]) -> None:
     account.drawing = None
     if not task.cancelled():
         task.exception()
--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -17,13 +17,7 @@
     NotFoundError,
     RequestError,
 )
-from .execution import (
-    CallContext,
-    CallKind,
-    CallRequest,
-    Requester,
-    Toolbox,
-)
+from .execution import CallContext, CallKind, Toolbox
 from .inventory import Inventory, Role
 from .kernel import PluginKind, plugin
 from .lifecycle import Lifecycle
@@ -45,6 +39,7 @@
     replay,
     report,
 )
+from .requests import CallRequest, Requester
 from .running import OnText, RunningCall
 from .verdict import NOT_RUN, RAN, verdict_from_name
 
--- a/src/carobspur/execution.py
+++ b/src/carobspur/execution.py
@@ -21,11 +21,12 @@
 from .fencing import FencingNumbers
 from .history import Histories
 from .holder import CacheHolder
-from .inventory import Inventory, Role
+from .inventory import Inventory
 from .journal import CallFinished, CallIntended, CallOutcome, Record
 from .outage import COMMIT_LIMIT_S, OutageGuard
 from .pool import EndpointPool, EndpointState
-from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_digest, call_id
+from .programs import SINGLE_CALL_AGENT, Program, StoredCall, call_id
+from .requests import CallRequest
 from .retry import Backoff, RetryBudgets
 from .routing import RouteRequest
 from .running import RunningCall
@@ -45,31 +46,6 @@
 Result = TypeVar("Result")
 
 
-@dataclass(frozen=True, slots=True)
-class Requester:
-    """Who asks, as entry or control established it from a key."""
-
-    organisation: str
-    user: str
-    role: Role = Role.CALLER
-
-
-@dataclass(frozen=True, slots=True)
-class CallRequest:
-    """A call as a caller asked for it; ``content`` is the input's JSON text."""
-
-    requester: Requester
-    program: str
-    number: int
-    endpoint: str
-    content: bytes
-
-    @property
-    def digest(self) -> str:
-        """Digest that tells whether two calls are the same one."""
-        return call_digest(self.endpoint, self.content)
-
-
 @dataclass(frozen=True, slots=True)
 class CallContext:
     """One admitted call.
--- a/src/carobspur/lifecycle.py
+++ b/src/carobspur/lifecycle.py
@@ -19,7 +19,7 @@
     NotFoundError,
     ProgramEndedError,
 )
-from .execution import Requester, Toolbox
+from .execution import Toolbox
 from .forward import Forwarder
 from .inventory import Inventory, Role
 from .journal import ChildAdopted, ChildEnded, ProgramEnded, ProgramStarted, Record
@@ -27,6 +27,7 @@
 from .ownership import Ownership
 from .peers import ADOPT_CHILD, END_CHILD, messages
 from .programs import NEVER_STARTED, SINGLE_CALL_AGENT, Program, ProgramBook
+from .requests import Requester
 from .rules import may_stop
 from .verdict import MAY_HAVE_RUN
 
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -16,7 +16,7 @@
 from .dispatch import Dispatcher
 from .endpoints import Endpoints
 from .errors import NotReadyError, SessionLostError
-from .execution import CallRequest, Requester, Toolbox
+from .execution import Toolbox
 from .fencing import FencingNumbers
 from .forward import Forwarder
 from .health import health_routes
@@ -49,6 +49,7 @@
 )
 from .pool import EndpointPool, LoadReport
 from .programs import ProgramBook
+from .requests import CallRequest, Requester
 from .retry import RetryBudgets
 from .session import Session
 from .settings import Settings
--- a/tests/test_calls_once.py
+++ b/tests/test_calls_once.py
@@ -5,9 +5,14 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 import msgspec
 
+from carobspur.http import HttpRequest
+from carobspur.journal import JOURNAL_PREFIX
+from carobspur.session import Session, session_key
+from carobspur.table import CommitRequest, Write
 from carobspur_standins.app import FaultKind, FaultOrder
 
 from . import builders
@@ -102,3 +107,42 @@
 
         problem, _ = self.reply_after(change)
         self.assertEqual(problem["verdict"], "may_have_run")
+
+
+class WokenHolderTest(unittest.TestCase):
+    """The holder sleeps through a takeover right after its intent was committed."""
+
+    def test_woken_holder_does_not_send(self) -> None:
+        sessions: list[Session] = []
+
+        def _has_lease(session: Session) -> bool:
+            return not session.is_lost and session not in sessions
+
+        async def scenario() -> tuple[str, int]:
+            def _take_over(request: HttpRequest, response: Any) -> None:
+                if b"intended" not in _written(request) or sessions:
+                    return
+                session = world.nodes[world.owner_of(program)].scheduler.session
+                sessions.append(session)
+                world.table._write(Write(session_key(session.id), None))
+
+            inventory = builders.an_inventory(checks_fencing=False, has_lookup=False)
+            world = await World(inventory, note=_take_over).start(2)
+            program = await world.start_program("k1")
+            entry = next(n for n in world.nodes if n != world.owner_of(program))
+            reply = await world.call(program, 1, "payout", {"pesos": 1}, node=entry)
+            return reply.json["verdict"], len(world.tool.runs)
+
+        with mock.patch.object(Session, "has_lease", property(_has_lease)):
+            verdict, runs = run_virtual(scenario)
+        self.assertEqual((verdict, runs), ("may_have_run", 0))
+
+
+def _written(request: HttpRequest) -> bytes:
+    """Return the journal records of a commit."""
+    if not request.url.endswith("/v1/commit"):
+        return b""
+    writes = msgspec.json.decode(request.body, type=CommitRequest).writes
+    return b"".join(
+        item.value or b"" for item in writes if item.key.startswith(JOURNAL_PREFIX)
+    )
