--- a/experiments/budget_draws.py
+++ b/experiments/budget_draws.py
@@ -1,4 +1,4 @@
-"""Measures how long calls wait for draws, and whether a neighbour's limit slows them.
+"""Measures under-use, waits for draws, and whether a neighbour's limit slows calls.
 
 Usage: ``PYTHONPATH=src:. python experiments/budget_draws.py``, a few seconds. One
 scheduler under virtual time; a commit takes 5 to 15 ms, as group commits do.
@@ -74,8 +74,43 @@
     )
 
 
+async def _under_use(schedulers: int, calling: int) -> None:
+    """Spend an allowance on some of the schedulers after all have used it once."""
+    table = MemoryTable()
+    allowance = Inventory("org", allowances=[Allowance(100_000, WINDOW_S)])
+    all_budgets = []
+    for number in range(schedulers):
+        session = _Session(table)
+        session.id = f"s{number}"
+        budgets = Budgets(
+            table=table,
+            session=session,
+            clock=LoopClock(),
+            grant_units=20_000,
+            schedulers=lambda: schedulers,
+        )
+        all_budgets.append(budgets)
+        (await budgets.reserve(allowance, "clerk", CALL_UNITS)).settle(CALL_UNITS)
+    spent, refused = schedulers * CALL_UNITS, 0
+    while refused < 100:
+        try:
+            budgets = random.choice(all_budgets[:calling])
+            reservation = await budgets.reserve(allowance, "clerk", CALL_UNITS)
+        except BudgetExhaustedError:
+            refused += 1
+            continue
+        reservation.settle(CALL_UNITS)
+        spent += CALL_UNITS
+    print(
+        f"{calling} of {schedulers} schedulers call: {spent / 1000:.1f} % of the "
+        f"allowance spent, {table.commits} draws"
+    )
+
+
 def main() -> None:
-    """Run both."""
+    """Run all."""
+    for schedulers, calling in ((1, 1), (7, 7), (7, 1), (30, 30), (30, 1)):
+        run_virtual(lambda s=schedulers, c=calling: _under_use(s, c))
     run_virtual(lambda: _scenario(False))
     run_virtual(lambda: _scenario(True))
 
