--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -6,6 +6,7 @@
 import secrets
 import sys
 from pathlib import Path
+from typing import Any
 
 import fire
 import msgspec
@@ -66,7 +67,9 @@
         """
         path = f"programs/{checked_name(program, 'program')}"
         answer = self._session.ask("GET", path)
-        self._session.show(answer, lambda item: table(("", ""), list(item.items())))
+        self._session.show(
+            answer, lambda item: table(("program", item["program"]), _rest(item))
+        )
 
     @command
     def stop(self, program: str) -> None:
@@ -237,6 +240,11 @@
         self._session.show(answer, lambda _: f"{name} {effect}")
 
 
+def _rest(answer: dict[str, Any]) -> list[tuple[str, object]]:
+    """Return what an answer says of a program besides its id."""
+    return [(name, value) for name, value in answer.items() if name != "program"]
+
+
 def _explain(error: CarobspurError) -> str:
     """Return an error as text for people, with what to do next."""
     match error:
