--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -230,6 +230,8 @@
 
     def take_view(self) -> None:
         """Follow a change of control's view."""
+        if self._keeper is not None:
+            SHARDS.set(len(self._keeper.owned))
         self._forwarder.leave_lost_owners()
         schedulers = max(1, len(self._view.sessions))
         described = (self._view.inventory_updates, schedulers)
