--- a/experiments/takeover.py
+++ b/experiments/takeover.py
@@ -25,7 +25,7 @@
 import msgspec
 from examples.deployment import Deployment, deployment, example_inventory
 from tests import builders
-from tests.virtual import run_virtual
+from tests.virtual import VirtualLoop
 from tests.world import World
 
 SEEDS = 8
@@ -72,10 +72,18 @@
 
 def _virtual() -> None:
     for name, stop in (("kill", _kill), ("planned stop", _leave)):
-        found = [run_virtual(lambda s=stop: _gap(s), seed=n) for n in range(SEEDS)]
+        found = [_run(stop, seed) for seed in range(SEEDS)]
         _print(f"virtual, lease {builders.LEASE_S} s, {name}", found)
 
 
+def _run(stop: Callable[[World, int], Awaitable[None]], seed: int) -> Any:
+    """Run once; what still runs of the deployment is left behind with its loop."""
+    random.seed(seed)
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    return loop.run_until_complete(_gap(stop))
+
+
 def _print(name: str, found: list[tuple[float, int]]) -> None:
     gaps = sorted(gap for gap, _ in found)
     print(
--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -97,10 +97,13 @@
         backoff = Backoff(max_s=MAX_FOLLOW_DELAY_S)
         may_have_run = False
         unreachable_s: float | None = None
+        candidates: list[Any] = []
         while True:
+            if not candidates:
+                candidates = self._candidates(program)
             try:
                 return await self._ask_once(
-                    program, method, request, on_part, timeout_s
+                    program, candidates.pop(0), method, request, on_part, timeout_s
                 )
             except _OWNER_MOVED as error:
                 may_have_run = may_have_run or error.verdict != NOT_RUN
@@ -110,17 +113,22 @@
                 if now_s - unreachable_s > self._limit_s:
                     raise _given_up(error, may_have_run) from error
                 _logger.info("the owner of %s moved: %s", program, error.message)
-                await self._clock.sleep(backoff.next_s())
+                if not candidates:
+                    await self._clock.sleep(backoff.next_s())
+
+    def _candidates(self, program: str) -> list[Any]:
+        """Return whom to ask: the owner, and who owns the program if it does not."""
+        return [self._view.owner_of(program), *self._view.successors_of(program)]
 
     async def _ask_once(
         self,
         program: str,
+        owner: Any | None,
         method: Method,
         request: Any,
         on_part: Emit | None,
         timeout_s: float,
     ) -> Any:
-        owner = self._view.owner_of(program)
         if owner is None:
             raise NotOwnerError(f"nobody owns program {program} at present")
         calling = self._peers.call(
--- a/src/carobspur/lease_watch.py
+++ b/src/carobspur/lease_watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -38,19 +38,31 @@
     due_s: float = 0.0
 
 
-def watched_by(session: str, sessions: Iterable[str]) -> list[str]:
+def watched_by(session: str, sessions: Collection[str]) -> list[str]:
     """Return the sessions that a session watches, its first duty first.
 
     Sessions stand on a ring by their hashes, and each watches the few before it. A run
     of dead sessions always ends at a live one, so that somebody watches the last of
     it, and then the next.
     """
+    return _neighbours(session, sessions, -1) if session in sessions else []
+
+
+def watchers_of(session: str, sessions: Iterable[str]) -> list[str]:
+    """Return the sessions that watch a session, the one that acts first first.
+
+    Args:
+        session: The session; it may have ended.
+        sessions: The sessions that are live.
+    """
+    return _neighbours(session, {*sessions, session}, 1)
+
+
+def _neighbours(session: str, sessions: Iterable[str], step: int) -> list[str]:
     ring = sorted(sessions, key=xxhash.xxh64_intdigest)
-    if session not in ring:
-        return []
     at = ring.index(session)
     count = min(WATCHERS, len(ring) - 1)
-    return [ring[at - step] for step in range(1, count + 1)]
+    return [ring[(at + step * n) % len(ring)] for n in range(1, count + 1)]
 
 
 class LeaseWatch:
@@ -83,7 +95,7 @@
         """The lease time."""
         return self._lease_s
 
-    def follow(self, session: str, sessions: Iterable[str]) -> None:
+    def follow(self, session: str, sessions: Collection[str]) -> None:
         """Take up watching what falls to a session."""
         duties = watched_by(session, sessions)
         known = self._watches
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -12,9 +12,10 @@
 from .clock import Clock
 from .errors import CarobspurError, NotFoundError, NotReadyError, UnauthenticatedError
 from .inventory import Inventory, Key
+from .lease_watch import watchers_of
 from .metrics import REVISION
 from .peers import GET_VIEW, PeerClient, messages
-from .placement import shard_of
+from .placement import first, shard_of
 
 VIEW_PERIOD_S = 0.25
 MAX_VIEW_AGE_S = 5.0
@@ -153,6 +154,23 @@
         owner = self._owners[shard_of(program, len(self._owners))]
         return self._sessions.get(owner)
 
+    def successors_of(self, program: str) -> list[Any]:
+        """Return the schedulers that probably own a program if its owner does not.
+
+        Whoever takes over a dead owner, and who should hold the shard from then on.
+        """
+        if not self._owners:
+            return []
+        shard = shard_of(program, len(self._owners))
+        owner = self._owners[shard]
+        names = {
+            name
+            for name, item in self._sessions.items()
+            if not item.leaving and name != owner
+        }
+        likely = [first(str(shard), names), *watchers_of(owner, names)[:1]]
+        return [self._sessions[name] for name in dict.fromkeys(likely) if name]
+
     async def run(self) -> None:
         """Update until the task is cancelled."""
         while True:
