--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,7 +10,13 @@
 from urllib.request import Request, urlopen
 
 from caller import Caller
-from deployment import Deployment, ProcessDiedError, deployment, example_inventory
+from deployment import (
+    PLATFORM_KEY,
+    Deployment,
+    ProcessDiedError,
+    deployment,
+    example_inventory,
+)
 
 from carobspur.inventory import Inventory, encode_inventory
 
@@ -22,6 +28,7 @@
     """What one organisation's program does."""
 
     organisation: str
+    key: str
     user: str
     agent: str
     sub_agent: str
@@ -35,6 +42,7 @@
 
 ORO = Script(
     organisation="oro-recupero",
+    key="oro-example-caller",
     user="clerk-17",
     agent="quote",
     sub_agent="assay",
@@ -47,6 +55,7 @@
 )
 JALBANDI = Script(
     organisation="jalbandi",
+    key="jalbandi-example-caller",
     user="inspector-3",
     agent="inspection",
     sub_agent="tag-lookup",
@@ -115,8 +124,8 @@
     return f"number {answer['number']}, digest {str(answer['digest'])[:12]}"
 
 
-def run(running: Deployment) -> None:
-    """Start everything and run both programs."""
+def start(running: Deployment) -> None:
+    """Start everything and put both inventories in force."""
     say("starting the platform's and the endpoints' stand-ins")
     running.start_platform()
     inventories = [
@@ -128,14 +137,19 @@
         running.start_instance(f"instance-{number}", f"ar-centro-{number}")
     running.wait_ready()
     control = running.instances[0].control_url
-    for inventory, prefix in zip(inventories, ("oro", "jalbandi"), strict=True):
-        import_inventory(control, inventory, f"{prefix}-example-operator")
-    url = running.instances[0].entry_url
-    for script, prefix in ((ORO, "oro"), (JALBANDI, "jalbandi")):
-        key = f"{prefix}-example-caller"
+    for inventory in inventories:
+        import_inventory(control, inventory, PLATFORM_KEY)
+    for script in (ORO, JALBANDI):
         for instance in running.instances:
-            wait_for_key(Caller(instance.entry_url, key, script.user))
-        run_program(Caller(url, key, script.user), script)
+            wait_for_key(Caller(instance.entry_url, script.key, script.user))
+
+
+def run(running: Deployment) -> None:
+    """Start everything and run both programs."""
+    start(running)
+    url = running.instances[0].entry_url
+    for script in (ORO, JALBANDI):
+        run_program(Caller(url, script.key, script.user), script)
     running.check()
 
 
--- a/src/carobspur/lease_watch.py
+++ b/src/carobspur/lease_watch.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import xxhash
 
 from .clock import Clock
 from .errors import StoreUnavailableError
+from .placement import first
 from .session_row import session_key
 from .table import Row, Table
 
@@ -58,6 +60,21 @@
     return _neighbours(session, {*sessions, session}, 1)
 
 
+def successors(shard: int, owner: str, sessions: Iterable[Any]) -> list[Any]:
+    """Return the sessions that probably hold a shard if its owner does not.
+
+    Who should hold it from now on, and who takes over the owner.
+
+    Args:
+        shard: Number of the shard.
+        owner: Id of the session that held it; it may have ended.
+        sessions: Live sessions, with ``id`` and ``leaving``.
+    """
+    staying = {s.id: s for s in sessions if not s.leaving and s.id != owner}
+    likely = [first(str(shard), staying), *watchers_of(owner, staying)[:1]]
+    return [staying[name] for name in dict.fromkeys(likely) if name]
+
+
 def _neighbours(session: str, sessions: Iterable[str], step: int) -> list[str]:
     ring = sorted(sessions, key=xxhash.xxh64_intdigest)
     at = ring.index(session)
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 
 from ..endpoints import (
@@ -13,8 +15,9 @@
     extend_prefix_key,
 )
 from ..errors import NotFoundError, PrefixLostError, RequestError
-from ..execution import CallContext, Toolbox
+from ..execution import CallContext, Price, Toolbox
 from ..history import model_prefix
+from ..holds import HoldDecision, Keep
 from ..inventory import Model
 from ..journal import CallIntended, CallOutcome
 from ..kernel import PluginKind, register
@@ -45,14 +48,11 @@
         new_tokens = count_tokens(content.prompt)
         if history.tokens + new_tokens + content.max_tokens > model.context_tokens:
             raise RequestError(f"the history is over {model.context_tokens} tokens")
-        most = _cost(model, new_tokens, content.max_tokens)
-        async with self._tools.reserved(context, most) as reservation:
-            result, engine = await self._generate(context, model, content, history)
-            cost = min(most, _cost(model, new_tokens, result.output_tokens))
-            reservation.settle(cost)
+        price = _price(model, new_tokens, content.max_tokens)
+        result, engine = await self._generate(context, model, content, history, price)
         outcome = CallOutcome(
             output=msgspec.json.encode(result).decode(),
-            cost_units=cost,
+            cost_units=min(price.most, price.of(result)),
             input_tokens=new_tokens,
             output_tokens=result.output_tokens,
             engine=engine.address,
@@ -71,8 +71,11 @@
         model: Model,
         content: ModelInput,
         history: Prefix,
+        price: Price[GenerateResult],
     ) -> tuple[GenerateResult, EndpointState]:
         self._recall_home(context, history)
+        holder, now_s = self._tools.holder, self._tools.clock.monotonic()
+        holder.before_call(context.program, model.name, now_s)
         route = RouteRequest(
             program=context.program.id,
             model=model.name,
@@ -81,7 +84,7 @@
             new_tokens=count_tokens(content.prompt),
             output_tokens=content.max_tokens,
             data_centre=self._tools.data_centre,
-            can_move=self._can_move(context),
+            can_move=holder.can_move(context.program.id, model.name, now_s),
             weights=context.inventory.rules.weights,
         )
         order = GenerateRequest(
@@ -97,11 +100,12 @@
         )
 
         async def _send_to(engine: EndpointState) -> GenerateResult:
-            context.running.restart()
-            return await self._generate_on(engine, context, order, history, model)
+            context.running.restart(str(self._tools.fences.take()))
+            held = _held(order, self._decide(context, history, engine))
+            return await self._generate_on(engine, context, held, history, model)
 
         candidates = self._tools.pool.serving(context.inventory, model.name)
-        return await self._tools.send(context, route, candidates, _send_to)
+        return await self._tools.send(context, route, candidates, _send_to, price)
 
     def _recall_home(self, context: CallContext, history: Prefix) -> None:
         """After a takeover, take the engine of the last turn for the history's home."""
@@ -114,14 +118,6 @@
             cached = CachedPrefix(history.key, history.tokens, now_s)
             self._tools.pool.settle(program, model, engine, cached)
 
-    def _can_move(self, context: CallContext) -> bool:
-        """Return whether an engine that has the history can be asked to export it."""
-        program, model = context.program.id, context.request.endpoint
-        home = self._tools.pool.home(program, model)
-        if home is None:
-            return False
-        return home.breaker.allows(self._tools.clock.monotonic())
-
     async def _generate_on(
         self,
         engine: EndpointState,
@@ -169,7 +165,7 @@
             engine.address,
             order,
             timeout_s=model.timeout_s,
-            on_text=context.running.add_text,
+            on_text=partial(context.running.add_text, context.running.generation),
         )
 
     def _note_prefix(
@@ -188,7 +184,16 @@
         former = self._tools.pool.settle(program.id, model, engine, cached)
         if former is not None:
             self._tools.holder.after_move(program.id, former)
-        self._tools.holder.after_call(program, model, engine, key, tokens)
+        decision = self._decide(context, history, engine)
+        self._tools.holder.after_call(program.id, model, key, decision)
+
+    def _decide(
+        self, context: CallContext, history: Prefix, engine: EndpointState
+    ) -> HoldDecision:
+        weights = context.inventory.rules.weights
+        return self._tools.holder.decide(
+            context.program, history.tokens, engine, weights
+        )
 
 
 def _model(context: CallContext) -> Model:
@@ -199,5 +204,21 @@
     return model
 
 
-def _cost(model: Model, input_tokens: int, output_tokens: int) -> int:
-    return input_tokens * model.input_cost + output_tokens * model.output_cost
+def _price(model: Model, new_tokens: int, max_tokens: int) -> Price[GenerateResult]:
+    """Return what one sending costs: new tokens read and tokens generated.
+
+    History that an engine reads again is the pool's cost and not the caller's.
+    """
+
+    def _cost(output_tokens: int) -> int:
+        return new_tokens * model.input_cost + output_tokens * model.output_cost
+
+    return Price(_cost(max_tokens), lambda result: _cost(result.output_tokens))
+
+
+def _held(order: GenerateRequest, decision: HoldDecision) -> GenerateRequest:
+    match decision:
+        case Keep(ttl_s):
+            return msgspec.structs.replace(order, hold_s=ttl_s)
+        case _:
+            return order
--- a/src/carobspur/settings.py
+++ b/src/carobspur/settings.py
@@ -24,11 +24,14 @@
         parse: Turns the text into the value; raises ``ValueError`` with a reason.
         expected: What is expected, for the fault message.
         unit: Unit of the value, for help texts.
+        is_shown: Whether a wrong value may stand in a message; not where it could
+            be a secret.
     """
 
     parse: Callable[[str], Any]
     expected: str
     unit: str = ""
+    is_shown: bool = True
 
 
 def _integer(low: int, high: int, unit: str) -> Rule:
@@ -85,10 +88,17 @@
     return text
 
 
+def _sha256(text: str) -> str:
+    if text and (len(text) != 64 or set(text) - set("0123456789abcdef")):
+        raise ValueError(text)
+    return text
+
+
 NAME = Rule(_name, "letters, digits, '-', '_' or '.'")
 IP_NUMBER = Rule(_ip, "an IP number")
 BASE_URL = Rule(_base_url, "http(s)://IP:port")
 FILE = Rule(_file, "a file that exists, or nothing")
+SHA256 = Rule(_sha256, "64 lower-case hexadecimal digits, or nothing", is_shown=False)
 PORT = _integer(0, MAX_PORT, "port")
 
 
@@ -150,11 +160,34 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlSettings:
-    """Section ``[control]``: configuration, membership and endpoint load."""
+    """Section ``[control]``: configuration, membership and endpoint load.
+
+    Attributes:
+        platform_key_sha256: Digest of the key that registers organisations and
+            drains instances; without it, nobody can do either here.
+    """
 
     port: int = _key(PORT)
     peer_port: int = _key(PORT)
     poll_s: float = _key(_number(0.05, 60, "s"), 0.5)
+    platform_key_sha256: str = _key(SHA256, "")
+
+
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Section ``[tls]``; without it nothing is encrypted.
+
+    Attributes:
+        certificate: PEM file of this instance's certificate, which names its IP
+            number; with it callers and operators are served over HTTPS.
+        key: PEM file of the certificate's private key.
+        ca: PEM file of the authority that signs the instances' certificates and
+            nobody else's; with it our own processes check each other's certificates.
+    """
+
+    certificate: str = _key(FILE, "")
+    key: str = _key(FILE, "")
+    ca: str = _key(FILE, "")
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +206,7 @@
     entry: EntrySettings
     scheduler: SchedulerSettings
     control: ControlSettings
+    tls: TlsSettings
     logs: LogSettings
 
     @classmethod
@@ -221,6 +255,7 @@
     "entry": EntrySettings,
     "scheduler": SchedulerSettings,
     "control": ControlSettings,
+    "tls": TlsSettings,
     "logs": LogSettings,
 }
 
@@ -260,13 +295,14 @@
         rule: Rule = item.metadata["rule"]
         if text is None:
             if item.default is MISSING:
-                self.add(f"[{section}] {item.name}: missing; {rule.expected}")
+                self.add(f"[{section}] {item.name}: missing; expected {rule.expected}")
             return item.default
         try:
             return rule.parse(text.strip())
         except ValueError:
             unit = f" ({rule.unit})" if rule.unit else ""
+            shown = repr(text) if rule.is_shown else "(not shown)"
             self.add(
-                f"[{section}] {item.name} = {text!r}: expected {rule.expected}{unit}"
+                f"[{section}] {item.name} = {shown}: expected {rule.expected}{unit}"
             )
             return None
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -12,10 +11,11 @@
 from .clock import Clock
 from .errors import CarobspurError, NotFoundError, NotReadyError, UnauthenticatedError
 from .inventory import Inventory, Key
-from .lease_watch import watchers_of
+from .keys import KeyIndex
+from .lease_watch import successors
 from .metrics import REVISION
 from .peers import GET_VIEW, PeerClient, messages
-from .placement import first, shard_of
+from .placement import shard_of
 
 VIEW_PERIOD_S = 0.25
 MAX_VIEW_AGE_S = 5.0
@@ -43,6 +43,7 @@
         "_incarnation",
         "_instances",
         "_inventories",
+        "_inventory_updates",
         "_is_current",
         "_keys",
         "_loads",
@@ -82,7 +83,8 @@
         self._owners: list[str] = []
         self._loads: list[Any] = []
         self._inventories: dict[str, Inventory] = {}
-        self._keys: dict[str, tuple[Inventory, Key]] = {}
+        self._keys = KeyIndex()
+        self._inventory_updates = 0
 
     def __repr__(self) -> str:
         return f"ViewClient(revision={self._revision})"
@@ -122,6 +124,11 @@
         """All inventories in force."""
         return list(self._inventories.values())
 
+    @property
+    def inventory_updates(self) -> int:
+        """How often inventories changed here."""
+        return self._inventory_updates
+
     def inventory(self, organisation: str) -> Inventory:
         """Return the inventory in force of an organisation.
 
@@ -142,10 +149,10 @@
         """
         if not self._incarnation:
             raise NotReadyError("no configuration yet", retry_after_s=1.0)
-        found = self._keys.get(hashlib.sha256(secret.encode()).hexdigest())
-        if found is None:
+        owner = self._keys.find(secret)
+        if owner is None:
             raise UnauthenticatedError("the key is not known")
-        return found
+        return self._inventories[owner.organisation], owner.key
 
     def owner_of(self, program: str) -> Any | None:
         """Return the ``SessionInfo`` of the scheduler that owns a program."""
@@ -155,21 +162,11 @@
         return self._sessions.get(owner)
 
     def successors_of(self, program: str) -> list[Any]:
-        """Return the schedulers that probably own a program if its owner does not.
-
-        Whoever takes over a dead owner, and who should hold the shard from then on.
-        """
+        """Return the schedulers that probably own a program if its owner does not."""
         if not self._owners:
             return []
         shard = shard_of(program, len(self._owners))
-        owner = self._owners[shard]
-        names = {
-            name
-            for name, item in self._sessions.items()
-            if not item.leaving and name != owner
-        }
-        likely = [first(str(shard), names), *watchers_of(owner, names)[:1]]
-        return [self._sessions[name] for name in dict.fromkeys(likely) if name]
+        return successors(shard, self._owners[shard], self._sessions.values())
 
     async def run(self) -> None:
         """Update until the task is cancelled."""
@@ -221,10 +218,7 @@
             self._take_inventories(_decoder.decode(view.inventories))
 
     def _take_inventories(self, changed: list[Inventory]) -> None:
+        self._inventory_updates += 1
         for inventory in changed:
-            former = self._inventories.get(inventory.organisation)
-            for key in former.keys if former is not None else ():
-                self._keys.pop(key.sha256, None)
             self._inventories[inventory.organisation] = inventory
-            for key in inventory.keys:
-                self._keys[key.sha256] = (inventory, key)
+            self._keys.replace(inventory)
--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -214,6 +214,8 @@
             found = order.prefix_tokens if cached else 0
             generation = self._start(order, found)
 
+        emit(encode_event(Event("start", msgspec.json.encode(order.call_id))))
+
         def _emit_words(number: int, text: str) -> None:
             data = msgspec.json.encode(text)
             emit(encode_event(Event("token", data, str(number))))
@@ -275,4 +277,5 @@
         output_tokens=len(generation.words),
         prompt_tokens=order.prefix_tokens + count_tokens(order.append),
         cached_tokens=generation.cached_tokens,
+        call_id=order.call_id,
     )
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
 
 from carobspur.clock import LoopClock
 from carobspur.control import Control
+from carobspur.control_peers import ControlPeers
 from carobspur.entry import Entry, caller_routes
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
 from carobspur.forward import Forwarder
@@ -27,8 +28,9 @@
 from carobspur.kernel import load_plugins
 from carobspur.membership import HttpLiveList
 from carobspur.objects import HttpObjects
-from carobspur.operators import operator_routes
+from carobspur.operator_actions import operator_routes
 from carobspur.peers import Method, PeerServer, decode, encode
+from carobspur.problem import NoSuchPathHandler
 from carobspur.scheduler import Scheduler
 from carobspur.settings import Settings
 from carobspur.sse import EventParser
@@ -202,6 +204,7 @@
         inventory: Inventory | None = None,
         *,
         shards: int = 8,
+        lease_s: float = builders.LEASE_S,
         note: Note = lambda request, response: None,
         engines: dict[str, ModelEngine] | None = None,
         scheduler_options: str = "",
@@ -210,6 +213,7 @@
         self._scheduler_options = scheduler_options
         self.inventory = inventory or builders.an_inventory()
         self._shards = shards
+        self._lease_s = lease_s
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.live_list = MemoryLiveList()
@@ -246,7 +250,10 @@
     async def add_node(self, number: int) -> Node:
         """Start one instance."""
         settings = builders.some_settings(
-            number, shards=self._shards, scheduler_options=self._scheduler_options
+            number,
+            shards=self._shards,
+            lease_s=self._lease_s,
+            scheduler_options=self._scheduler_options,
         )
         gate = Gate()
         client = NodeClient(self.client, gate, self._note)
@@ -262,7 +269,7 @@
             peers=self.peers,
         )
         control_server = PeerServer()
-        control.register(control_server)
+        ControlPeers(control).register(control_server)
         self.peers.servers[(host, settings.control.peer_port)] = control_server
         view = self._view(settings)
         scheduler = Scheduler(
@@ -272,6 +279,7 @@
             objects=objects,
             client=client,
             view=view,
+            peers=self.peers,
         )
         server = PeerServer()
         scheduler.register(server)
@@ -286,8 +294,14 @@
             control,
             scheduler,
             entry,
-            tornado.web.Application(caller_routes(entry)),
-            tornado.web.Application(operator_routes(control)),
+            _application(caller_routes(entry)),
+            _application(
+                operator_routes(
+                    control,
+                    self.peers,
+                    platform_key_sha256=settings.control.platform_key_sha256,
+                )
+            ),
             gate,
         )
         self.nodes[number] = node
@@ -300,7 +314,7 @@
             view.run(),
             entry_view.run(),
         ]
-        loops.append(scheduler.keeper.run())
+        loops += [scheduler.keeper.run(), scheduler.run()]
         node.tasks = [asyncio.ensure_future(item) for item in loops]
         return node
 
@@ -391,10 +405,16 @@
         revision: int,
         change: str,
         node: int | None = None,
-        secret: str = builders.OPERATOR_SECRET,
+        secret: str = "",
     ) -> Reply:
-        """Put an inventory in force through an instance's control process."""
+        """Put an inventory in force through an instance's control process.
+
+        Without a secret, the platform's key makes the first import and the
+        organisation's operator key the later ones.
+        """
         number = node or min(self.nodes)
+        usual = builders.OPERATOR_SECRET if revision else builders.PLATFORM_SECRET
+        secret = secret or usual
         headers = {
             "Authorization": f"Bearer {secret}",
             "If-Match": f'"{revision}"',
@@ -404,6 +424,21 @@
         body = msgspec.to_builtins(inventory)
         return await _serve(self.nodes[number].operators, "PUT", path, body, headers)
 
+    async def operate(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        node: int | None = None,
+        secret: str = builders.OPERATOR_SECRET,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send an operator's request to an instance's control process."""
+        app = self.nodes[node or min(self.nodes)].operators
+        sent = {"Authorization": f"Bearer {secret}", **(headers or {})}
+        return await _serve(app, method, path, body, sent)
+
     def _view(self, settings: Settings) -> ViewClient:
         return ViewClient(
             self.peers,
@@ -448,6 +483,10 @@
             self.done.set_result(None)
 
 
+def _application(routes: list[Any]) -> tornado.web.Application:
+    return tornado.web.Application(routes, default_handler_class=NoSuchPathHandler)
+
+
 async def _serve(
     app: tornado.web.Application,
     method: str,
