--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -100,28 +100,38 @@
         backoff = Backoff(max_s=MAX_FOLLOW_DELAY_S)
         following = _Following(self._limit_s, method in _CALLS)
         give_up_s = self._clock.monotonic() + timeout_s
+        candidates: list[Any] = []
         while True:
             left_s = max(MIN_TIMEOUT_S, give_up_s - self._clock.monotonic())
+            if not candidates:
+                candidates = self._candidates(program)
             try:
-                return await self._ask_once(program, method, request, on_part, left_s)
+                return await self._ask_once(
+                    program, candidates.pop(0), method, request, on_part, left_s
+                )
             except _OWNER_MOVED as error:
                 following.note(error, self._clock.monotonic())
                 if following.is_over or self._clock.monotonic() >= give_up_s:
                     raise following.given_up(error) from error
                 _logger.info("the owner of %s moved: %s", program, error.message)
-                await self._clock.sleep(backoff.next_s())
+                if not candidates:
+                    await self._clock.sleep(backoff.next_s())
             except CarobspurError as error:
                 raise following.judged(error) from error
 
+    def _candidates(self, program: str) -> list[Any]:
+        """Return whom to ask: the owner, and who owns the program if it does not."""
+        return [self._view.owner_of(program), *self._view.successors_of(program)]
+
     async def _ask_once(
         self,
         program: str,
+        owner: Any | None,
         method: Method,
         request: Any,
         on_part: Emit | None,
         timeout_s: float,
     ) -> Any:
-        owner = self._view.owner_of(program)
         if owner is None:
             raise NotOwnerError(f"nobody owns program {program} at present")
         calling = self._peers.call(
--- a/src/carobspur/lease_watch.py
+++ b/src/carobspur/lease_watch.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import xxhash
 
 from .clock import Clock
 from .errors import StoreUnavailableError
+from .placement import first
 from .session_row import session_key
 from .table import Row, Table
 
@@ -38,19 +40,46 @@
     due_s: float = 0.0
 
 
-def watched_by(session: str, sessions: Iterable[str]) -> list[str]:
+def watched_by(session: str, sessions: Collection[str]) -> list[str]:
     """Return the sessions that a session watches, its first duty first.
 
     Sessions stand on a ring by their hashes, and each watches the few before it. A run
     of dead sessions always ends at a live one, so that somebody watches the last of
     it, and then the next.
     """
+    return _neighbours(session, sessions, -1) if session in sessions else []
+
+
+def watchers_of(session: str, sessions: Iterable[str]) -> list[str]:
+    """Return the sessions that watch a session, the one that acts first first.
+
+    Args:
+        session: The session; it may have ended.
+        sessions: The sessions that are live.
+    """
+    return _neighbours(session, {*sessions, session}, 1)
+
+
+def successors(shard: int, owner: str, sessions: Iterable[Any]) -> list[Any]:
+    """Return the sessions that probably hold a shard if its owner does not.
+
+    Who should hold it from now on, and who takes over the owner.
+
+    Args:
+        shard: Number of the shard.
+        owner: Id of the session that held it; it may have ended.
+        sessions: Live sessions, with ``id`` and ``leaving``.
+    """
+    staying = {s.id: s for s in sessions if not s.leaving and s.id != owner}
+    likely = [first(str(shard), staying), *watchers_of(owner, staying)[:1]]
+    return [staying[name] for name in dict.fromkeys(likely) if name]
+
+
+def _neighbours(session: str, sessions: Iterable[str], step: int) -> list[str]:
     ring = sorted(sessions, key=xxhash.xxh64_intdigest)
-    if session not in ring:
-        return []
     at = ring.index(session)
     count = min(WATCHERS, len(ring) - 1)
-    return [ring[at - step] for step in range(1, count + 1)]
+    return [ring[(at + step * n) % len(ring)] for n in range(1, count + 1)]
 
 
 class LeaseWatch:
@@ -83,7 +112,7 @@
         """The lease time."""
         return self._lease_s
 
-    def follow(self, session: str, sessions: Iterable[str]) -> None:
+    def follow(self, session: str, sessions: Collection[str]) -> None:
         """Take up watching what falls to a session."""
         duties = watched_by(session, sessions)
         known = self._watches
--- a/src/carobspur/operator_actions.py
+++ b/src/carobspur/operator_actions.py
@@ -11,6 +11,7 @@
 from .forward import Forwarder
 from .inventory import Key, Role
 from .kernel import PluginKind, plugin, plugin_names
+from .lease_watch import successors
 from .operators import (
     READERS,
     DifferenceHandler,
@@ -58,6 +59,12 @@
         owner = self._control.shard_owners.get(shard)
         return next((s for s in self._control.sessions if s.id == owner), None)
 
+    def successors_of(self, program: str) -> list[Any]:
+        """Return the sessions that probably own a program if its owner does not."""
+        shard = shard_of(program, self._control.shards)
+        owner = self._control.shard_owners.get(shard, "")
+        return successors(shard, owner, self._control.sessions)
+
 
 class StatusHandler(OperatorHandler):
     """Shows the state of the system."""
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -12,6 +12,7 @@
 from .errors import CarobspurError, NotFoundError, NotReadyError, UnauthenticatedError
 from .inventory import Inventory, Key
 from .keys import KeyIndex
+from .lease_watch import successors
 from .metrics import REVISION
 from .peers import GET_VIEW, PeerClient, messages
 from .placement import shard_of
@@ -160,6 +161,13 @@
         owner = self._owners[shard_of(program, len(self._owners))]
         return self._sessions.get(owner)
 
+    def successors_of(self, program: str) -> list[Any]:
+        """Return the schedulers that probably own a program if its owner does not."""
+        if not self._owners:
+            return []
+        shard = shard_of(program, len(self._owners))
+        return successors(shard, self._owners[shard], self._sessions.values())
+
     async def run(self) -> None:
         """Update until the task is cancelled."""
         while True:
