--- a/src/carobspur/holder.py
+++ b/src/carobspur/holder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import msgspec
@@ -48,7 +48,8 @@
         client: The HTTP client.
         policy: The hold policy.
         pool: All endpoints.
-        fence: Fencing number of the scheduler's session.
+        fence: Returns the fencing number of orders. All schedulers must use the same
+            one, since an engine may keep one highest number for all its senders.
     """
 
     __slots__ = (
@@ -63,7 +64,11 @@
     )
 
     def __init__(
-        self, client: HttpClient, policy: HoldPolicy, pool: EndpointPool, fence: int
+        self,
+        client: HttpClient,
+        policy: HoldPolicy,
+        pool: EndpointPool,
+        fence: Callable[[], int],
     ) -> None:
         self._client = client
         self._policy = policy
@@ -150,7 +155,9 @@
                 image = await self._export(home, KvImage(program, key))
             if image is None:
                 return False
-            image = msgspec.structs.replace(image, ttl_s=MOVE_TTL_S, fence=self._fence)
+            image = msgspec.structs.replace(
+                image, ttl_s=MOVE_TTL_S, fence=self._fence()
+            )
             response = await self._post(engine.address, "/v1/kv/import", image)
         except CarobspurError as error:
             _logger.info("history of %s was not moved: %s", program, error.message)
@@ -195,18 +202,17 @@
 
     def _release(self, engine: EndpointState, program: str) -> None:
         if self._policy.gives_orders:
-            self._order(engine.address, HoldOrder(program, "", 0.0, self._fence))
+            self._order(engine.address, HoldOrder(program, "", 0.0, self._fence()))
 
-    def release(self, address: str, programs: Iterable[str], *, fence: int) -> None:
+    def release(self, address: str, programs: Iterable[str]) -> None:
         """Release all that an engine keeps of some programs.
 
         Args:
             address: The engine.
             programs: Programs that are gone.
-            fence: Fencing number of the order.
         """
         for program in programs:
-            self._order(address, HoldOrder(program, "", 0.0, fence))
+            self._order(address, HoldOrder(program, "", 0.0, self._fence()))
 
     def _order(self, address: str, order: HoldOrder) -> None:
         self._start(self._send(address, order))
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -96,9 +96,9 @@
         self._forwarder = Forwarder(peers, view, clock)
         self._book = ProgramBook()
         self._pool = EndpointPool()
-        self._pool_shape = (-1, 0)
         self._session: Session | None = None
         self._holder: CacheHolder | None = None
+        self._described = (0, 0)
         self._keeper: ShardKeeper | None = None
         self._ownership: Ownership | None = None
         self._lifecycle: Lifecycle | None = None
@@ -183,7 +183,7 @@
             self._client,
             plugin(PluginKind.HOLDS, options.holds)(),
             self._pool,
-            session.epoch,
+            self._order_fence,
         )
         budgets = Budgets(
             table=self._table,
@@ -232,10 +232,10 @@
         """Follow a change of control's view."""
         self._forwarder.leave_lost_owners()
         schedulers = max(1, len(self._view.sessions))
-        shape = (self._view.revision, schedulers)
-        if shape != self._pool_shape:
+        described = (self._view.inventory_updates, schedulers)
+        if described != self._described:
             self._pool.update(self._view.inventories, schedulers=schedulers)
-            self._pool_shape = shape
+            self._described = described
         for load in self._view.loads:
             state = self._pool.find(load.address)
             if state is not None:
@@ -361,17 +361,22 @@
         return messages.Empty()
 
     async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
-        """Release what an engine keeps of own programs that are gone.
-
-        The highest fencing number of all sessions is used, since an engine may keep
-        one for all its senders; a late order costs no more than a recomputed prefix.
-        """
+        """Release what an engine keeps of own programs that are gone."""
         gone = [item for item in request.programs if self._is_gone(item)]
-        fence = max((item.epoch for item in self._view.sessions), default=0)
         if self._holder is not None:
-            self._holder.release(request.address, gone, fence=fence)
+            self._holder.release(request.address, gone)
         return messages.CacheSwept(released=len(gone))
 
+    def _order_fence(self) -> int:
+        """Return the fencing number of cache orders: the youngest session's epoch.
+
+        With its own epoch only the youngest scheduler would be heard by an engine
+        that keeps one number for all senders. A late order of a holder that was
+        replaced costs no more than a prefix that is computed again.
+        """
+        epochs = [item.epoch for item in self._view.sessions]
+        return max([self._session.epoch, *epochs])
+
     def _is_gone(self, program: str) -> bool:
         found = self._book.find(program)
         return self._owns(program) and (found is None or found.ended)
