--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -124,12 +124,7 @@
             world = await World().start(3)
             await run_programs(world, 6)
             await asyncio.sleep(120)
-            held_s = [
-                history.held_s
-                for engine in world.engines.values()
-                for history in engine.cache.histories
-            ]
-            self.assertLessEqual(set(held_s), {0.0})
+            self.assertEqual(cached(world), set())
 
         run_virtual(scenario)
 
