Longer listen queues; server sides of peer connections send at once

Cause 2: the accepting side of peer connections left Nagle's algorithm on, so a small frame could wait for the acknowledgement of the one before.

--- a/src/carobspur/daemon.py
+++ b/src/carobspur/daemon.py
@@ -22,6 +22,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
+BACKLOG_CONNECTIONS = 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -88,7 +89,7 @@
 ) -> AsyncIterator[int]:
     """Serve an application; yields the port, closes connections at the end."""
     server = tornado.httpserver.HTTPServer(app, **options)
-    sockets = bind_sockets(port, host)
+    sockets = bind_sockets(port, host, backlog=BACKLOG_CONNECTIONS)
     server.add_sockets(sockets)
     try:
         yield sockets[0].getsockname()[1]
--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -178,6 +178,7 @@
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one connection until it closes."""
+        stream.set_nodelay(True)
         self._streams.add(stream)
         running: dict[int, asyncio.Task[None]] = {}
         try:
