Soak of both deployments under random faults, with a report

Cause: no run of real processes lasted longer than one fault. Ruled out: faults inside the processes (the stand-ins and signals are enough, and the daemons stay as they ship).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test check format approve clean
+.PHONY: install demo test soak check format approve clean
 
 install: $(STAMP)
 
@@ -18,6 +18,12 @@
 test: install
 	PYTHONPATH=src $(BIN)/python -m tests.run
 
+# Both deployments under random faults; MINUTES and SEED may be set.
+MINUTES ?= 10
+SEED ?= 1
+soak: install
+	PYTHONPATH=src:examples $(BIN)/python -m experiments.soak --minutes=$(MINUTES) --seed=$(SEED)
+
 check: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -30,6 +30,7 @@
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
 EXAMPLES = Path(__file__).parent
+ROLES = ("control", "scheduler", "entry")
 PLATFORM_KEY = "platform-example-key"
 
 _SETTINGS = """\
@@ -212,14 +213,19 @@
                 platform_key_sha256=sha256(PLATFORM_KEY.encode()).hexdigest(),
             )
         )
-        for role in ("control", "scheduler", "entry"):
-            code = f"from carobspur.{role} import main; main()"
-            instance.processes[role] = self._start(
-                f"{name}-{role}", code, [f"--settings={settings}"]
-            )
+        for role in ROLES:
+            self.start_daemon(instance, role)
         self.instances.append(instance)
         return instance
 
+    def start_daemon(self, instance: Instance, role: str) -> None:
+        """Start one daemon of an instance, also again after it ended."""
+        settings = self._directory / f"{instance.id}.ini"
+        code = f"from carobspur.{role} import main; main()"
+        instance.processes[role] = self._start(
+            f"{instance.id}-{role}", code, [f"--settings={settings}"]
+        )
+
     def wait_ready(self) -> None:
         """Wait until every instance can serve."""
         for instance in self.instances:
