Requests follow an owner for the lease time and 1 s, not for 10 s

Cause: with nobody to own a program the entry process answered after 10 s whatever the lease (seen with the object store down, and after the death of an entry process). That is longer than any takeover takes, so it only held the client back.

Ruled out: refusing at once (a takeover is on its way; following it is what makes a death invisible). The limit is now the target for takeovers.

--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -14,7 +14,7 @@
 from .callers import caller_routes
 from .clock import LoopClock
 from .daemon import background, daemon_main, http_server
-from .forward import Forwarder
+from .forward import Forwarder, takeover_limit_s
 from .health import health_routes
 from .peers import peer_client
 from .problem import NoSuchPathHandler
@@ -131,7 +131,9 @@
             port=settings.control.peer_port,
             with_loads=False,
         )
-        entry = Entry(settings, view, Forwarder(peers, view, clock))
+        limit_s = takeover_limit_s(settings.scheduler.lease_s)
+        forwarder = Forwarder(peers, view, clock, limit_s=limit_s)
+        entry = Entry(settings, view, forwarder)
         app = tornado.web.Application(
             [*health_routes(lambda: entry.is_ready), *caller_routes(entry)],
             default_handler_class=NoSuchPathHandler,
--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -21,7 +21,7 @@
 from .verdict import MAY_HAVE_RUN, NOT_RUN
 from .view import ViewClient
 
-FAILOVER_LIMIT_S = 10.0
+TAKEOVER_MARGIN_S = 1.0
 DEFAULT_TIMEOUT_S = 10.0
 RETRY_AFTER_S = 2.0
 MIN_TIMEOUT_S = 0.05
@@ -40,12 +40,21 @@
 )
 
 
+def takeover_limit_s(lease_s: float) -> float:
+    """Return for how long a program can be without an owner after a death.
+
+    Args:
+        lease_s: Lease time of the schedulers' sessions.
+    """
+    return lease_s + TAKEOVER_MARGIN_S
+
+
 class Forwarder:
     """Finds the owner of a program and asks it, following it when it moves.
 
     Every request carries what makes it idempotent (the program's id, the call's
     number), so it may be asked again of the next owner whatever became of it at the
-    last one. For a limited time: then the caller is told to come back.
+    last one. For as long as a takeover takes: then the caller is told to come back.
 
     Args:
         peers: Client of our own processes.
@@ -62,7 +71,7 @@
         view: ViewClient,
         clock: Clock,
         *,
-        limit_s: float = FAILOVER_LIMIT_S,
+        limit_s: float,
     ) -> None:
         self._peers = peers
         self._view = view
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -18,7 +18,7 @@
 from .errors import NotReadyError, SessionLostError
 from .execution import Toolbox
 from .fencing import FencingNumbers
-from .forward import Forwarder
+from .forward import Forwarder, takeover_limit_s
 from .health import health_routes
 from .history import Histories
 from .holder import CacheHolder
@@ -94,7 +94,8 @@
         self._objects = objects
         self._client = client
         self._view = view
-        self._forwarder = Forwarder(peers, view, clock)
+        limit_s = takeover_limit_s(settings.scheduler.lease_s)
+        self._forwarder = Forwarder(peers, view, clock, limit_s=limit_s)
         self._book = ProgramBook()
         self._pool = EndpointPool()
         self._session: Session | None = None
--- a/tests/run.py
+++ b/tests/run.py
@@ -24,6 +24,8 @@
     def testOutcome(self, event: TestOutcomeEvent) -> None:  # noqa: N802
         """Note an outcome."""
         match event.outcome:
+            case "subtest" if event.exc_info is None:
+                pass
             case "passed":
                 self.passed.add(event.test.id())
             case "skipped":
--- a/tests/world.py
+++ b/tests/world.py
@@ -22,7 +22,7 @@
 from carobspur.control_peers import ControlPeers
 from carobspur.entry import Entry, caller_routes
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
-from carobspur.forward import Forwarder
+from carobspur.forward import Forwarder, takeover_limit_s
 from carobspur.http import HttpError, HttpRequest, HttpResponse
 from carobspur.inventory import Inventory
 from carobspur.kernel import load_plugins
@@ -294,9 +294,7 @@
         self.peers.servers[(host, settings.scheduler.port)] = server
         self.peers.gates[(host, settings.scheduler.port)] = gate
         entry_view = self._view(settings)
-        entry = Entry(
-            settings, entry_view, Forwarder(self.peers, entry_view, self.clock)
-        )
+        entry = Entry(settings, entry_view, self._forwarder(settings, entry_view))
         node = Node(
             settings,
             control,
@@ -447,6 +445,10 @@
         sent = {"Authorization": f"Bearer {secret}", **(headers or {})}
         return await _serve(app, method, path, body, sent)
 
+    def _forwarder(self, settings: Settings, view: ViewClient) -> Forwarder:
+        limit_s = takeover_limit_s(settings.scheduler.lease_s)
+        return Forwarder(self.peers, view, self.clock, limit_s=limit_s)
+
     def _view(self, settings: Settings) -> ViewClient:
         return ViewClient(
             self.peers,
