Golden files of both whole example programs

Cause: the issue asks for golden files of both deployments' sessions; there was one, of a made-up inventory. Ruled out: a second world for the second organisation; the example inventories get the test world's addresses. Conclusion: both example inventories run whole, with sub-agent, tool and plain service.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,9 @@
 
 import hashlib
 import json
+from pathlib import Path
+
+import msgspec
 
 from carobspur.inventory import (
     Agent,
@@ -21,8 +24,10 @@
     ServiceKind,
     StopRule,
 )
+from carobspur.inventory_checks import parse_inventory
 from carobspur.settings import Settings
 
+EXAMPLES = Path(__file__).parent.parent / "examples"
 ORGANISATION = "oro-recupero"
 CALLER_SECRET = "caller-secret"
 OPERATOR_SECRET = "operator-secret"
@@ -142,3 +147,21 @@
 def json_of(text: str) -> object:
     """Return a stored answer's content, or ``None`` where there is none."""
     return json.loads(text) if text else None
+
+
+def an_example_inventory(name: str) -> Inventory:
+    """Return an example inventory with the addresses of the test world."""
+    example = parse_inventory((EXAMPLES / f"{name}.json").read_bytes())
+    engines = [
+        msgspec.structs.replace(engine, address=url)
+        for engine, url in zip(example.engines, ENGINE_URLS, strict=True)
+    ]
+    services = [
+        msgspec.structs.replace(service, replicas=[_moved(service.replicas[0], url)])
+        for service, url in zip(example.services, (TOOL_URL, PLAIN_URL), strict=True)
+    ]
+    return msgspec.structs.replace(example, engines=engines, services=services)
+
+
+def _moved(replica: Replica, url: str) -> Replica:
+    return msgspec.structs.replace(replica, address=url)
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 from carobspur_standins.app import FaultKind, FaultOrder
@@ -15,13 +16,40 @@
 from .world import Reply, World
 
 
+@dataclass(frozen=True)
+class ExampleScript:
+    """The endpoints and agents of an example inventory."""
+
+    secret: str
+    agent: str
+    sub_agent: str
+    model: str
+    tool: str
+    plain: str
+
+
+ORO = ExampleScript(
+    "oro-example-caller", "quote", "assay", "quote-model", "payout", "vault"
+)
+JALBANDI = ExampleScript(
+    "jalbandi-example-caller",
+    "inspection",
+    "tag-lookup",
+    "registry-model",
+    "tag-issue",
+    "registry",
+)
+
+
 class Session:
     """A caller's session with one program, noted event by event."""
 
-    def __init__(self, world: World, log: SessionLog) -> None:
+    def __init__(
+        self, world: World, log: SessionLog, *, secret: str = builders.CALLER_SECRET
+    ) -> None:
         self.world = world
         self.log = log
-        self.program = ""
+        self.secret = secret
 
     async def start(self, key: str, agent: str = "quote", parent: str = "") -> str:
         reply = await self.world.ask(
@@ -29,6 +57,7 @@
             "/v1/programs",
             {"agent": agent, "parent": parent},
             headers={"Idempotency-Key": key},
+            secret=self.secret,
         )
         self.log.reply(f"start {agent}", reply)
         return reply.json["program"]
@@ -36,21 +65,29 @@
     async def call(
         self, program: str, number: int, endpoint: str, content: Any, **options: Any
     ) -> Reply:
-        reply = await self.world.call(program, number, endpoint, content, **options)
+        reply = await self.world.call(
+            program, number, endpoint, content, secret=self.secret, **options
+        )
         return self.log.reply(f"call {number} {endpoint}", reply)
 
-    async def stream(self, program: str, number: int, content: Any) -> Reply:
-        body = {"endpoint": "model", "input": content, "stream": True}
+    async def stream(
+        self, program: str, number: int, content: Any, *, model: str = "model"
+    ) -> Reply:
+        body = {"endpoint": model, "input": content, "stream": True}
         path = f"/v1/programs/{program}/calls/{number}"
-        reply = await self.world.ask("POST", path, body)
-        return self.log.reply(f"stream {number} model", reply)
+        reply = await self.world.ask("POST", path, body, secret=self.secret)
+        return self.log.reply(f"stream {number} {model}", reply)
 
     async def end(self, program: str) -> None:
-        reply = await self.world.ask("DELETE", f"/v1/programs/{program}")
+        reply = await self.world.ask(
+            "DELETE", f"/v1/programs/{program}", secret=self.secret
+        )
         self.log.reply("end", reply)
 
     async def history(self, program: str) -> None:
-        reply = await self.world.ask("GET", f"/v1/programs/{program}/history")
+        reply = await self.world.ask(
+            "GET", f"/v1/programs/{program}/history", secret=self.secret
+        )
         self.log.reply("history", reply)
 
     def tool_runs(self) -> None:
@@ -60,6 +97,24 @@
 Script = Callable[[Session], Awaitable[None]]
 
 
+async def run_example(session: Session, script: ExampleScript) -> None:
+    """Run a whole program with a sub-agent, a tool and a plain service."""
+    program = await session.start("k1", script.agent)
+    content = {"prompt": "what is this and whose", "max_tokens": 3}
+    await session.stream(program, 1, content, model=script.model)
+    await session.call(program, 2, script.plain, {"item": 88})
+    child = await session.start("k2", script.sub_agent, parent=program)
+    content = {"prompt": "check the details", "max_tokens": 2}
+    await session.call(child, 1, script.model, content)
+    await session.call(program, 3, script.tool, {"item": 88, "pieces": 12})
+    await session.call(program, 3, script.tool, {"item": 88, "pieces": 12})
+    content = {"prompt": "thank you", "max_tokens": 2}
+    await session.call(program, 4, script.model, content)
+    await session.history(program)
+    await session.end(program)
+    session.tool_runs()
+
+
 class GoldenSessionTest(unittest.TestCase):
     def verify(self, script: Script, **options: Any) -> None:
         log = SessionLog()
@@ -94,6 +149,23 @@
 
         self.verify(script)
 
+    def test_whole_quote_program_of_oro_recupero(self) -> None:
+        self.verify_example("oro-recupero", ORO)
+
+    def test_whole_inspection_program_of_jalbandi(self) -> None:
+        self.verify_example("jalbandi", JALBANDI)
+
+    def verify_example(self, name: str, script: ExampleScript) -> None:
+        log = SessionLog()
+
+        async def scenario() -> None:
+            world = World(builders.an_example_inventory(name), note=log.note)
+            await world.start(3)
+            await run_example(Session(world, log, secret=script.secret), script)
+
+        run_virtual(scenario)
+        log.verify()
+
     def test_payout_whose_answer_is_lost_is_looked_up(self) -> None:
         self.verify(_payout_with_fault(FaultKind.LOSE_ANSWER))
 
