--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from typing import Any
 
-import msgspec
 import tornado.web
 
 from .budgets import Budgets
@@ -23,34 +23,17 @@
 from .history import Histories
 from .holder import CacheHolder
 from .http import CurlClient, HttpClient
-from .inventory import Role
 from .kernel import PluginKind, plugin
 from .lifecycle import Lifecycle
 from .metrics import PROGRAMS, SHARDS
 from .objects import HttpObjects, Objects
 from .outage import OutageGuard
 from .ownership import Ownership
-from .peers import (
-    ADOPT_CHILD,
-    DRAIN,
-    END_CHILD,
-    END_PROGRAM,
-    GET_STATUS,
-    RUN_CALL,
-    RUN_SINGLE_CALL,
-    SHOW_PROGRAM,
-    START_PROGRAM,
-    SWEEP_CACHE,
-    Emit,
-    PeerClient,
-    PeerServer,
-    messages,
-    peer_client,
-)
+from .peers import PeerClient, PeerServer, peer_client
 from .pool import EndpointPool, LoadReport
 from .programs import ProgramBook
-from .requests import CallRequest, Requester
 from .retry import RetryBudgets
+from .scheduler_peers import SchedulerPeers
 from .session import Session
 from .settings import Settings
 from .shards import ShardKeeper
@@ -109,6 +92,11 @@
         self._dispatcher: Dispatcher | None = None
         self._draining: asyncio.Future[None] | None = None
 
+    @property
+    def view(self) -> ViewClient:
+        """Copy of control's view."""
+        return self._view
+
     @property
     def session(self) -> Session | None:
         """The session, once it is open."""
@@ -271,18 +259,40 @@
         await self._budgets.release()
         await self._session.close()
 
-    def register(self, server: PeerServer) -> None:
-        """Serve the peer methods of a scheduler."""
-        server.handle(START_PROGRAM, self._start_program)
-        server.handle(RUN_CALL, self._run_call)
-        server.handle(RUN_SINGLE_CALL, self._run_single_call)
-        server.handle(SHOW_PROGRAM, self._show_program)
-        server.handle(END_PROGRAM, self._end_program)
-        server.handle(ADOPT_CHILD, self._adopt_child)
-        server.handle(END_CHILD, self._end_child)
-        server.handle(DRAIN, self._drain)
-        server.handle(SWEEP_CACHE, self._sweep_cache)
-        server.handle(GET_STATUS, self._get_status)
+    def release_gone(self, address: str, programs: Sequence[str]) -> int:
+        """Release what an engine keeps of own programs that are gone.
+
+        Args:
+            address: The engine.
+            programs: Programs that it keeps something of.
+
+        Returns:
+            The number of programs that were released.
+        """
+        gone = [item for item in programs if self._is_gone(item)]
+        if self._holder is not None:
+            self._holder.release(address, gone)
+        return len(gone)
+
+    async def drain(self, *, leaving: bool) -> None:
+        """Start to hand all shards over, or take shards again.
+
+        Raises:
+            NotReadyError: The scheduler is still starting.
+        """
+        if self._keeper is None:
+            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
+        if leaving:
+            self._draining = asyncio.ensure_future(self._keeper.leave())
+        else:
+            await self._keeper.stay()
+
+    def open_programs(self, organisation: str) -> int:
+        """Return how many programs of an organisation are under way here."""
+        return sum(
+            item.organisation == organisation and not item.ended
+            for item in self._book.programs
+        )
 
     def _commit_interval_s(self) -> float:
         """Share the platform's writes fairly among the live schedulers."""
@@ -298,79 +308,6 @@
             self._keeper.note(records)
             SHARDS.set(len(self._keeper.owned))
 
-    def _requester(self, caller: Any) -> Requester:
-        """Return who asks, once this process knows what the entry process knows."""
-        if caller.revision > self._view.revision:
-            raise NotReadyError(
-                f"inventory revision {caller.revision} is not in force here yet",
-                retry_after_s=1.0,
-            )
-        role = Role(caller.role or Role.CALLER)
-        return Requester(caller.organisation, caller.user, role)
-
-    async def _start_program(self, request: Any, emit: Emit) -> Any:
-        created = await self.lifecycle.start(
-            self._requester(request.caller),
-            request.program,
-            agent=request.agent,
-            parent=request.parent or "",
-            deadline_s=request.deadline_s or 0.0,
-        )
-        return messages.ProgramStarted(program=request.program, created=created)
-
-    async def _run_call(self, request: Any, emit: Emit) -> Any:
-        call = CallRequest(
-            self._requester(request.caller),
-            request.program,
-            request.number,
-            request.endpoint,
-            request.input,
-        )
-        on_text = _text_emitter(emit) if request.stream else None
-        return _answer_message(await self.calls.run_call(call, on_text))
-
-    async def _run_single_call(self, request: Any, emit: Emit) -> Any:
-        call = CallRequest(
-            self._requester(request.caller),
-            request.program,
-            1,
-            request.endpoint,
-            request.input,
-        )
-        on_text = _text_emitter(emit) if request.stream else None
-        return _answer_message(await self.calls.run_single(call, on_text))
-
-    async def _show_program(self, request: Any, emit: Emit) -> Any:
-        found = await self.calls.show(
-            self._requester(request.caller),
-            request.program,
-            with_history=request.with_history,
-        )
-        return messages.ProgramDocument(document=msgspec.json.encode(found))
-
-    async def _end_program(self, request: Any, emit: Emit) -> Any:
-        await self.lifecycle.end(
-            self._requester(request.caller), request.program, request.reason
-        )
-        return messages.Empty()
-
-    async def _adopt_child(self, request: Any, emit: Emit) -> Any:
-        requester = self._requester(request.caller)
-        await self.lifecycle.adopt(requester, request.parent, request.child)
-        return messages.Empty()
-
-    async def _end_child(self, request: Any, emit: Emit) -> Any:
-        requester = self._requester(request.caller)
-        await self.lifecycle.end_child(requester, request.parent, request.child)
-        return messages.Empty()
-
-    async def _sweep_cache(self, request: Any, emit: Emit) -> Any:
-        """Release what an engine keeps of own programs that are gone."""
-        gone = [item for item in request.programs if self._is_gone(item)]
-        if self._holder is not None:
-            self._holder.release(request.address, gone)
-        return messages.CacheSwept(released=len(gone))
-
     def _order_fence(self) -> int:
         """Return the fencing number of cache orders: the youngest session's epoch.
 
@@ -385,50 +322,6 @@
         found = self._book.find(program)
         return self._owns(program) and (found is None or found.ended)
 
-    async def _drain(self, request: Any, emit: Emit) -> Any:
-        if self._keeper is None:
-            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
-        if request.leaving:
-            self._draining = asyncio.ensure_future(self._keeper.leave())
-        else:
-            await self._keeper.stay()
-        return messages.Empty()
-
-    async def _get_status(self, request: Any, emit: Emit) -> Any:
-        mine = [
-            item
-            for item in self._book.programs
-            if item.organisation == request.organisation and not item.ended
-        ]
-        keeper = self._keeper
-        return messages.SchedulerStatus(
-            revision=self._view.revision,
-            ready=self._view.is_ready and keeper is not None,
-            leaving=keeper is not None and keeper.is_leaving,
-            shards=0 if keeper is None else len(keeper.owned),
-            programs=len(mine),
-        )
-
-
-def _text_emitter(emit: Emit) -> Any:
-    def _emit_text(generation: str, index: int, text: str) -> None:
-        emit(messages.CallPart(index=index, text=text, generation=generation))
-
-    return _emit_text
-
-
-def _answer_message(answer: Any) -> Any:
-    call = answer.call
-    return messages.CallAnswer(
-        program="",
-        number=call.number,
-        digest=call.digest,
-        output=call.outcome.output.encode(),
-        durable=True,
-        replayed=answer.is_replayed,
-        cost_units=call.outcome.cost_units,
-    )
-
 
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run the scheduler until it is told to stop."""
@@ -453,7 +346,7 @@
             peers=peers,
         )
         server = PeerServer(ssl_options=peer_server_context(tls))
-        scheduler.register(server)
+        SchedulerPeers(scheduler).register(server)
         server.listen(settings.scheduler.port, host)
         await _open(scheduler, settings.scheduler.port, clock, stopping)
         if stopping.is_set():
--- a/tests/world.py
+++ b/tests/world.py
@@ -32,6 +32,7 @@
 from carobspur.peers import Method, PeerServer, decode, encode
 from carobspur.problem import NoSuchPathHandler
 from carobspur.scheduler import Scheduler
+from carobspur.scheduler_peers import SchedulerPeers
 from carobspur.settings import Settings
 from carobspur.sse import EventParser
 from carobspur.table import HttpTable
@@ -290,7 +291,7 @@
             peers=self.peers,
         )
         server = PeerServer()
-        scheduler.register(server)
+        SchedulerPeers(scheduler).register(server)
         self.peers.servers[(host, settings.scheduler.port)] = server
         self.peers.gates[(host, settings.scheduler.port)] = gate
         entry_view = self._view(settings)
