--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -4,325 +4,29 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
-from typing import Any
 
 import tornado.web
 
-from .budgets import Budgets
-from .calls import CallService
 from .clock import Clock, LoopClock
 from .daemon import background, daemon_main, http_server
-from .dispatch import Dispatcher
-from .endpoints import Endpoints
-from .errors import NotReadyError, SessionLostError
-from .execution import Toolbox
-from .fencing import FencingNumbers
-from .forward import Forwarder, takeover_limit_s
+from .errors import SessionLostError
 from .health import health_routes
-from .history import Histories
-from .holder import CacheHolder
-from .http import CurlClient, HttpClient
-from .kernel import PluginKind, plugin
-from .lifecycle import Lifecycle
-from .metrics import PROGRAMS, SHARDS
-from .objects import HttpObjects, Objects
-from .outage import OutageGuard
-from .ownership import Ownership
-from .peers import PeerClient, PeerServer, peer_client
-from .pool import EndpointPool, LoadReport
-from .programs import ProgramBook
-from .retry import RetryBudgets
+from .http import CurlClient
+from .objects import HttpObjects
+from .peers import PeerServer, peer_client
+from .scheduler_parts import Scheduler
 from .scheduler_peers import SchedulerPeers
-from .session import Session
 from .settings import Settings
-from .shards import ShardKeeper
-from .table import HttpTable, Table
+from .table import HttpTable
 from .tls import peer_client_context, peer_server_context
 from .view import ViewClient
 
-ROWS_PER_COMMIT = 2
-DRAIN_LIMIT_S = 60.0
+OPEN_RETRY_S = 0.5
+STOP_POLL_S = 0.1
 
 _logger = logging.getLogger(__name__)
 
 
-class Scheduler:
-    """All parts of one scheduler, wired together.
-
-    Args:
-        settings: The instance's settings.
-        clock: Source of time.
-        table: The table service.
-        objects: The object store.
-        client: HTTP client towards endpoints.
-        view: Copy of control's view.
-        peers: Client of our own processes.
-    """
-
-    def __init__(
-        self,
-        *,
-        settings: Settings,
-        clock: Clock,
-        table: Table,
-        objects: Objects,
-        client: HttpClient,
-        view: ViewClient,
-        peers: PeerClient,
-    ) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._table = table
-        self._objects = objects
-        self._client = client
-        self._view = view
-        limit_s = takeover_limit_s(settings.scheduler.lease_s)
-        self._forwarder = Forwarder(peers, view, clock, limit_s=limit_s)
-        self._book = ProgramBook()
-        self._pool = EndpointPool()
-        self._session: Session | None = None
-        self._holder: CacheHolder | None = None
-        self._described = (0, 0)
-        self._keeper: ShardKeeper | None = None
-        self._ownership: Ownership | None = None
-        self._lifecycle: Lifecycle | None = None
-        self._budgets: Budgets | None = None
-        self._calls: CallService | None = None
-        self._dispatcher: Dispatcher | None = None
-        self._draining: asyncio.Future[None] | None = None
-
-    @property
-    def view(self) -> ViewClient:
-        """Copy of control's view."""
-        return self._view
-
-    @property
-    def session(self) -> Session | None:
-        """The session, once it is open."""
-        return self._session
-
-    @property
-    def keeper(self) -> ShardKeeper | None:
-        """The keeper of this scheduler's shards, once the session is open."""
-        return self._keeper
-
-    @property
-    def calls(self) -> CallService:
-        """The service that runs calls.
-
-        Raises:
-            NotReadyError: The scheduler is still starting.
-        """
-        if self._calls is None:
-            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
-        return self._calls
-
-    @property
-    def lifecycle(self) -> Lifecycle:
-        """The service that starts and ends programs.
-
-        Raises:
-            NotReadyError: The scheduler is still starting.
-        """
-        if self._lifecycle is None:
-            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
-        return self._lifecycle
-
-    async def open(self, port: int) -> None:
-        """Open the session; afterwards calls can be served.
-
-        Args:
-            port: The port at which peers reach this scheduler.
-        """
-        options = self._settings.scheduler
-        instance = self._settings.instance
-        self._session = await Session.open(
-            table=self._table,
-            clock=self._clock,
-            instance=instance.id,
-            host=instance.host,
-            port=port,
-            data_centre=instance.data_centre,
-            lease_s=options.lease_s,
-            interval_s=self._commit_interval_s,
-            on_commit=self._apply,
-        )
-        self._dispatcher = Dispatcher(
-            clock=self._clock,
-            policy=plugin(PluginKind.ROUTING, options.routing)(),
-            max_waiting=options.max_waiting,
-        )
-        self._build_services(self._session, self._dispatcher)
-        self._keeper = ShardKeeper(
-            table=self._table,
-            objects=self._objects,
-            clock=self._clock,
-            session=self._session,
-            book=self._book,
-            shards=options.shards,
-            lease_s=options.lease_s,
-            checkpoint_commits=options.checkpoint_commits,
-            is_busy=self._ownership.is_busy,
-        )
-        self.take_view()
-
-    def _build_services(self, session: Session, dispatcher: Dispatcher) -> None:
-        options = self._settings.scheduler
-        self._holder = CacheHolder(
-            self._client,
-            plugin(PluginKind.HOLDS, options.holds)(),
-            self._pool,
-            self._order_fence,
-        )
-        budgets = Budgets(
-            table=self._table,
-            session=session,
-            clock=self._clock,
-            grant_units=options.grant_units,
-            schedulers=lambda: len(self._view.sessions),
-        )
-        self._budgets = budgets
-        tools = Toolbox(
-            clock=self._clock,
-            session=session,
-            budgets=budgets,
-            dispatcher=dispatcher,
-            pool=self._pool,
-            endpoints=Endpoints(self._client),
-            holder=self._holder,
-            histories=Histories(self._objects),
-            data_centre=self._settings.instance.data_centre,
-            fences=FencingNumbers(session.epoch),
-            retries=RetryBudgets(),
-            outage=OutageGuard(session, self._clock, options.lease_s),
-        )
-        self._ownership = Ownership(
-            session=session, owns=self._owns, shards=options.shards
-        )
-        self._lifecycle = Lifecycle(
-            tools=tools,
-            book=self._book,
-            ownership=self._ownership,
-            inventories=self._view.inventory,
-            forwarder=self._forwarder,
-        )
-        self._calls = CallService(
-            tools=tools,
-            book=self._book,
-            ownership=self._ownership,
-            lifecycle=self._lifecycle,
-            inventories=self._view.inventory,
-        )
-
-    def _owns(self, program: str) -> bool:
-        return self._keeper is not None and self._keeper.owns(program)
-
-    def take_view(self) -> None:
-        """Follow a change of control's view."""
-        if self._keeper is not None:
-            SHARDS.set(len(self._keeper.owned))
-        self._forwarder.leave_lost_owners()
-        schedulers = max(1, len(self._view.sessions))
-        described = (self._view.inventory_updates, schedulers)
-        if described != self._described:
-            self._pool.update(self._view.inventories, schedulers=schedulers)
-            self._described = described
-        for load in self._view.loads:
-            state = self._pool.find(load.address)
-            if state is not None:
-                report = LoadReport(
-                    load.running,
-                    load.waiting,
-                    load.kv_used_tokens,
-                    load.kv_capacity_tokens,
-                    self._clock.monotonic() - load.age_s,
-                )
-                if load.reachable:
-                    state.take_report(report)
-                state.is_leaving = load.leaving
-        if self._dispatcher is not None:
-            self._dispatcher.dispatch()
-
-    async def run(self) -> None:
-        """Do what is due from time to time until the task is cancelled."""
-        await asyncio.gather(self.lifecycle.run(), self._budgets.run())
-
-    async def leave(self) -> None:
-        """Hand everything over to others and end the session."""
-        if self._keeper is None or self._session is None:
-            return
-        try:
-            await asyncio.wait_for(self._keeper.leave(), DRAIN_LIMIT_S)
-        except (TimeoutError, SessionLostError) as error:
-            _logger.warning("not everything was handed over: %r", error)
-        await self._budgets.release()
-        await self._session.close()
-
-    def release_gone(self, address: str, programs: Sequence[str]) -> int:
-        """Release what an engine keeps of own programs that are gone.
-
-        Args:
-            address: The engine.
-            programs: Programs that it keeps something of.
-
-        Returns:
-            The number of programs that were released.
-        """
-        gone = [item for item in programs if self._is_gone(item)]
-        if self._holder is not None:
-            self._holder.release(address, gone)
-        return len(gone)
-
-    async def drain(self, *, leaving: bool) -> None:
-        """Start to hand all shards over, or take shards again.
-
-        Raises:
-            NotReadyError: The scheduler is still starting.
-        """
-        if self._keeper is None:
-            raise NotReadyError("the scheduler is starting", retry_after_s=1.0)
-        if leaving:
-            self._draining = asyncio.ensure_future(self._keeper.leave())
-        else:
-            await self._keeper.stay()
-
-    def open_programs(self, organisation: str) -> int:
-        """Return how many programs of an organisation are under way here."""
-        return sum(
-            item.organisation == organisation and not item.ended
-            for item in self._book.programs
-        )
-
-    def _commit_interval_s(self) -> float:
-        """Share the platform's writes fairly among the live schedulers."""
-        schedulers = max(1, len(self._view.sessions))
-        writes_per_s = self._settings.platform.table_writes_per_s
-        return schedulers * ROWS_PER_COMMIT / writes_per_s
-
-    def _apply(self, records: list[Any]) -> None:
-        for record in records:
-            self._book.apply(record)
-        PROGRAMS.set(len(self._book))
-        if self._keeper is not None:
-            self._keeper.note(records)
-            SHARDS.set(len(self._keeper.owned))
-
-    def _order_fence(self) -> int:
-        """Return the fencing number of cache orders: the youngest session's epoch.
-
-        With its own epoch only the youngest scheduler would be heard by an engine
-        that keeps one number for all senders. A late order of a holder that was
-        replaced costs no more than a prefix that is computed again.
-        """
-        epochs = [item.epoch for item in self._view.sessions]
-        return max([self._session.epoch, *epochs])
-
-    def _is_gone(self, program: str) -> bool:
-        found = self._book.find(program)
-        return self._owns(program) and (found is None or found.ended)
-
-
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run the scheduler until it is told to stop."""
     clock = LoopClock()
@@ -376,7 +80,7 @@
             return
         except Exception as error:
             _logger.warning("the session can't be opened yet: %r", error)
-            await clock.sleep(0.5)
+            await clock.sleep(OPEN_RETRY_S)
 
 
 async def _follow_view(view: ViewClient, scheduler: Scheduler) -> None:
@@ -388,7 +92,7 @@
     """Wait for the signal, or for the loss of the session."""
     while not stopping.is_set() and not scheduler.session.is_lost:
         try:
-            await asyncio.wait_for(stopping.wait(), 0.1)
+            await asyncio.wait_for(stopping.wait(), STOP_POLL_S)
         except TimeoutError:
             continue
     if scheduler.session.is_lost:
--- a/src/carobspur/scheduler_peers.py
+++ b/src/carobspur/scheduler_peers.py
@@ -33,7 +33,7 @@
     """Peer methods of a scheduler.
 
     Args:
-        scheduler: The scheduler's parts, a :class:`.scheduler.Scheduler`.
+        scheduler: The scheduler's parts, a :class:`.scheduler_parts.Scheduler`.
     """
 
     __slots__ = ("_scheduler",)
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,7 +31,7 @@
 from carobspur.operator_actions import operator_routes
 from carobspur.peers import Method, PeerServer, decode, encode
 from carobspur.problem import NoSuchPathHandler
-from carobspur.scheduler import Scheduler
+from carobspur.scheduler_parts import Scheduler
 from carobspur.scheduler_peers import SchedulerPeers
 from carobspur.settings import Settings
 from carobspur.sse import EventParser
