Peer messages, server and client are three modules

Cause: peers.py had 447 lines and three jobs. Ruled out: one module a message kind. Conclusion: behaviour unchanged.

--- a/experiments/role_slopes.py
+++ b/experiments/role_slopes.py
@@ -22,7 +22,9 @@
 from carobspur.configuration import AppliedChange, OrganisationRow
 from carobspur.in_force import InventoriesInForce
 from carobspur.inventory import Inventory
-from carobspur.peers import RECONCILE, PeerClient, PeerServer, messages
+from carobspur.peer_client import PeerClient
+from carobspur.peer_server import PeerServer
+from carobspur.peers import RECONCILE, messages
 
 CALLS = 400
 PROGRAMS = 300
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -36,7 +36,8 @@
     write_instance,
 )
 from .operator_actions import operator_routes
-from .peers import PeerServer, peer_client
+from .peer_client import peer_client
+from .peer_server import PeerServer
 from .problem import NoSuchPathHandler
 from .settings import Settings
 from .sweep import SWEEP_PERIOD_S, CacheSweep
--- a/src/carobspur/control_peers.py
+++ b/src/carobspur/control_peers.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit, PeerServer
+from .peer_server import PeerServer
+from .peers import GET_VIEW, GOSSIP, RECONCILE, Emit
 from .view import VIEW_PERIOD_S
 
 NOT_ASKED_S = 1.0
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -16,7 +16,7 @@
 from .daemon import background, daemon_main, http_server
 from .forward import Forwarder, takeover_limit_s
 from .health import health_routes
-from .peers import peer_client
+from .peer_client import peer_client
 from .problem import NoSuchPathHandler
 from .settings import Settings
 from .tls import peer_client_context, public_server_context
--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -16,7 +16,8 @@
     PeerUnreachableError,
     SessionLostError,
 )
-from .peers import RUN_CALL, RUN_SINGLE_CALL, Emit, Method, PeerClient
+from .peer_client import PeerClient
+from .peers import RUN_CALL, RUN_SINGLE_CALL, Emit, Method
 from .retry import Backoff
 from .verdict import MAY_HAVE_RUN, NOT_RUN
 from .view import ViewClient
--- /dev/null
+++ b/src/carobspur/peer_server.py
@@ -0,0 +1,131 @@
+"""The accepting side of calls between our own processes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from .errors import CarobspurError, RequestError
+from .peers import (
+    Emit,
+    Handler,
+    Method,
+    decode,
+    encode,
+    failure_message,
+    messages,
+    read_frame,
+    write_frame,
+)
+from .verdict import MAY_HAVE_RUN
+
+_logger = logging.getLogger(__name__)
+
+
+class PeerServer(TCPServer):
+    """Accepts calls from other processes.
+
+    Args:
+        ssl_options: Server-side TLS context, or ``None`` for plain TCP.
+    """
+
+    def __init__(self, *, ssl_options: ssl.SSLContext | None = None) -> None:
+        super().__init__(ssl_options=ssl_options)
+        self._methods: dict[str, tuple[Method, Handler]] = {}
+        self._streams: set[IOStream] = set()
+
+    def handle(self, method: Method, handler: Handler) -> None:
+        """Serve a method.
+
+        Args:
+            method: The method.
+            handler: Coroutine function of the request and of a function that
+                sends one part; it returns the result.
+        """
+        self._methods[method.name] = (method, handler)
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve one connection until it closes."""
+        stream.set_nodelay(True)
+        self._streams.add(stream)
+        running: dict[int, asyncio.Task[None]] = {}
+        try:
+            while True:
+                frame = await read_frame(stream)
+                self._take_frame(stream, frame, running)
+        except StreamClosedError:
+            pass
+        except CarobspurError as error:
+            _logger.warning("closing peer connection: %s", error.message)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+            for task in running.values():
+                task.cancel()
+
+    def close_connections(self) -> None:
+        """Close every open connection."""
+        for stream in list(self._streams):
+            stream.close()
+
+    def _take_frame(
+        self, stream: IOStream, frame: Any, running: dict[int, asyncio.Task[None]]
+    ) -> None:
+        match frame.kind:
+            case messages.FrameKind.REQUEST:
+                task = asyncio.ensure_future(self._serve(stream, frame))
+                running[frame.id] = task
+                task.add_done_callback(lambda _: running.pop(frame.id, None))
+            case messages.FrameKind.CANCEL:
+                task = running.get(frame.id)
+                if task is not None:
+                    task.cancel()
+            case _:
+                raise RequestError(f"a frame of kind {frame.kind} from a client")
+
+    async def _serve(self, stream: IOStream, frame: Any) -> None:
+        try:
+            result = await self._answer(stream, frame)
+            kind, body = messages.FrameKind.RESULT, encode(result)
+        except CarobspurError as error:
+            kind, body = messages.FrameKind.FAILURE, encode(failure_message(error))
+        except Exception:
+            _logger.exception("peer method %s failed", frame.method)
+            error = CarobspurError("internal error; see the log", verdict=MAY_HAVE_RUN)
+            kind, body = messages.FrameKind.FAILURE, encode(failure_message(error))
+        if not stream.closed():
+            write_frame(stream, messages.Frame(id=frame.id, kind=kind, body=body))
+
+    async def answer(self, name: str, body: bytes, emit: Emit) -> Any:
+        """Run the handler of a method.
+
+        Args:
+            name: Name of the method.
+            body: The encoded request.
+            emit: Sends one part.
+
+        Raises:
+            RequestError: The method or the request is not known.
+        """
+        if name not in self._methods:
+            raise RequestError(f"unknown peer method {name!r}")
+        method, handler = self._methods[name]
+        return await handler(decode(method.request, body), emit)
+
+    async def _answer(self, stream: IOStream, frame: Any) -> Any:
+        def _emit(part: Any) -> None:
+            if stream.closed():
+                return
+            write_frame(
+                stream,
+                messages.Frame(
+                    id=frame.id, kind=messages.FrameKind.PART, body=encode(part)
+                ),
+            )
+
+        return await self.answer(frame.method or "", frame.body or b"", _emit)
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -13,7 +13,8 @@
 from .health import health_routes
 from .http import CurlClient
 from .objects import HttpObjects
-from .peers import PeerServer, peer_client
+from .peer_client import peer_client
+from .peer_server import PeerServer
 from .scheduler_parts import Scheduler
 from .scheduler_peers import SchedulerPeers
 from .settings import Settings
--- a/src/carobspur/scheduler_parts.py
+++ b/src/carobspur/scheduler_parts.py
@@ -25,7 +25,7 @@
 from .objects import Objects
 from .outage import OutageGuard
 from .ownership import Ownership
-from .peers import PeerClient
+from .peer_client import PeerClient
 from .pool import EndpointPool, LoadReport
 from .programs import ProgramBook
 from .retry import RetryBudgets
--- a/src/carobspur/scheduler_peers.py
+++ b/src/carobspur/scheduler_peers.py
@@ -8,6 +8,7 @@
 
 from .errors import NotReadyError
 from .inventory import Role
+from .peer_server import PeerServer
 from .peers import (
     ADOPT_CHILD,
     DRAIN,
@@ -20,7 +21,6 @@
     START_PROGRAM,
     SWEEP_CACHE,
     Emit,
-    PeerServer,
     messages,
 )
 from .requests import CallRequest, Requester
--- a/src/carobspur/view.py
+++ b/src/carobspur/view.py
@@ -14,7 +14,8 @@
 from .keys import KeyIndex
 from .lease_watch import successors
 from .metrics import REVISION
-from .peers import GET_VIEW, PeerClient, messages
+from .peer_client import PeerClient
+from .peers import GET_VIEW, messages
 from .placement import shard_of
 
 VIEW_PERIOD_S = 0.25
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,7 +23,8 @@
 from carobspur.http import HttpRequest, HttpResponse
 from carobspur.inventory import DataCentre, Engine, Inventory
 from carobspur.membership import ListedInstance
-from carobspur.peers import Method, PeerServer, decode, encode
+from carobspur.peer_server import PeerServer
+from carobspur.peers import Method, decode, encode
 from carobspur.session_row import SessionRow, session_key
 from carobspur.settings import Settings
 from carobspur.shard_rows import ShardRow, shard_key
--- a/tests/world.py
+++ b/tests/world.py
@@ -29,7 +29,8 @@
 from carobspur.membership import HttpLiveList
 from carobspur.objects import HttpObjects
 from carobspur.operator_actions import operator_routes
-from carobspur.peers import Method, PeerServer, decode, encode
+from carobspur.peer_server import PeerServer
+from carobspur.peers import Method, decode, encode
 from carobspur.problem import NoSuchPathHandler
 from carobspur.scheduler_parts import Scheduler
 from carobspur.scheduler_peers import SchedulerPeers
