--- a/src/carobspur/control_peers.py
+++ b/src/carobspur/control_peers.py
@@ -16,7 +16,7 @@
     """Peer methods of a control process.
 
     Args:
-        control: The control process's state, a :class:`.control.Control`.
+        control: The control process's state, a :class:`.control_parts.Control`.
     """
 
     __slots__ = ("_asked_s", "_control")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,7 @@
 
 from carobspur.clock import LoopClock
 from carobspur.configuration import Configuration, ImportResult
-from carobspur.control import Control
+from carobspur.control_parts import Control
 from carobspur.control_peers import ControlPeers
 from carobspur.endpoint_loads import EngineLoad
 from carobspur.errors import (
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,7 +18,7 @@
 )
 
 from carobspur.clock import LoopClock
-from carobspur.control import Control
+from carobspur.control_parts import Control
 from carobspur.control_peers import ControlPeers
 from carobspur.entry import Entry, caller_routes
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
