Engines that keep one fencing number for all senders are tested

Cause: the engine stand-in came to count fencing numbers for each program, so nothing tested the shared number that schedulers use any more. Ruled out: relying on engines that count for each program (nothing says they do). Conclusion: both kinds of engines are served.

--- a/src/carobspur_standins/engine.py
+++ b/src/carobspur_standins/engine.py
@@ -46,6 +46,8 @@
         prefill_tokens_per_s: Speed of reading input.
         decode_tokens_per_s: Speed of generating for a call that runs alone.
         checks_fencing: Whether orders with an old fencing number are refused.
+        has_one_fence: Whether it keeps one fencing number for all orders, and not one
+            for each program.
         batch_slowdown: Share by which each further call slows a decode step.
         step_tokens: Tokens generated in one decode step.
         transfer_tokens_per_s: Speed of KV export and import.
@@ -64,6 +66,7 @@
         prefill_tokens_per_s: float = 5000.0,
         decode_tokens_per_s: float = 50.0,
         checks_fencing: bool = False,
+        has_one_fence: bool = False,
         batch_slowdown: float = 0.0,
         step_tokens: int = 1,
         transfer_tokens_per_s: float = 50_000.0,
@@ -84,6 +87,7 @@
         self._cache = PrefixCache(kv_tokens, _now, self._feed)
         self._batch = Batch(self._speed, self._remember)
         self._checks_fencing = checks_fencing
+        self._has_one_fence = has_one_fence
         self._transfer_tokens_per_s = transfer_tokens_per_s
         self._order_s = order_s
         self._load_lag_s = load_lag_s
@@ -164,6 +168,8 @@
 
     def _is_fenced_off(self, subject: str, fence: int) -> bool:
         """Compare with the highest number seen for a program, or for the engine."""
+        if self._has_one_fence:
+            subject = ""
         highest = self._fences.get(subject, 0)
         if self._checks_fencing and fence < highest:
             return True
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -11,6 +11,7 @@
 from carobspur.http import HttpError, HttpRequest, HttpResponse
 from carobspur.sweep import SWEEP_PERIOD_S, by_owner
 from carobspur.verdict import NOT_RUN
+from carobspur_standins.engine import ModelEngine
 
 from . import builders
 from .virtual import run_virtual
@@ -60,8 +61,18 @@
 
 class SweepTest(unittest.TestCase):
     def test_lost_releases_are_made_up_for(self) -> None:
+        self.check_lost_releases(has_one_fence=False)
+
+    def test_lost_releases_on_engines_with_one_fencing_number(self) -> None:
+        self.check_lost_releases(has_one_fence=True)
+
+    def check_lost_releases(self, *, has_one_fence: bool) -> None:
         async def scenario() -> None:
-            world = World()
+            engines = {
+                url: ModelEngine(checks_fencing=True, has_one_fence=has_one_fence)
+                for url in builders.ENGINE_URLS
+            }
+            world = World(engines=engines)
             world.client = losing = LosesReleases(world.client)
             await world.start(3)
             programs = await run_programs(world, 12)
