Process test: two of three schedulers killed at once, twice

Cause: kills were tested one at a time only. Ruled out: the soak as the only proof (its faults are drawn). Conclusion: one scheduler alone takes all shards over, and gives them back.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -143,6 +143,23 @@
         self.assertTrue(again["replayed"])
         self.assertEqual(self.runs(), [f"{program}.1"])
 
+    def test_two_of_three_schedulers_die_at_once_and_twice(self) -> None:
+        program = self.caller(self.running.instances[0]).start("quote")
+        survivor = self.other(self.owner(program))
+        caller = self.caller(survivor)
+        for number in (1, 2):
+            dying = [i for i in self.running.instances if i is not survivor]
+            for instance in dying:
+                self.running.kill(instance.processes["scheduler"])
+            answer = eventually(
+                lambda n=number: caller.call(program, n, "payout", {"pesos": n})
+            )
+            self.assertEqual(answer["number"], number)
+            for instance in dying:
+                self.running.start_daemon(instance, "scheduler")
+            eventually(lambda: self.assertEqual(self._sessions(), 3))
+        self.assertEqual(self.runs(), [f"{program}.1", f"{program}.2"])
+
     def test_planned_stop_cuts_no_request(self) -> None:
         callers = [self.caller(item) for item in self.running.instances]
         programs = [callers[n % 3].start("quote") for n in range(9)]
@@ -179,6 +196,10 @@
         self.assertEqual(answer["number"], 2)
         self.assertEqual(self.runs(), [f"{program}.1", f"{program}.2"])
 
+    def _sessions(self) -> int:
+        table = self.running.platform["table"]
+        return len(get_json(f"{table}/v1/rows?prefix=session%2F")["rows"])
+
     def _is_intended(self, program: str) -> bool:
         table = self.running.platform["table"]
         rows = get_json(f"{table}/v1/rows?prefix=journal%2F")["rows"]
