Frames between processes carry a checksum

Cause: of 200 random frames one stopped the server for over 5 s: the thrift decoder goes through a container of any size that its header seems to name, without reading a byte. One foreign or damaged frame could so freeze a scheduler past its lease.

Ruled out: checking sizes before decoding in Python (costs more than the decoding); limits in the decoder (it has none).

Change: a frame's header has the CRC-32 of its content.

Connections of processes before and after this change don't understand each other.

--- a/src/carobspur/peers.py
+++ b/src/carobspur/peers.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from importlib.resources import as_file, files
 from typing import Any
+from zlib import crc32
 
 import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
@@ -30,7 +31,7 @@
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
-_LENGTH = struct.Struct(">I")
+_HEADER = struct.Struct(">II")
 _PROTOCOL = TCyBinaryProtocolFactory()
 
 Emit = Callable[[Any], None]
@@ -133,19 +134,25 @@
 
 
 async def read_frame(stream: IOStream) -> Any:
-    """Read one frame.
+    """Read one frame: its length, the CRC-32 of its content, and the content.
+
+    The checksum keeps damaged frames and foreign protocols from the thrift decoder,
+    which would go through containers of any size that they seem to name.
 
     Raises:
-        RequestError: It is too long, or no frame.
+        RequestError: It is too long, damaged, or no frame.
         StreamClosedError: The connection ended.
     """
-    (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
+    length, checksum = _HEADER.unpack(await stream.read_bytes(_HEADER.size))
     if length > MAX_FRAME_BYTES:
         raise RequestError(f"a frame of {length} bytes is over {MAX_FRAME_BYTES}")
-    return decode(messages.Frame, await stream.read_bytes(length))
+    content = await stream.read_bytes(length)
+    if crc32(content) != checksum:
+        raise RequestError("a frame is damaged, or no frame of ours")
+    return decode(messages.Frame, content)
 
 
 def write_frame(stream: IOStream, frame: Any) -> None:
     """Write one frame without waiting for it to be sent."""
     content = encode(frame)
-    stream.write(_LENGTH.pack(len(content)) + content)
+    stream.write(_HEADER.pack(len(content), crc32(content)) + content)
--- a/src/carobspur/peers.thrift
+++ b/src/carobspur/peers.thrift
@@ -1,5 +1,6 @@
 // Messages between the processes of this system. Every frame on a connection is
-// one Frame behind its length; its body is the struct that the method names.
+// one Frame behind its length and CRC-32 (4 bytes each, the high byte first); its
+// body is the struct that the method names.
 namespace py carobspur.peers
 
 enum FrameKind {
