A damaged inventory row stops no other organisation

Cause: a control process that starts decodes all organisations' rows at once; one that can't be decoded kept every new or restarted instance from ever being ready.

Ruled out: refusing to start (one organisation's damage would stop all of them).

Change: a damaged row is left out and logged as an error.

The organisation whose row is damaged is unknown to new instances until its inventory is imported again.

--- a/src/carobspur/configuration.py
+++ b/src/carobspur/configuration.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from dataclasses import dataclass
 
@@ -39,6 +40,8 @@
 _CHANGE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,99}\Z")
 _REVISION_DIGITS = 12
 
+_logger = logging.getLogger(__name__)
+
 
 class AppliedChange(msgspec.Struct, frozen=True):
     """Row of an applied change's id: what it put in force, and when."""
@@ -134,9 +137,17 @@
         return _decode_row(await self._table.read(organisation_key(organisation)))
 
     async def organisations(self) -> list[OrganisationRow]:
-        """Return what is in force of all organisations."""
-        rows = await self._table.scan(ORGANISATION_PREFIX)
-        return [msgspec.json.decode(row.value, type=OrganisationRow) for row in rows]
+        """Return what is in force of all organisations.
+
+        A damaged row is left out, so that it stops no other organisation.
+        """
+        found = []
+        for row in await self._table.scan(ORGANISATION_PREFIX):
+            try:
+                found.append(msgspec.json.decode(row.value, type=OrganisationRow))
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                _logger.error("the row %s is damaged: %s", row.key, error)
+        return found
 
     async def changes(
         self, organisation: str, *, limit: int = DEFAULT_HISTORY_LENGTH
