Admission of calls and the book of programs have modules of their own

Cause: programs.py had 381 lines and three jobs. Ruled out: moving the state structs (everything else stands on them). Conclusion: behaviour unchanged.

--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .admission import Replay, ReplaySpilled, RunNext, SettleIntent, admit_call, replay
 from .errors import (
     CarobspurError,
     ConflictError,
@@ -25,20 +26,8 @@
 from .logs import call_fields
 from .metrics import CALL_SECONDS
 from .ownership import Ownership
-from .programs import (
-    SINGLE_CALL_AGENT,
-    Program,
-    ProgramBook,
-    ProgramReport,
-    Replay,
-    ReplaySpilled,
-    RunNext,
-    SettleIntent,
-    StoredCall,
-    admit_call,
-    replay,
-    report,
-)
+from .program_book import ProgramBook
+from .programs import SINGLE_CALL_AGENT, Program, ProgramReport, StoredCall, report
 from .requests import CallRequest, Requester
 from .running import OnText, RunningCall
 from .verdict import NOT_RUN, RAN, verdict_from_name
--- a/src/carobspur/checkpoints.py
+++ b/src/carobspur/checkpoints.py
@@ -12,7 +12,8 @@
 from .journal import Record
 from .objects import Objects
 from .placement import shard_of
-from .programs import Program, ProgramBook
+from .program_book import ProgramBook
+from .programs import Program
 from .recovery import SNAPSHOT_PREFIX, Snapshot
 from .session import Session
 from .shard_rows import ShardRow, Span, shard_write
--- a/src/carobspur/lifecycle.py
+++ b/src/carobspur/lifecycle.py
@@ -26,7 +26,8 @@
 from .metrics import PROGRAM_OBJECTIVE, PROGRAM_SECONDS
 from .ownership import Ownership
 from .peers import ADOPT_CHILD, END_CHILD, messages
-from .programs import NEVER_STARTED, SINGLE_CALL_AGENT, Program, ProgramBook
+from .program_book import ProgramBook
+from .programs import NEVER_STARTED, SINGLE_CALL_AGENT, Program
 from .requests import Requester
 from .rules import may_stop
 from .verdict import MAY_HAVE_RUN
--- a/src/carobspur/programs.py
+++ b/src/carobspur/programs.py
@@ -3,22 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
-from typing import TypeAlias
 
 import msgspec
 
-from .errors import ConflictError, NotFoundError, ProgramEndedError
 from .journal import (
-    CallAbandoned,
-    CallFinished,
     CallIntended,
     CallOutcome,
-    ChildAdopted,
-    ChildEnded,
-    ProgramEnded,
-    ProgramStarted,
-    Record,
 )
 
 SINGLE_CALL_AGENT = "single-call"
@@ -131,33 +121,6 @@
     history: list[StoredCall] = []
 
 
-@dataclass(frozen=True, slots=True)
-class Replay:
-    """The call finished before; its stored answer is given again."""
-
-    call: StoredCall
-
-
-@dataclass(frozen=True, slots=True)
-class ReplaySpilled:
-    """The call finished before; its stored answer must be read from an object."""
-
-
-@dataclass(frozen=True, slots=True)
-class RunNext:
-    """The call is the program's next one."""
-
-
-@dataclass(frozen=True, slots=True)
-class SettleIntent:
-    """The call was intended before and its outcome must be found out first."""
-
-    intent: CallIntended
-
-
-Admission: TypeAlias = Replay | ReplaySpilled | RunNext | SettleIntent
-
-
 def program_id(organisation: str, user: str, key: str) -> str:
     """Return the id of the program that an idempotency key stands for.
 
@@ -189,182 +152,6 @@
     return hashlib.sha256(endpoint.encode() + b"\x00" + canonical).hexdigest()
 
 
-def admit_call(program: Program, number: int, digest: str) -> Admission:
-    """Decide what to do with a call of a program.
-
-    Args:
-        program: The program's committed state.
-        number: The call's number.
-        digest: The call's digest.
-
-    Returns:
-        What to do.
-
-    Raises:
-        ConflictError: The number was used for another call, or leaves a gap.
-        ProgramEndedError: The program takes no new calls.
-    """
-    if 1 <= number <= program.spilled:
-        return ReplaySpilled()
-    if 1 <= number < program.next_number:
-        return replay(program, program.stored(number), digest)
-    intent = program.intent
-    if intent is not None and intent.number == number:
-        if intent.digest != digest:
-            raise _conflict(program, f"call {number} had other content")
-        return SettleIntent(intent)
-    if program.ended:
-        raise ProgramEndedError(f"program {program.id} has ended: {program.end_reason}")
-    if number != program.next_number:
-        raise _conflict(program, f"call {number} is out of order")
-    return RunNext()
-
-
-def replay(program: Program, stored: StoredCall, digest: str) -> Replay:
-    """Return the replay of a finished call.
-
-    Raises:
-        ConflictError: The call had other content.
-    """
-    if stored.digest != digest:
-        raise _conflict(program, f"call {stored.number} had other content")
-    return Replay(stored)
-
-
-def _conflict(program: Program, reason: str) -> ConflictError:
-    expected = program.next_number
-    return ConflictError(
-        f"{reason}; the next call's number is {expected}",
-        detail=msgspec.json.encode({"expected": expected}).decode(),
-    )
-
-
-class ProgramBook:
-    """Programs of the shards that one scheduler owns, by id."""
-
-    __slots__ = ("_programs",)
-
-    def __init__(self) -> None:
-        self._programs: dict[str, Program] = {}
-
-    def __len__(self) -> int:
-        return len(self._programs)
-
-    def __repr__(self) -> str:
-        return f"ProgramBook({len(self)} programs)"
-
-    @property
-    def programs(self) -> list[Program]:
-        """All programs."""
-        return list(self._programs.values())
-
-    def find(self, program: str) -> Program | None:
-        """Return a program, or ``None``."""
-        return self._programs.get(program)
-
-    def get(self, program: str, organisation: str, user: str | None) -> Program:
-        """Return a program if this user, or with ``None`` the organisation, may.
-
-        Raises:
-            NotFoundError: There is no such program for this user.
-        """
-        found = self._programs.get(program)
-        if found is None or found.organisation != organisation:
-            raise NotFoundError(f"no program {program!r}")
-        if user is not None and found.user != user:
-            raise NotFoundError(f"no program {program!r}")
-        return found
-
-    def add(self, program: Program) -> None:
-        """Take a program from a snapshot."""
-        self._programs[program.id] = program
-
-    def remove(self, program: str) -> None:
-        """Forget a program, for example when its shard moves."""
-        self._programs.pop(program, None)
-
-    def apply(self, record: Record) -> None:
-        """Change state as a committed record says.
-
-        Records are idempotent: one that was applied before changes nothing.
-        """
-        match record:
-            case ProgramStarted():
-                self._start(record)
-            case CallIntended():
-                self._intend(record)
-            case CallFinished():
-                self._finish(record)
-            case CallAbandoned():
-                self._abandon(record)
-            case ProgramEnded():
-                self._end(record)
-            case ChildAdopted():
-                self._adopt(record)
-            case ChildEnded():
-                self._forget_child(record)
-
-    def _start(self, record: ProgramStarted) -> None:
-        if record.program in self._programs:
-            return
-        self._programs[record.program] = Program(
-            id=record.program,
-            organisation=record.organisation,
-            user=record.user,
-            agent=record.agent,
-            started_s=record.started_s,
-            parent=record.parent,
-            deadline_s=record.deadline_s,
-            ended=record.agent == NEVER_STARTED,
-        )
-
-    def _intend(self, record: CallIntended) -> None:
-        program = self._programs[record.program]
-        if record.number == program.next_number:
-            program.intent = record
-            program.fence = max(program.fence, record.fence)
-
-    def _finish(self, record: CallFinished) -> None:
-        program = self._programs[record.program]
-        if record.number != program.next_number:
-            return
-        program.intent = None
-        program.calls.append(
-            StoredCall(
-                number=record.number,
-                endpoint=record.endpoint,
-                digest=record.digest,
-                input=record.input,
-                outcome=record.outcome,
-            )
-        )
-        outcome = record.outcome
-        program.tokens_used += outcome.input_tokens + outcome.output_tokens
-        program.attained_units += outcome.cost_units
-
-    def _abandon(self, record: CallAbandoned) -> None:
-        program = self._programs[record.program]
-        if program.intent is not None and program.intent.number == record.number:
-            program.intent = None
-        program.fence = max(program.fence, record.fence)
-
-    def _end(self, record: ProgramEnded) -> None:
-        program = self._programs[record.program]
-        if not program.ended:
-            program.ended = True
-            program.end_reason = record.reason
-
-    def _adopt(self, record: ChildAdopted) -> None:
-        children = self._programs[record.program].children
-        if record.child not in children:
-            children.append(record.child)
-
-    def _forget_child(self, record: ChildEnded) -> None:
-        children = self._programs[record.program].children
-        if record.child in children:
-            children.remove(record.child)
-
-
 def report(program: Program, *, history: list[StoredCall]) -> ProgramReport:
     """Return what a caller is told of a program, with the calls given."""
     return ProgramReport(
--- a/src/carobspur/recovery.py
+++ b/src/carobspur/recovery.py
@@ -10,7 +10,8 @@
 from .journal import Chunk, Record, decode_chunk, journal_prefix
 from .objects import Objects
 from .placement import shard_of
-from .programs import Program, ProgramBook
+from .program_book import ProgramBook
+from .programs import Program
 from .shard_rows import ShardRow, Span, decode_shard, shard_number
 from .table import Row, Table
 
--- a/src/carobspur/scheduler_parts.py
+++ b/src/carobspur/scheduler_parts.py
@@ -27,7 +27,7 @@
 from .ownership import Ownership
 from .peer_client import PeerClient
 from .pool import EndpointPool, LoadReport
-from .programs import ProgramBook
+from .program_book import ProgramBook
 from .retry import RetryBudgets
 from .session import Session
 from .settings import Settings
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -31,7 +31,8 @@
 from .lease_watch import LeaseWatch
 from .objects import Objects
 from .placement import Placement, shard_of
-from .programs import Program, ProgramBook
+from .program_book import ProgramBook
+from .programs import Program
 from .recovery import Recovery
 from .session import Session
 from .session_list import SessionList
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
+from carobspur.admission import ReplaySpilled, admit_call
 from carobspur.endpoints import GenerateResult, ModelInput, extend_prefix_key
 from carobspur.errors import StoreError, StoreUnavailableError
 from carobspur.history import Histories, is_long, model_prefix
 from carobspur.journal import CallFinished, CallOutcome, ProgramStarted
-from carobspur.programs import Program, ProgramBook, ReplaySpilled, admit_call
+from carobspur.program_book import ProgramBook
+from carobspur.programs import Program
 from carobspur_standins.objects import MemoryObjects
 
 from . import builders
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -14,7 +14,7 @@
 from carobspur.journal import ProgramEnded, ProgramStarted
 from carobspur.lease_watch import LeaseWatch, watched_by
 from carobspur.placement import Placement, first, shard_of
-from carobspur.programs import ProgramBook
+from carobspur.program_book import ProgramBook
 from carobspur.session import Session
 from carobspur.session_row import SESSION_PREFIX, session_key
 from carobspur.shard_rows import SHARD_PREFIX, ShardRow, shard_key
