--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -100,6 +100,7 @@
             for service in inventory.services:
                 if not service.repeatable:
                     for replica in service.replicas:
+                        self._fault(replica.address, kind="none")
                         found = _get(f"{replica.address}/v1/runs")
                         runs.extend(run["call_id"] for run in found)
         twice = [call for call, count in Counter(runs).items() if count > 1]
