An outcome's address is called address

Cause: CallOutcome.engine held the address of any endpoint, also of tools. Ruled out: a second field for tools. Before and after: golden, history, holder, lifecycle, once and fault-point tests pass. Conclusion: a name less to explain.

--- a/src/carobspur/calls.py
+++ b/src/carobspur/calls.py
@@ -242,7 +242,7 @@
                 raise
         elapsed_s = self._tools.clock.monotonic() - started_s
         CALL_SECONDS.labels(program.organisation, request.endpoint).observe(elapsed_s)
-        _logger.info("call finished on %s", stored.outcome.engine, extra=fields)
+        _logger.info("call finished on %s", stored.outcome.address, extra=fields)
         return stored
 
     async def _execute(
--- a/src/carobspur/history.py
+++ b/src/carobspur/history.py
@@ -34,7 +34,7 @@
             continue
         key = extend_prefix_key(key, _prompt(call), _answer(call))
         tokens += call.outcome.input_tokens + call.outcome.output_tokens
-        engine = call.outcome.engine
+        engine = call.outcome.address
     program.prefixes[model] = Prefix(key, tokens, newest, engine)
     return program.prefixes[model]
 
--- a/src/carobspur/journal.py
+++ b/src/carobspur/journal.py
@@ -22,7 +22,7 @@
         cost_units: What the call cost.
         input_tokens: New tokens the model read.
         output_tokens: Tokens the model generated.
-        engine: Address of the endpoint that ran it.
+        address: Address of the endpoint that ran it.
     """
 
     output: str = ""
@@ -32,7 +32,7 @@
     cost_units: int = 0
     input_tokens: int = 0
     output_tokens: int = 0
-    engine: str = ""
+    address: str = ""
 
 
 class ProgramStarted(msgspec.Struct, frozen=True, tag="started", omit_defaults=True):
--- a/src/carobspur/plugins/calls_model.py
+++ b/src/carobspur/plugins/calls_model.py
@@ -55,7 +55,7 @@
             cost_units=min(price.most, price.of(result)),
             input_tokens=new_tokens,
             output_tokens=result.output_tokens,
-            engine=engine.address,
+            address=engine.address,
         )
         stored = await self._tools.finish(context, outcome)
         self._note_prefix(context, engine, history, content, result)
--- a/src/carobspur/plugins/calls_once.py
+++ b/src/carobspur/plugins/calls_once.py
@@ -122,7 +122,7 @@
             output = await self._tools.observed(endpoint, sending)
         except CallError as error:
             return await self._after_failure(context, service, intent, error)
-        return CallOutcome(output=output, engine=endpoint.address)
+        return CallOutcome(output=output, address=endpoint.address)
 
     async def _after_failure(
         self,
--- a/src/carobspur/plugins/calls_service.py
+++ b/src/carobspur/plugins/calls_service.py
@@ -41,7 +41,7 @@
             _send_to,
             Price(service.cost, lambda _: service.cost),
         )
-        outcome = CallOutcome(output=output, engine=endpoint.address)
+        outcome = CallOutcome(output=output, address=endpoint.address)
         return await self._tools.finish(context, with_cost(outcome, service.cost))
 
     async def settle(self, context: CallContext, intent: CallIntended) -> StoredCall:
