The demo says which process died

Cause: where a killed process made a request fail, the demo ended with a traceback that did not name it. Ruled out: catching everything (other faults should show).

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from urllib.request import Request, urlopen
 
-from caller import Caller
+from caller import Caller, Refusal
 from deployment import (
     PLATFORM_KEY,
     Deployment,
@@ -153,6 +153,15 @@
     running.check()
 
 
+def run_or_name_the_dead(running: Deployment) -> None:
+    """Run the demo; where it fails since a process died, say which."""
+    try:
+        run(running)
+    except (OSError, Refusal):
+        running.check()
+        raise
+
+
 def wait_for_key(caller: Caller) -> None:
     """Wait until the instance knows the organisation's inventory."""
     deadline = time.monotonic() + 10
@@ -172,8 +181,8 @@
     with tempfile.TemporaryDirectory() as directory:
         try:
             with deployment(Path(directory)) as running:
-                run(running)
-        except ProcessDiedError as error:
+                run_or_name_the_dead(running)
+        except (ProcessDiedError, OSError, Refusal) as error:
             say(f"\nthe demo failed: {error}")
             return 1
     say(f"\nall processes stopped; {time.monotonic() - began:.1f} s in all")
