--- a/experiments/role_slopes.py
+++ b/experiments/role_slopes.py
@@ -19,7 +19,7 @@
 from tests.world import World
 from tornado.netutil import bind_sockets
 
-from carobspur.configuration import AppliedChange, OrganisationRow
+from carobspur.configuration import OrganisationRow
 from carobspur.in_force import InventoriesInForce
 from carobspur.inventory import Inventory
 from carobspur.peer_client import PeerClient
@@ -71,8 +71,7 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     rows = [
-        OrganisationRow(1, "", msgspec.json.decode(x, type=Inventory), _CHANGE)
-        for x in encoded
+        OrganisationRow(1, "", msgspec.json.decode(x, type=Inventory)) for x in encoded
     ]
     in_force.apply(rows, 1)
     del rows
@@ -109,9 +108,6 @@
     return sockets[0].getsockname()[1]
 
 
-_CHANGE = AppliedChange("c", 1)
-
-
 def main() -> None:
     """Print the slopes."""
     logging.disable(logging.CRITICAL)
