Two metrics that never counted and three unread properties are gone

Cause: a last read of the whole change. carobspur_commits_total and carobspur_retries_total were exported and nothing ever counted them, so they showed 0 whatever happened; Session.is_in_doubt, Session.journal_slots and GossipRounds.shown_revision were read by nobody. Ruled out: wiring the counters now, without a test of what they should count. After: 74 tests of session, gossip, fleet, golden, shards, burn, keys and path pass. Conclusion: no behaviour changes but the two empty metrics.

--- a/src/carobspur/gossip_rounds.py
+++ b/src/carobspur/gossip_rounds.py
@@ -102,11 +102,6 @@
         """Age of the freshest reading of the table that was heard of or made."""
         return self._clock.monotonic() - self._table_s
 
-    @property
-    def shown_revision(self) -> int:
-        """Highest revision that a peer has shown."""
-        return self._shown_revision
-
     @property
     def is_in_contact(self) -> bool:
         """Whether the heartbeats of most live instances arrive here."""
--- a/src/carobspur/metrics.py
+++ b/src/carobspur/metrics.py
@@ -33,10 +33,6 @@
 WAITING = Gauge("carobspur_waiting_calls", "Calls that wait for an endpoint.")
 PROGRAMS = Gauge("carobspur_programs", "Programs that this scheduler holds.")
 SHARDS = Gauge("carobspur_shards", "Shards that this scheduler holds.")
-COMMITS = Counter("carobspur_commits_total", "Commits that took effect.")
-RETRIES = Counter(
-    "carobspur_retries_total", "Repeated sends of calls.", ["organisation", "endpoint"]
-)
 PREFIX_TOKENS = Counter(
     "carobspur_prefix_tokens_total",
     "History tokens of model calls, by whether the engine still had them.",
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -176,11 +176,6 @@
         """Whether another process took the session over."""
         return self._is_lost
 
-    @property
-    def is_in_doubt(self) -> bool:
-        """Whether a commit is under way whose effect is not known."""
-        return bool(self._doubtful)
-
     @property
     def lease_age_s(self) -> float:
         """Seconds since the last commit that took effect was sent."""
@@ -232,11 +227,6 @@
         self._wake.set()
         return done
 
-    @property
-    def journal_slots(self) -> int:
-        """Number of rows that the journal takes up."""
-        return len(self._slots)
-
     def announce(
         self, *, shards: Sequence[int] | None = None, leaving: bool | None = None
     ) -> None:
