Token accounts at homes, covered by rows ahead of need

An account now lives at the program's home (rendezvous over live gateways); its row covers a fifth of the budget ahead, and whoever takes over counts the cover as spent. One task probes a store that is away instead of every request.

--- /dev/null
+++ b/src/carobspur/gateway/accounts.py
@@ -0,0 +1,100 @@
+"""Token accounts of programs: pure rules of what may be granted.
+
+A program's account is held by one gateway at a time, its home. The home's row in the
+store covers more tokens than are spent, so that most turns need no store call, and
+turns go on while the store is away. Whoever takes an account over counts everything
+that was covered as spent. So a former home that does not know of the change can
+still grant what its cover holds, and the budget is never exceeded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+AHEAD_SHARE = 0.2
+"""Share of a budget that is covered beyond what is spent; lost where a home dies."""
+UNCOVERED_SHARE = 0.15
+"""Share of a budget that a home may grant to a new program while the store is away."""
+DOUBT_SHARE = 2 * UNCOVERED_SHARE
+"""Share of a budget that counts as spent by a program without a row where homes may
+have died with uncovered grants."""
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The turn may run; ``others`` is what the program's other turns hold."""
+
+    others: int
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """The budget does not hold the turn."""
+
+    others: int
+
+
+@dataclass(frozen=True, slots=True)
+class NeedsCover:
+    """The store must first cover so many tokens."""
+
+    tokens: int
+
+
+Grant: TypeAlias = Granted | Spent | NeedsCover
+
+
+@dataclass(slots=True)
+class Account:
+    """The account of one program at its home.
+
+    Attributes:
+        budget: Tokens that all turns may generate.
+        base: Tokens that count as spent before this home.
+        settled: Tokens that ended turns generated.
+        open: Most tokens of each turn under way.
+        covered: Tokens that the store's row counts as spent.
+        version: Version of that row; 0 for none.
+        used_at: Loop time of the last use.
+    """
+
+    budget: int
+    base: int = 0
+    settled: int = 0
+    open: dict[str, int] = field(default_factory=dict)
+    covered: int = 0
+    version: int = 0
+    used_at: float = 0.0
+
+    @property
+    def spent(self) -> int:
+        """Tokens spent or set aside."""
+        return self.base + self.settled + sum(self.open.values())
+
+    def grant(self, turn: str, tokens: int) -> Grant:
+        """Decide on a turn, and set its tokens aside where they are granted."""
+        if turn in self.open:
+            return Granted(self.spent - self.open[turn])
+        others = self.spent
+        needed = others + tokens
+        if needed > self.budget:
+            return Spent(others)
+        if needed > self.covered:
+            ahead = int(self.budget * AHEAD_SHARE)
+            return NeedsCover(min(self.budget, needed + ahead))
+        self.open[turn] = tokens
+        return Granted(others)
+
+    def settle(self, turn: str, tokens: int) -> None:
+        """End a turn; one that this home did not grant is part of its base."""
+        if turn in self.open:
+            self.settled += min(tokens, self.open.pop(turn))
+
+    def adopt(self, tokens: int, version: int) -> None:
+        """Go on from a row: what it covers counts as spent."""
+        self.base = tokens
+        self.settled = 0
+        self.open.clear()
+        self.covered = tokens
+        self.version = version
--- a/src/carobspur/gateway/broker.py
+++ b/src/carobspur/gateway/broker.py
@@ -113,7 +113,8 @@
         responder: Responder,
         error: CarobspurError,
     ) -> None:
-        if responder.has_started:
+        is_cut = responder.has_started
+        if is_cut:
             responder.abort()
         else:
             body = error.message.encode() + b"\n"
@@ -126,7 +127,7 @@
             cause=error.cause,
             reason=error.message,
             verdict=verdict_name(error.verdict),
-            is_cut=responder.has_started and error.status != 0,
+            is_cut=is_cut,
         )
 
     def _note(
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -85,7 +85,10 @@
         for name in alive - self._known:
             self._log.note("peer_alive", peer=name)
         for name in self._known - alive:
-            self._log.note("peer_silent", peer=name)
+            is_leaving = self._membership.is_leaving(name)
+            self._log.note("peer_silent", peer=name, is_leaving=is_leaving)
+            if not is_leaving:
+                self._membership.note_silence(now)
         self._known = alive
 
     async def _send_forever(self) -> None:
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -130,8 +130,7 @@
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
         self._parser = _Parser()
-        self._read = stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-        self._read.add_done_callback(_consume_error)
+        self._read = self._begin_read()
         self._written: asyncio.Future | None = None
         self._idle_s = DEFAULT_IDLE_S
         self._error = False
@@ -245,8 +244,7 @@
                 return False
             reason = self._stream.error or "closed"
             raise LostAnswerError(f"the connection ended: {reason}") from error
-        self._read = self._stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-        self._read.add_done_callback(_consume_error)
+        self._read = self._begin_read()
         try:
             self._parser.feed(data)
         except (httptools.HttpParserError, ValueError) as error:
@@ -256,6 +254,16 @@
             raise LostAnswerError("the answer is not HTTP") from error
         return True
 
+    def _begin_read(self) -> asyncio.Future:
+        """Start the next read; what arrived before a close still counts."""
+        try:
+            read = self._stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+        except StreamClosedError as error:
+            read = asyncio.get_running_loop().create_future()
+            read.set_exception(error)
+        read.add_done_callback(_consume_error)
+        return read
+
     def _has_complete_head(self) -> bool:
         """Whether stray bytes follow a whole answer, which still counts."""
         messages = self._parser.messages
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -72,12 +72,17 @@
 
     Args:
         own: This gateway.
+
+    Attributes:
+        died_at: Loop time at which a gateway was last known to have ended without
+            leaving.
     """
 
-    __slots__ = ("_live", "_members", "_own")
+    __slots__ = ("_live", "_members", "_own", "died_at")
 
     def __init__(self, own: Member) -> None:
         self._own = own
+        self.died_at = float("-inf")
         self._members: dict[str, Member] = {own.name: own}
         self._live: dict[str, _Liveness] = {}
 
@@ -90,7 +95,13 @@
         """Take note of a member's row."""
         for other in list(self._members.values()):
             if other.callers == member.callers and other.name != member.name:
+                # It started anew without having left.
+                self.died_at = now
                 self.remove(other.name)
+        if member.callers == self._own.callers and member.name != self._own.name:
+            # An earlier start of this gateway; its row was never removed.
+            self.died_at = now
+            return
         self._members[member.name] = member
         self._live.setdefault(member.name, _Liveness(now))
 
@@ -100,6 +111,10 @@
             self._members.pop(name, None)
             self._live.pop(name, None)
 
+    def get(self, name: str) -> Member | None:
+        """Return a member by its name."""
+        return self._members.get(name)
+
     def heard(self, beat: Heartbeat, now: float) -> None:
         """Take note of a heartbeat."""
         live = self._live.get(beat.name)
@@ -126,6 +141,15 @@
         ring = names[start + 1 :] + names[:start]
         return [self._members[name] for name in ring[-WATCHERS:]]
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a member has said that it leaves, or has left."""
+        live = self._live.get(name)
+        return live is None or not live.is_ready
+
+    def note_silence(self, now: float) -> None:
+        """Take note that a member fell silent without having left."""
+        self.died_at = now
+
     def suspects(self, now: float) -> list[str]:
         """Return the watched members that have fallen silent."""
         return [
--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -13,12 +13,12 @@
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from .endpoints import Endpoint
 from .health import HealthBook
+from .rendezvous import rendezvous_order
 
 OTHER_DATA_CENTRE_MS = 2.0
 """Added way between data centres and what its bytes cost, as time."""
@@ -51,16 +51,6 @@
     prompt_tokens: int = 0
 
 
-def rank(affinity: str, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-    """Return endpoints in the order every gateway computes for an affinity."""
-
-    def weight(endpoint: Endpoint) -> bytes:
-        text = f"{affinity} {endpoint.key}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return sorted(endpoints, key=weight, reverse=True)
-
-
 def choose_plain(
     endpoints: Sequence[Endpoint], need: Need, health: HealthBook, now: float
 ) -> Endpoint | None:
@@ -76,11 +66,12 @@
     endpoints: Sequence[Endpoint], need: Need, health: HealthBook, now: float
 ) -> Endpoint | None:
     """Return the engine with the least predicted time for a turn."""
-    home = rank(need.affinity, endpoints)[:1] if need.affinity else []
+    keys = [item.key for item in endpoints] if need.affinity else []
+    home = rendezvous_order(need.affinity, keys)[:1]
     return min(
         endpoints,
         key=lambda item: (
-            _engine_ms(item, need, health, now, is_home=item in home),
+            _engine_ms(item, need, health, now, is_home=item.key in home),
             item.id,
         ),
         default=None,
--- a/src/carobspur/gateway/rows.py
+++ b/src/carobspur/gateway/rows.py
@@ -64,11 +64,19 @@
 
 
 class RowConflictError(RowStoreError):
-    """A condition of a write did not hold; nothing was written."""
+    """A condition of a write did not hold; nothing was written.
+
+    Attributes:
+        rows: The rows of the conditions as they are.
+    """
 
     cause = "row_conflict"
     default_verdict = NOT_RUN
 
+    def __init__(self, message: str, *, rows: list[Row]) -> None:
+        super().__init__(message)
+        self.rows = rows
+
 
 class HistoryGoneError(RowStoreError):
     """The changes since a version are no longer kept; read the rows anew."""
@@ -80,10 +88,27 @@
 class RowStore(Protocol):
     """Rows in tables and parts, with atomic writes and a feed of changes."""
 
-    async def write(self, writes: list[RowWrite], *, timeout_s: float) -> None:
+    async def write(
+        self,
+        writes: list[RowWrite],
+        *,
+        expected: dict[RowKey, int] | None = None,
+        timeout_s: float,
+    ) -> int:
         """Write rows of one part, all or none; repeats until it is confirmed.
 
+        Because of the repeats a conflict may show rows that this call has written.
+
+        Args:
+            writes: What to write.
+            expected: Versions that rows must have; 0 where a row must not exist.
+            timeout_s: How long to try.
+
+        Returns:
+            The version of the rows written.
+
         Raises:
+            RowConflictError: A row has another version.
             RowStoreAwayError: Not confirmed in time; may still take effect.
         """
 
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -1,24 +1,38 @@
-"""Token budgets of programs, held by all instances and over restarts.
-
-Each turn has a row of its own. Before it is sent, the row is written with the most
-that the turn may generate, then all rows of the program are read: of two turns that
-race, the one that reads later sees both. After the turn, the row tells what was
-really generated. A turn whose instance died counts at its most.
-"""
+"""Token budgets of programs: accounts at their homes, covered by rows of the store."""
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from ..errors import CarobspurError
 from ..verdict import NOT_RUN
+from .accounts import DOUBT_SHARE, UNCOVERED_SHARE, Account, Granted, NeedsCover, Spent
+from .decisions import DecisionLog
 from .partition import part_of
-from .rows import RowKey, RowStore, RowWrite
+from .rows import (
+    Row,
+    RowConflictError,
+    RowKey,
+    RowStore,
+    RowStoreAwayError,
+    RowWrite,
+)
 
 TABLE = "spending"
-KEY_SEPARATOR = "/"
-KEY_AFTER_SEPARATOR = "0"
-"""The character after the separator: ends the range of a program's rows."""
+COVER_TIMEOUT_S = 0.7
+"""Longest wait for the store inside one reservation."""
+FLUSH_TIMEOUT_S = 3.0
+HANDOVER_TIMEOUT_S = 0.15
+"""Longest wait for the former home: a peer answers within 5 ms."""
+IDLE_S = 70.0
+"""Unused accounts are dropped after this long: programs return within 60 s."""
+SWEEP_S = 5.0
+MAX_ROWS_A_WRITE = 50
+MAX_TRIES = 4
 
 
 class BudgetSpentError(CarobspurError):
@@ -29,62 +43,256 @@
     default_verdict = NOT_RUN
 
 
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """Tokens set aside for one turn."""
+class _SpendingRow(msgspec.Struct, frozen=True, array_like=True):
+    """Content of a program's row.
+
+    Attributes:
+        tokens: Tokens that count as spent.
+        holder: Name of the home; empty where nobody holds the account.
+        serial: Tells two writes of a home apart.
+    """
 
-    key: RowKey
     tokens: int
+    holder: str
+    serial: int
+
 
+@dataclass(frozen=True, slots=True)
+class StoreDoubt:
+    """What a home knows of the store and of lost accounts.
 
-class SpendingLedger:
-    """Reserves and settles tokens of programs.
+    Attributes:
+        is_away: Whether no gateway reaches the store.
+        may_be_lost: Whether homes may have died with uncovered grants.
+        may_grant_uncovered: Whether this home may grant uncovered tokens now.
+    """
+
+    is_away: bool
+    may_be_lost: bool
+    may_grant_uncovered: bool
+
+
+HandOver = Callable[[str, str], Awaitable[int | None]]
+"""Asks a holder for a program's account; returns its spent tokens, or ``None``."""
+
+
+class SpendingHome:
+    """The accounts of the programs whose home this gateway is.
 
     Args:
+        name: Name of this gateway.
         store: The row store.
+        hand_over: Asks another gateway to give an account up.
+        doubt: Returns what is known of the store.
+        log: Decision log.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = (
+        "_accounts",
+        "_doubt",
+        "_hand_over",
+        "_locks",
+        "_log",
+        "_name",
+        "_serial",
+        "_store",
+    )
 
-    def __init__(self, store: RowStore) -> None:
+    def __init__(
+        self,
+        name: str,
+        store: RowStore,
+        *,
+        hand_over: HandOver,
+        doubt: Callable[[], StoreDoubt],
+        log: DecisionLog,
+    ) -> None:
+        self._name = name
         self._store = store
+        self._hand_over = hand_over
+        self._doubt = doubt
+        self._log = log
+        self._accounts: dict[str, Account] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._serial = 0
 
-    def reservation(self, program: str, turn: str, tokens: int) -> Reservation:
-        """Return what names a turn's tokens, before anything is written."""
-        key = f"{program}{KEY_SEPARATOR}{turn}"
-        return Reservation(RowKey(TABLE, part_of(program), key), tokens)
-
-    async def reserve(
-        self, reservation: Reservation, *, budget: int, timeout_s: float
-    ) -> int:
-        """Set a turn's tokens aside; return what the program's other turns hold.
+    async def reserve(self, program: str, turn: str, tokens: int, budget: int) -> int:
+        """Set a turn's tokens aside; returns what the program's other turns hold.
 
         Raises:
-            BudgetSpentError: They do not fit; the reservation stays to be released.
-            RowStoreAwayError: The store could not be asked.
+            BudgetSpentError: They do not fit.
+            RowStoreAwayError: The store must cover them and could not be asked.
         """
-        key = reservation.key
-        write = RowWrite(key, str(reservation.tokens).encode())
-        await self._store.write([write], timeout_s=timeout_s)
-        program = key.key.partition(KEY_SEPARATOR)[0]
-        page = await self._store.read(
-            TABLE,
-            key.part,
-            first=program + KEY_SEPARATOR,
-            end=program + KEY_AFTER_SEPARATOR,
-            timeout_s=timeout_s,
-        )
-        others = sum(
-            int(row.value) for row in page.rows if row.key != key and row.value
+        async with self._locks.setdefault(program, asyncio.Lock()):
+            account = self._accounts.get(program)
+            if account is None:
+                account = await self._open(program, budget, tokens)
+            account.used_at = asyncio.get_running_loop().time()
+            try:
+                return await self._grant(program, account, turn, tokens)
+            except RowStoreAwayError:
+                if not account.version and account.spent == account.base:
+                    # Nothing was granted: the next turn decides anew.
+                    self._accounts.pop(program, None)
+                raise
+
+    async def _grant(
+        self, program: str, account: Account, turn: str, tokens: int
+    ) -> int:
+        for _ in range(MAX_TRIES):
+            match account.grant(turn, tokens):
+                case Granted(others=others):
+                    return others
+                case Spent(others=others):
+                    raise BudgetSpentError(
+                        f"{others} of {account.budget} tokens are spent or set aside, "
+                        f"{tokens} more do not fit"
+                    )
+                case NeedsCover(tokens=needed):
+                    await self._cover(program, account, needed)
+        raise RowStoreAwayError("the account changed hands again and again")
+
+    def settle(self, program: str, turn: str, tokens: int) -> None:
+        """Replace a turn's reservation by what it generated."""
+        account = self._accounts.get(program)
+        if account is not None:
+            account.settle(turn, tokens)
+
+    def give_up(self, program: str) -> int | None:
+        """Forget an account for another home; returns its spent tokens."""
+        lock = self._locks.get(program)
+        account = self._accounts.get(program)
+        if account is None or (lock is not None and lock.locked()):
+            return None
+        del self._accounts[program]
+        self._log.note("account_handed_over", program=program, spent=account.spent)
+        return account.spent
+
+    async def flush(self) -> None:
+        """Write what is really spent, so that a successor loses nothing."""
+        writes: dict[str, list[tuple[str, Account]]] = {}
+        for program, account in self._accounts.items():
+            if account.spent != account.covered:
+                writes.setdefault(part_of(program), []).append((program, account))
+        batches = [
+            items[start : start + MAX_ROWS_A_WRITE]
+            for items in writes.values()
+            for start in range(0, len(items), MAX_ROWS_A_WRITE)
+        ]
+        await asyncio.gather(*(self._flush_batch(batch) for batch in batches))
+        self._accounts.clear()
+
+    async def cover_uncovered(self) -> None:
+        """Write the rows of accounts that were opened while the store was away."""
+        for program, account in list(self._accounts.items()):
+            if account.version or not account.spent:
+                continue
+            async with self._locks.setdefault(program, asyncio.Lock()):
+                if account.version:
+                    continue
+                try:
+                    await self._cover(program, account, account.spent)
+                except RowStoreAwayError as error:
+                    self._log.note("not_covered", program=program, reason=error.message)
+                    return
+
+    async def sweep_forever(self) -> None:
+        """Drop accounts that are no longer used, with their rows."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = asyncio.get_running_loop().time()
+            for program, account in list(self._accounts.items()):
+                if now - account.used_at > IDLE_S:
+                    await self._drop(program, account)
+
+    async def _open(self, program: str, budget: int, tokens: int) -> Account:
+        """Create an account; its row is read when the cover is written."""
+        doubt = self._doubt()
+        account = Account(budget)
+        if doubt.may_be_lost:
+            account.base = int(budget * DOUBT_SHARE)
+        uncovered = int(budget * UNCOVERED_SHARE)
+        if doubt.is_away:
+            if not doubt.may_grant_uncovered or tokens > uncovered:
+                raise RowStoreAwayError("the store must cover a new account")
+            account.covered = account.base + uncovered
+            self._log.note("account_uncovered", program=program, tokens=uncovered)
+        self._accounts[program] = account
+        return account
+
+    async def _cover(self, program: str, account: Account, tokens: int) -> None:
+        """Write that so many tokens count as spent; adopts a row found instead."""
+        key = RowKey(TABLE, part_of(program), program)
+        self._serial += 1
+        row = _SpendingRow(tokens, self._name, self._serial)
+        write = RowWrite(key, msgspec.msgpack.encode(row))
+        try:
+            version = await self._store.write(
+                [write], expected={key: account.version}, timeout_s=COVER_TIMEOUT_S
+            )
+        except RowConflictError as error:
+            await self._adopt(program, account, write, error.rows)
+            return
+        account.covered, account.version = tokens, version
+
+    async def _adopt(
+        self, program: str, account: Account, own: RowWrite, rows: list[Row]
+    ) -> None:
+        found = next((item for item in rows if item.value is not None), None)
+        if found is None:
+            # The row was dropped as unused; what is known here stands.
+            account.version = 0
+            return
+        row = msgspec.msgpack.decode(found.value, type=_SpendingRow)
+        if found.value == own.value:
+            account.covered, account.version = row.tokens, found.version
+            return
+        uncovered = account.spent if not account.version else 0
+        spent = row.tokens
+        if row.holder and row.holder != self._name:
+            told = await self._hand_over(row.holder, program)
+            spent = row.tokens if told is None else told
+        self._log.note(
+            "account_adopted",
+            program=program,
+            holder=row.holder,
+            covered=row.tokens,
+            spent=spent,
+            row_version=found.version,
         )
-        if others + reservation.tokens > budget:
-            raise BudgetSpentError(
-                f"{others} of {budget} tokens are spent or set aside, "
-                f"{reservation.tokens} more do not fit"
+        is_fresh = not account.open and not account.settled
+        account.adopt(spent if is_fresh else spent + uncovered, found.version)
+        account.covered = 0
+
+    async def _flush_batch(self, batch: list[tuple[str, Account]]) -> None:
+        writes, expected = [], {}
+        for program, account in batch:
+            key = RowKey(TABLE, part_of(program), program)
+            self._serial += 1
+            row = _SpendingRow(account.spent, "", self._serial)
+            writes.append(RowWrite(key, msgspec.msgpack.encode(row)))
+            expected[key] = account.version
+        try:
+            await self._store.write(
+                writes, expected=expected, timeout_s=FLUSH_TIMEOUT_S
+            )
+        except (RowConflictError, RowStoreAwayError) as error:
+            # The rows then count all that was covered, which is safe.
+            self._log.note(
+                "accounts_not_flushed", accounts=len(batch), reason=error.message
             )
-        return others
 
-    def settlement(self, reservation: Reservation, tokens: int) -> RowWrite:
-        """Return the write that replaces a reservation by what was generated."""
-        value = str(tokens).encode() if tokens else None
-        return RowWrite(reservation.key, value)
+    async def _drop(self, program: str, account: Account) -> None:
+        self._accounts.pop(program, None)
+        self._locks.pop(program, None)
+        if not account.version:
+            return
+        key = RowKey(TABLE, part_of(program), program)
+        try:
+            await self._store.write(
+                [RowWrite(key, None)],
+                expected={key: account.version},
+                timeout_s=COVER_TIMEOUT_S,
+            )
+        except (RowConflictError, RowStoreAwayError) as error:
+            self._log.note("row_not_dropped", row=program, reason=error.message)
--- /dev/null
+++ b/src/carobspur/gateway/spending_client.py
@@ -0,0 +1,230 @@
+"""Reserves tokens at the home of a program, wherever that is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from .decisions import DecisionLog
+from .http1 import Pool, SendError, fetch
+from .members import Membership
+from .rendezvous import rendezvous_order
+from .rows import RowStoreAwayError
+from .spending import BudgetSpentError, SpendingHome
+
+SPENDING_PATH = "/spending"
+HOME_TIMEOUT_S = 0.25
+"""Longest wait for a home beyond what its store call takes; usual are 3 ms."""
+HOMES_TRIED = 3
+AVOID_HOME_S = 1.0
+"""How long a home that did not answer is passed over: until heartbeats tell."""
+SETTLE_TIMEOUT_S = 0.5
+
+
+class ReserveRequest(msgspec.Struct, frozen=True, tag="reserve"):
+    """Asks a home to set tokens aside."""
+
+    program: str
+    turn: str
+    tokens: int
+    budget: int
+
+
+class SettleRequest(msgspec.Struct, frozen=True, tag="settle"):
+    """Tells a home what a turn generated."""
+
+    program: str
+    turn: str
+    tokens: int
+
+
+class HandOverRequest(msgspec.Struct, frozen=True, tag="hand_over"):
+    """Asks a home to give an account up."""
+
+    program: str
+
+
+class SpendingAnswer(msgspec.Struct, frozen=True):
+    """A home's answer.
+
+    Attributes:
+        outcome: ``granted``, ``spent``, ``away``, or ``none`` for no account.
+        tokens: What other turns hold, or what is spent.
+        reason: Why it was not granted.
+    """
+
+    outcome: str
+    tokens: int = 0
+    reason: str = ""
+
+
+SpendingRequest = ReserveRequest | SettleRequest | HandOverRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Tokens that a home has set aside for a turn."""
+
+    home: str
+    program: str
+    turn: str
+    tokens: int
+    others: int
+
+
+async def answer_spending(
+    home: SpendingHome, request: SpendingRequest
+) -> SpendingAnswer:
+    """Return a home's answer to a request of another gateway."""
+    match request:
+        case ReserveRequest(program, turn, tokens, budget):
+            try:
+                others = await home.reserve(program, turn, tokens, budget)
+            except BudgetSpentError as error:
+                return SpendingAnswer("spent", reason=error.message)
+            except RowStoreAwayError as error:
+                return SpendingAnswer("away", reason=error.message)
+            return SpendingAnswer("granted", others)
+        case SettleRequest(program, turn, tokens):
+            home.settle(program, turn, tokens)
+            return SpendingAnswer("granted")
+        case HandOverRequest(program):
+            spent = home.give_up(program)
+            if spent is None:
+                return SpendingAnswer("none")
+            return SpendingAnswer("granted", spent)
+
+
+class SpendingClient:
+    """Finds the home of each program and talks to it.
+
+    Args:
+        membership: Gateways that may be homes.
+        home: The accounts held here.
+        pool: Connections to peers.
+        is_home: Returns whether this gateway takes accounts.
+        store_usual_s: Returns the usual time of a store call in seconds.
+        log: Decision log.
+    """
+
+    __slots__ = (
+        "_avoid_until",
+        "_home",
+        "_is_home",
+        "_log",
+        "_membership",
+        "_pool",
+        "_store_usual_s",
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        home: SpendingHome,
+        pool: Pool,
+        *,
+        is_home: Callable[[], bool],
+        store_usual_s: Callable[[], float],
+        log: DecisionLog,
+    ) -> None:
+        self._membership = membership
+        self._home = home
+        self._pool = pool
+        self._is_home = is_home
+        self._store_usual_s = store_usual_s
+        self._log = log
+        self._avoid_until: dict[str, float] = {}
+
+    async def reserve(
+        self, program: str, turn: str, tokens: int, budget: int
+    ) -> Reservation:
+        """Set a turn's tokens aside.
+
+        Raises:
+            BudgetSpentError: They do not fit.
+            RowStoreAwayError: No home could grant them.
+        """
+        request = ReserveRequest(program, turn, tokens, budget)
+        timeout_s = HOME_TIMEOUT_S + 3 * self._store_usual_s()
+        reason = "no home answered"
+        for home in self._homes(program):
+            try:
+                answer = await self._ask(home, request, timeout_s)
+            except SendError as error:
+                reason = f"home {home}: {error.message}"
+                self._avoid(home, reason)
+                continue
+            match answer.outcome:
+                case "granted":
+                    return Reservation(home, program, turn, tokens, answer.tokens)
+                case "spent":
+                    raise BudgetSpentError(answer.reason)
+                case _:
+                    raise RowStoreAwayError(answer.reason)
+        raise RowStoreAwayError(reason)
+
+    async def settle(self, reservation: Reservation, tokens: int) -> None:
+        """Tell the home what a turn generated; without an answer it counts whole."""
+        request = SettleRequest(reservation.program, reservation.turn, tokens)
+        try:
+            await self._ask(reservation.home, request, SETTLE_TIMEOUT_S)
+        except SendError as error:
+            self._log.note(
+                "not_settled",
+                request=reservation.turn,
+                program=reservation.program,
+                home=reservation.home,
+                reason=error.message,
+            )
+
+    async def hand_over(self, holder: str, program: str) -> int | None:
+        """Ask a holder for an account; ``None`` where it has none or is silent."""
+        request = HandOverRequest(program)
+        try:
+            answer = await self._ask(holder, request, HOME_TIMEOUT_S)
+        except SendError as error:
+            self._log.note(
+                "not_handed_over", program=program, holder=holder, reason=error.message
+            )
+            return None
+        return answer.tokens if answer.outcome == "granted" else None
+
+    def _homes(self, program: str) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        names = [
+            member.name
+            for member in self._membership.alive(now)
+            if self._avoid_until.get(member.name, 0.0) <= now
+        ]
+        own = self._membership.own.name
+        if self._is_home():
+            names.append(own)
+        return rendezvous_order(program, names)[:HOMES_TRIED] or [own]
+
+    def _avoid(self, home: str, reason: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._avoid_until[home] = now + AVOID_HOME_S
+        self._log.note("home_silent", peer=home, reason=reason)
+
+    async def _ask(
+        self, home: str, request: SpendingRequest, timeout_s: float
+    ) -> SpendingAnswer:
+        if home == self._membership.own.name:
+            return await answer_spending(self._home, request)
+        member = self._membership.get(home)
+        if member is None:
+            raise SendError(f"{home} is no member any more")
+        answer = await fetch(
+            self._pool,
+            member.peers,
+            "POST",
+            SPENDING_PATH,
+            body=msgspec.msgpack.encode(request),
+            timeout_s=timeout_s,
+        )
+        if answer.status != 200:
+            raise SendError(f"{home} answered {answer.status}")
+        return msgspec.msgpack.decode(answer.body, type=SpendingAnswer)
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..errors import CarobspurError
@@ -21,9 +22,9 @@
     StateAwayError,
 )
 from .routes import Route
-from .rows import RowStoreAwayError, RowWrite
+from .rows import RowStore, RowStoreAwayError
 from .sender import Exchange
-from .spending import Reservation, SpendingLedger
+from .spending_client import Reservation, SpendingClient
 from .turns import EMPTY_CHAIN, Chain, TurnKeeper
 
 RETRY_AFTER_S = 0.2
@@ -32,8 +33,9 @@
 """Longest wait for the row store before a turn: a slow store answers within 0.5 s."""
 COMMIT_TIMEOUT_S = 1.6
 """Longest wait for the row store after a turn: callers give up after 2 s of silence."""
-SETTLE_TIMEOUT_S = 10.0
-"""How long a settlement that no caller waits for is tried."""
+STATE_RETRY_AFTER_S = 0.7
+"""When to come back while the store is away: a fraction of a short outage."""
+STORE_POLL_S = 0.02
 MAX_RESUMES = 2
 """How often one call's stream is resumed: a third loss is the engine's own fault."""
 
@@ -86,19 +88,27 @@
     Args:
         context: Shared parts of the gateway.
         turns: Keeps turns.
-        ledger: Keeps budgets.
-        write: Writes rows of one part, repeating until confirmed.
+        spending: Keeps budgets.
+        store: Turns are written to it.
+        store_is_away: Returns whether no gateway reaches the store.
     """
 
-    __slots__ = ("_context", "_ledger", "_turns", "_write")
+    __slots__ = ("_context", "_spending", "_store", "_store_is_away", "_turns")
 
     def __init__(
-        self, context: GatewayContext, turns: TurnKeeper, ledger: SpendingLedger, write
+        self,
+        context: GatewayContext,
+        turns: TurnKeeper,
+        spending: SpendingClient,
+        store: RowStore,
+        *,
+        store_is_away: Callable[[], bool],
     ) -> None:
         self._context = context
         self._turns = turns
-        self._ledger = ledger
-        self._write = write
+        self._spending = spending
+        self._store = store
+        self._store_is_away = store_is_away
 
     async def serve(
         self, call: Call, route: Route, responder: Responder, *, deadline: float
@@ -128,36 +138,46 @@
             return
         steps = []
         if program.token_budget is not None and call.max_tokens:
-            turn.reservation = self._ledger.reservation(
-                program.id, call.id, call.max_tokens
-            )
             steps.append(self._reserve(turn, program.token_budget))
-        if turn.route.keeps_history and program.previous_turn:
-            steps.append(self._read_chain(turn, program.previous_turn))
+        if turn.route.keeps_history:
+            steps.append(self._await_store())
+            if program.previous_turn:
+                steps.append(self._read_chain(turn, program.previous_turn))
         async with asyncio.timeout_at(turn.deadline):
             results = await asyncio.gather(*steps, return_exceptions=True)
         for result in results:
             if isinstance(result, RowStoreAwayError):
                 raise StateAwayError(
-                    result.message, retry_after_s=RETRY_AFTER_S
+                    result.message, retry_after_s=STATE_RETRY_AFTER_S
                 ) from result
         for result in results:
             if isinstance(result, BaseException):
                 raise result
 
     async def _reserve(self, turn: _Turn, budget: int) -> None:
-        others = await self._ledger.reserve(
-            turn.reservation, budget=budget, timeout_s=STATE_TIMEOUT_S
+        call = turn.call
+        turn.reservation = await self._spending.reserve(
+            call.program.id, call.id, call.max_tokens, budget
         )
         self._context.log.note(
             "reserved",
-            request=turn.call.id,
-            program=turn.call.program.id,
-            tokens=turn.reservation.tokens,
-            others=others,
+            request=call.id,
+            program=call.program.id,
+            home=turn.reservation.home,
+            tokens=call.max_tokens,
+            others=turn.reservation.others,
             budget=budget,
         )
 
+    async def _await_store(self) -> None:
+        """Wait a little for the store; without it the turn could not be kept."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + STATE_TIMEOUT_S
+        while self._store_is_away():
+            if loop.time() >= deadline:
+                raise RowStoreAwayError("the turn could not be kept")
+            await asyncio.sleep(STORE_POLL_S)
+
     async def _read_chain(self, turn: _Turn, previous: str) -> None:
         turn.chain = await self._turns.chain(
             previous, program=turn.call.program.id, timeout_s=STATE_TIMEOUT_S
@@ -297,11 +317,8 @@
             turn.call.body + output,
             retention_s=turn.route.retention_s,
         )
-        writes = [write]
-        if turn.reservation is not None:
-            writes.append(self._settlement(turn))
         try:
-            await self._write(writes, timeout_s=COMMIT_TIMEOUT_S)
+            await self._store.write([write], timeout_s=COMMIT_TIMEOUT_S)
         except RowStoreAwayError as error:
             self._context.log.note(
                 "turn_not_kept",
@@ -310,12 +327,8 @@
                 reason=error.message,
             )
             raise EndpointFailedError("the turn could not be kept") from error
-        turn.reservation = None
         self._turns.note_kept(chain)
 
-    def _settlement(self, turn: _Turn) -> RowWrite:
-        return self._ledger.settlement(turn.reservation, self._generated(turn))
-
     def _generated(self, turn: _Turn) -> int:
         """Return the tokens that the turn generated, at most what was reserved."""
         if not turn.runs:
@@ -329,17 +342,8 @@
 
     def _settle(self, turn: _Turn) -> None:
         if turn.reservation is not None:
-            self._context.spawn(self._write_later(self._settlement(turn)))
-            turn.reservation = None
-
-    async def _write_later(self, write: RowWrite) -> None:
-        try:
-            await self._write([write], timeout_s=SETTLE_TIMEOUT_S)
-        except RowStoreAwayError as error:
-            # The turn then counts at its most, which never exceeds a budget.
-            self._context.log.note(
-                "not_settled", row=write.key.key, reason=error.message
-            )
+            generated = self._generated(turn)
+            self._context.spawn(self._spending.settle(turn.reservation, generated))
 
     def _failed(self, turn: _Turn, engine: Endpoint, outcome: str, reason: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/carobspur/platform/directory.py
+++ b/src/carobspur/platform/directory.py
@@ -11,6 +11,12 @@
 
 from ..gateway.addresses import addresses_for
 from ..gateway.members import Membership
+from ..gateway.spending import SpendingHome
+from ..gateway.spending_client import (
+    SPENDING_PATH,
+    SpendingRequest,
+    answer_spending,
+)
 from .store import RELAY_PATH, PlatformRowStore, RelayRequest
 
 ADDRESS_TTL_S = 1
@@ -61,6 +67,21 @@
         self.finish(msgspec.msgpack.encode(answer))
 
 
+class _SpendingHandler(tornado.web.RequestHandler):
+    def initialize(self, home: SpendingHome) -> None:
+        self._home = home
+
+    async def post(self) -> None:
+        """Answer a request about an account held here."""
+        try:
+            request = msgspec.msgpack.decode(self.request.body, type=SpendingRequest)
+        except msgspec.MsgspecError:
+            self.set_status(400)
+            return
+        answer = await answer_spending(self._home, request)
+        self.finish(msgspec.msgpack.encode(answer))
+
+
 class _MetricsHandler(tornado.web.RequestHandler):
     def initialize(self, registry: CollectorRegistry) -> None:
         self._registry = registry
@@ -88,9 +109,16 @@
     return _application([(r"/carobspur/readyz", _ReadyHandler, {"is_ready": is_ready})])
 
 
-def peer_application(store: PlatformRowStore) -> tornado.web.Application:
+def peer_application(
+    store: PlatformRowStore, home: SpendingHome
+) -> tornado.web.Application:
     """Return the application for other gateways."""
-    return _application([(RELAY_PATH, _RelayHandler, {"store": store})])
+    return _application(
+        [
+            (RELAY_PATH, _RelayHandler, {"store": store}),
+            (SPENDING_PATH, _SpendingHandler, {"home": home}),
+        ]
+    )
 
 
 def metrics_application(registry: CollectorRegistry) -> tornado.web.Application:
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -29,7 +29,8 @@
 from ..gateway.rows import Row, RowKey, RowStoreAwayError, RowWrite
 from ..gateway.sender import Sender
 from ..gateway.settings import GatewaySettings, split_address
-from ..gateway.spending import SpendingLedger
+from ..gateway.spending import SpendingHome, StoreDoubt
+from ..gateway.spending_client import SpendingClient
 from ..gateway.streams import StreamCalls
 from ..gateway.telemetry import Telemetry
 from ..gateway.turns import TurnKeeper
@@ -60,6 +61,8 @@
 STOP_MARGIN_S = 0.8
 """Time kept back before the platform kills the process."""
 STOP_POLL_S = 0.05
+DOUBT_S = 70.0
+"""How long accounts may be missed after a gateway died: programs return within 60 s."""
 SETTINGS_POLL_S = 1.0
 
 
@@ -88,6 +91,7 @@
             self._internal_pool,
             log,
             self._telemetry,
+            on_regained=lambda: self._context.spawn(self._home.cover_uncovered()),
         )
         health = HealthBook()
         book = EndpointBook()
@@ -117,11 +121,31 @@
             ),
         }
         turns = TurnKeeper(self._store, row_bytes=settings.store.row_bytes)
-        ledger = SpendingLedger(self._store)
+        self._home = SpendingHome(
+            self._membership.own.name,
+            self._store,
+            hand_over=self._hand_over,
+            doubt=self._doubt,
+            log=log,
+        )
+        self._spending = SpendingClient(
+            self._membership,
+            self._home,
+            self._internal_pool,
+            is_home=lambda: not self._context.is_leaving,
+            store_usual_s=lambda: self._store.usual_s,
+            log=log,
+        )
         self._broker = Broker(
             self._context,
             PlainCalls(self._context),
-            StreamCalls(self._context, turns, ledger, self._store.write),
+            StreamCalls(
+                self._context,
+                turns,
+                self._spending,
+                self._store,
+                store_is_away=lambda: self._store.is_away,
+            ),
             is_current=self._is_current,
         )
         self._ingress = Ingress(self._broker, self._limits)
@@ -135,7 +159,7 @@
                 self._heartbeats.running(*split_address(listen.heartbeats))
             )
             for application, address in (
-                (peer_application(self._store), listen.peers),
+                (peer_application(self._store, self._home), listen.peers),
                 (ready_application(self._is_ready), listen.ready),
                 (
                     directory_application(self._membership, self._is_ready),
@@ -150,6 +174,7 @@
                     *(feed.follow() for feed in self._feeds.values()),
                     self._join(),
                     self._watch_settings(reloading),
+                    self._home.sweep_forever(),
                 )
             )
             host, port = split_address(listen.callers)
@@ -167,6 +192,7 @@
         self._log.note("stopping", in_flight=self._broker.in_flight)
         self._heartbeats.send()
         self._ingress.stop_keeping()
+        self._context.spawn(self._home.flush())
         own = RowKey(MEMBERS_TABLE, "", self._membership.own.name)
         self._context.spawn(self._write_quietly(RowWrite(own, None)))
         while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
@@ -199,6 +225,20 @@
             return False
         return True
 
+    async def _hand_over(self, holder: str, program: str) -> int | None:
+        return await self._spending.hand_over(holder, program)
+
+    def _doubt(self) -> StoreDoubt:
+        now = asyncio.get_running_loop().time()
+        died_at = self._membership.died_at
+        away_since = self._store.lost_at
+        died_lately = now - died_at < DOUBT_S
+        return StoreDoubt(
+            is_away=self._store.is_away,
+            may_be_lost=died_lately,
+            may_grant_uncovered=away_since is not None and died_at < away_since,
+        )
+
     def _relays(self) -> list[str]:
         now = asyncio.get_running_loop().time()
         peers = [item.peers for item in self._membership.with_store(now)]
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -5,7 +5,6 @@
 import asyncio
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
@@ -30,14 +29,26 @@
 )
 from ..gateway.telemetry import Telemetry
 
-FIRST_ATTEMPT_S = 0.4
-"""Time of the first attempt: a slow store answers in up to 0.37 s; doubled by each."""
-MIN_ATTEMPT_S = 0.05
-BUSY_PAUSE_S = 0.05
+MIN_ATTEMPT_S = 0.15
+"""Shortest time of a first attempt: ten usual transactions."""
+MAX_ATTEMPT_S = 1.6
+"""Longest time of an attempt: a store slowed 90 times answers within 0.5 s."""
+ATTEMPT_OVER_USUAL = 6
+"""First attempts may take this many times the usual answer; repeats twice as long."""
+USUAL_WEIGHT = 0.3
+"""Weight of the newest answer in the usual time."""
+FIRST_USUAL_S = 0.015
+BUSY_PAUSE_S = 0.02
 """Pause after a refusal that says nothing was done; doubled by each that follows."""
-MAX_BUSY_PAUSE_S = 0.4
-AVOID_DIRECT_S = 0.5
-"""How long calls go through peers after the direct way failed."""
+MAX_BUSY_PAUSE_S = 0.3
+PROBE_S = 0.15
+"""Time between probes while the store is away; one probe serves all who wait."""
+PROBE_TIMEOUT_S = 0.6
+FAILURES_UNTIL_AWAY = 2
+"""Calls in a row without an answer until the direct way counts as lost: one may be a
+single lost answer."""
+SCRAP_S = 0.02
+"""Time too short to begin an attempt."""
 FEED_SLACK_S = 0.6
 """Time that a feed's answer may take beyond its wait."""
 PAGE_ROWS = 500
@@ -84,15 +95,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Way:
-    """State of the direct way to the store."""
-
-    avoid_until: float = 0.0
-    lost_at: float | None = None
-    regained_at: float = float("-inf")
-
-
 class PlatformRowStore:
     """The row store's client; see :class:`carobspur.gateway.rows.RowStore`.
 
@@ -102,9 +104,24 @@
         pool: Connections.
         log: Decision log.
         telemetry: Counts calls.
+        on_regained: Called when the direct way works again.
     """
 
-    __slots__ = ("_address", "_log", "_peers", "_pool", "_telemetry", "_turn", "_way")
+    __slots__ = (
+        "_address",
+        "_failures",
+        "_log",
+        "_lost_at",
+        "_on_regained",
+        "_peers",
+        "_pool",
+        "_probe",
+        "_regained",
+        "_regained_at",
+        "_telemetry",
+        "_turn",
+        "_usual_s",
+    )
 
     def __init__(
         self,
@@ -113,30 +130,63 @@
         pool: Pool,
         log: DecisionLog,
         telemetry: Telemetry,
+        *,
+        on_regained: Callable[[], None],
     ) -> None:
         self._address = address
+        self._on_regained = on_regained
         self._peers = peers
         self._pool = pool
         self._log = log
         self._telemetry = telemetry
-        self._way = _Way()
+        self._usual_s = FIRST_USUAL_S
+        self._failures = 0
+        self._lost_at: float | None = None
+        self._regained_at = float("-inf")
+        self._regained = asyncio.Event()
+        self._probe: asyncio.Task | None = None
         self._turn = 0
 
     @property
     def is_reached(self) -> bool:
-        """Whether the last direct call was answered."""
-        return self._way.lost_at is None
+        """Whether the direct way works, as far as is known."""
+        return self._lost_at is None
+
+    @property
+    def is_away(self) -> bool:
+        """Whether neither this gateway nor a peer reaches the store."""
+        return self._lost_at is not None and not self._peers()
+
+    @property
+    def usual_s(self) -> float:
+        """Usual time of a call in seconds."""
+        return self._usual_s
+
+    @property
+    def lost_at(self) -> float | None:
+        """Loop time at which the direct way was lost; ``None`` while it works."""
+        return self._lost_at
 
     def was_away(self, within_s: float) -> bool:
         """Return whether the store is away or came back within this time."""
         now = asyncio.get_running_loop().time()
-        return not self.is_reached or now - self._way.regained_at < within_s
+        return not self.is_reached or now - self._regained_at < within_s
 
-    async def write(self, writes: list[RowWrite], *, timeout_s: float) -> None:
+    async def write(
+        self,
+        writes: list[RowWrite],
+        *,
+        expected: dict[RowKey, int] | None = None,
+        timeout_s: float,
+    ) -> int:
         """Write rows of one part; see :class:`RowStore`."""
         body = msgspec.json.encode(
             {
-                "expectedRevision": [],
+                # Conditions on rows, not a revision of the whole store.
+                "expectedRevision": [
+                    {**_key(key), "ver": version}
+                    for key, version in (expected or {}).items()
+                ],
                 "writes": [
                     {**_key(item.key), "value": b64encode(item.value).decode()}
                     for item in writes
@@ -148,8 +198,11 @@
         answer = await self._call(
             "write", "POST", "/carobspur/rows-tx", body, timeout_s=timeout_s
         )
+        page = msgspec.json.decode(answer.body, type=_Page)
         if answer.status == _CONFLICT:
-            raise RowConflictError("a row changed")
+            rows = [_row(item) for item in page.rows]
+            raise RowConflictError("a row changed", rows=rows)
+        return page.ver
 
     async def read(
         self, table: str, part: str, *, first: str = "", end: str = "", timeout_s: float
@@ -194,9 +247,7 @@
     async def pass_on(self, request: RelayRequest) -> RelayAnswer:
         """Make a peer's call, directly and once."""
         try:
-            answer = await self._direct(
-                request.method, request.target, request.body, request.timeout_s
-            )
+            answer = await self._direct(request, is_usual=True)
         except SendError as error:
             self._log.note("relay_failed", reason=error.message)
             return RelayAnswer(0, b"")
@@ -210,18 +261,22 @@
         body: bytes,
         *,
         timeout_s: float,
-        attempt_s: float = FIRST_ATTEMPT_S,
+        attempt_s: float | None = None,
     ) -> SimpleAnswer:
         """Make a call until it is answered; every call here may be repeated."""
         loop = asyncio.get_running_loop()
         started = loop.time()
         deadline = started + timeout_s
+        if attempt_s is None:
+            attempt_s = max(MIN_ATTEMPT_S, ATTEMPT_OVER_USUAL * self._usual_s)
         pause_s = BUSY_PAUSE_S
-        reason = "no time left"
-        while (left_s := deadline - loop.time()) > MIN_ATTEMPT_S:
-            answer, reason = await self._attempt(
-                operation, method, target, body, min(attempt_s, left_s)
-            )
+        reason = "the store is away"
+        while (left_s := deadline - loop.time()) > SCRAP_S:
+            if self.is_away:
+                await self._wait_regained(left_s)
+                continue
+            request = RelayRequest(method, target, body, min(attempt_s, left_s))
+            answer, reason = await self._attempt(operation, request)
             if answer is not None and answer.status not in _NOTHING_DONE:
                 self._telemetry.store_seconds.labels(operation).observe(
                     loop.time() - started
@@ -229,26 +284,31 @@
                 if answer.status in (_OK, _CONFLICT, _HISTORY_GONE):
                     return answer
                 raise RowStoreError(f"the row store answered {answer.status}")
-            attempt_s *= 2
+            attempt_s = min(2 * attempt_s, max(attempt_s, MAX_ATTEMPT_S))
             await asyncio.sleep(min(pause_s, max(0.0, deadline - loop.time())))
             pause_s = min(2 * pause_s, MAX_BUSY_PAUSE_S)
         raise RowStoreAwayError(f"row store, {operation}: {reason}")
 
+    async def _wait_regained(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(min(timeout_s, PROBE_S)):
+                await self._regained.wait()
+        except TimeoutError:
+            # A peer may reach it by now; the caller looks again.
+            return
+
     async def _attempt(
-        self, operation: str, method: str, target: str, body: bytes, timeout_s: float
+        self, operation: str, request: RelayRequest
     ) -> tuple[SimpleAnswer | None, str]:
         """Try one way; returns the answer, or ``None`` and the reason."""
-        loop = asyncio.get_running_loop()
-        peers = self._peers() if loop.time() < self._way.avoid_until else []
+        peers = [] if self.is_reached else self._peers()
         way = "peer" if peers else "direct"
         try:
             if peers:
                 self._turn += 1
-                peer = peers[self._turn % len(peers)]
-                request = RelayRequest(method, target, body, timeout_s)
-                answer = await self._relay(peer, request)
+                answer = await self._relay(peers[self._turn % len(peers)], request)
             else:
-                answer = await self._direct(method, target, body, timeout_s)
+                answer = await self._direct(request, is_usual=operation != "feed")
         except SendError as error:
             outcome = "not_sent" if isinstance(error, NotSentError) else "lost"
             self._telemetry.store_calls.labels(operation, way, outcome).inc()
@@ -256,26 +316,29 @@
         self._telemetry.store_calls.labels(operation, way, str(answer.status)).inc()
         return answer, f"{way}: status {answer.status}"
 
-    async def _direct(
-        self, method: str, target: str, body: bytes, timeout_s: float
-    ) -> SimpleAnswer:
+    async def _direct(self, request: RelayRequest, *, is_usual: bool) -> SimpleAnswer:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         try:
             answer = await fetch(
                 self._pool,
                 self._address(),
-                method,
-                target,
-                body=body,
+                request.method,
+                request.target,
+                body=request.body,
                 headers=[("Content-Type", "application/json")],
-                timeout_s=timeout_s,
+                timeout_s=request.timeout_s,
             )
         except SendError as error:
-            self._lost(error.message)
+            self._failed(error.message)
             raise
         if answer.status in _NOTHING_DONE:
-            self._lost(f"status {answer.status}")
+            self._failed(f"status {answer.status}")
         else:
-            self._regained()
+            if is_usual:
+                taken_s = loop.time() - started
+                self._usual_s += USUAL_WEIGHT * (taken_s - self._usual_s)
+            self._succeeded()
         return answer
 
     async def _relay(self, peer: str, request: RelayRequest) -> SimpleAnswer:
@@ -285,28 +348,49 @@
             "POST",
             RELAY_PATH,
             body=msgspec.msgpack.encode(request),
-            timeout_s=request.timeout_s + MIN_ATTEMPT_S,
+            timeout_s=request.timeout_s + SCRAP_S,
         )
+        if answer.status != _OK:
+            raise SendError(f"peer {peer} answered {answer.status}")
         relayed = msgspec.msgpack.decode(answer.body, type=RelayAnswer)
         if not relayed.status:
             raise SendError(f"peer {peer} does not reach the store")
         return SimpleAnswer(relayed.status, {}, relayed.body)
 
-    def _lost(self, reason: str) -> None:
-        now = asyncio.get_running_loop().time()
-        self._way.avoid_until = now + AVOID_DIRECT_S
-        if self._way.lost_at is None:
-            self._way.lost_at = now
-            self._log.note("store_lost", reason=reason)
-
-    def _regained(self) -> None:
-        if self._way.lost_at is None:
+    def _failed(self, reason: str) -> None:
+        self._failures += 1
+        if self._failures < FAILURES_UNTIL_AWAY or self._lost_at is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._lost_at = loop.time()
+        self._regained.clear()
+        self._log.note("store_lost", reason=reason)
+        self._probe = loop.create_task(self._probe_until_regained())
+
+    def _succeeded(self) -> None:
+        self._failures = 0
+        if self._lost_at is None:
             return
         now = asyncio.get_running_loop().time()
-        self._log.note("store_regained", after_s=round(now - self._way.lost_at, 2))
-        self._way.lost_at = None
-        self._way.avoid_until = 0.0
-        self._way.regained_at = now
+        self._log.note("store_regained", after_s=round(now - self._lost_at, 2))
+        self._lost_at = None
+        self._regained_at = now
+        self._regained.set()
+        self._on_regained()
+
+    async def _probe_until_regained(self) -> None:
+        """Ask for one row that need not exist, until there is an answer."""
+        query = urlencode({"table": "probe", "part": "", "limit": 1})
+        request = RelayRequest(
+            "GET", "/carobspur/rows-get?" + query, b"", PROBE_TIMEOUT_S
+        )
+        while self._lost_at is not None:
+            await asyncio.sleep(PROBE_S)
+            try:
+                await self._direct(request, is_usual=False)
+            except SendError as error:
+                outcome = type(error).__name__
+                self._telemetry.store_calls.labels("probe", "direct", outcome).inc()
 
 
 def _key(key: RowKey) -> dict[str, str]:
