--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -57,6 +57,7 @@
         covered: Tokens that the store's row counts as spent.
         version: Version of that row; 0 for none.
         used_at: Loop time of the last use.
+        opened_serial: The home's last write before it opened the account.
     """
 
     budget: int
@@ -66,6 +67,7 @@
     covered: int = 0
     version: int = 0
     used_at: float = 0.0
+    opened_serial: int = 0
 
     @property
     def spent(self) -> int:
--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -25,9 +25,22 @@
         table: Name of the table; its rows have an empty part.
         on_rows: Called with changed rows, and whether they are the whole table.
         log: Decision log.
+
+    Attributes:
+        rows: The rows of the table by key, as far as they are known.
+        version: Version up to which the store has told all changes; 0 before that.
+        confirmed_at: Loop time at which the newest answered question was asked.
     """
 
-    __slots__ = ("_log", "_on_rows", "_store", "_table", "confirmed_at", "version")
+    __slots__ = (
+        "_log",
+        "_on_rows",
+        "_store",
+        "_table",
+        "confirmed_at",
+        "rows",
+        "version",
+    )
 
     def __init__(
         self,
@@ -40,9 +53,20 @@
         self._table = table
         self._on_rows = on_rows
         self._log = log
+        self.rows: dict[str, Row] = {}
         self.version = 0
         self.confirmed_at = float("-inf")
 
+    @property
+    def table(self) -> str:
+        """Name of the table."""
+        return self._table
+
+    def load(self, rows: list[Row]) -> None:
+        """Take rows that a peer knows, until the store itself has answered."""
+        if not self.version:
+            self._apply(rows, is_whole=False)
+
     async def follow(self) -> None:
         """Follow until cancelled."""
         backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
@@ -79,11 +103,21 @@
 
     async def _read_all(self) -> None:
         page = await self._store.read(self._table, "", timeout_s=READ_TIMEOUT_S)
-        self._on_rows(page.rows, True)
+        self._apply(page.rows, is_whole=True)
         self.version = page.version
 
     async def _follow_changes(self) -> None:
         page = await self._store.changes(self._table, after=self.version, wait_s=WAIT_S)
         if page.rows:
-            self._on_rows(page.rows, False)
+            self._apply(page.rows, is_whole=False)
         self.version = max(self.version, page.version)
+
+    def _apply(self, rows: list[Row], *, is_whole: bool) -> None:
+        if is_whole:
+            self.rows.clear()
+        for row in rows:
+            if row.value is None:
+                self.rows.pop(row.key.key, None)
+            else:
+                self.rows[row.key.key] = row
+        self._on_rows(rows, is_whole)
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -71,7 +71,7 @@
         now = asyncio.get_running_loop().time()
         is_ready, reaches_store = self._state()
         suspects = self._membership.suspects(now)
-        beat = Heartbeat(self._membership.own.name, is_ready, suspects, reaches_store)
+        beat = Heartbeat(self._membership.own, is_ready, suspects, reaches_store)
         data = msgspec.msgpack.encode(beat)
         everyone = suspects or not is_ready
         targets = self._membership.others() if everyone else self._membership.targets()
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -24,22 +24,6 @@
 """How long a told suspicion holds without being told again."""
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram between gateways.
-
-    Attributes:
-        name: Sender.
-        is_ready: Whether it should be given callers.
-        suspects: Members that the sender no longer hears.
-        reaches_store: Whether the sender reaches the row store.
-    """
-
-    name: str
-    is_ready: bool
-    suspects: list[str] = []
-    reaches_store: bool = True
-
-
 class Member(msgspec.Struct, frozen=True):
     """A gateway's row in the store.
 
@@ -58,6 +42,22 @@
     heartbeats: str
 
 
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram between gateways.
+
+    Attributes:
+        member: Sender; new members become known so while the store is away.
+        is_ready: Whether it should be given callers.
+        suspects: Names of members that the sender no longer hears.
+        reaches_store: Whether the sender reaches the row store.
+    """
+
+    member: Member
+    is_ready: bool
+    suspects: list[str] = []
+    reaches_store: bool = True
+
+
 @dataclass(slots=True)
 class _Liveness:
     known_since: float
@@ -117,7 +117,10 @@
 
     def heard(self, beat: Heartbeat, now: float) -> None:
         """Take note of a heartbeat."""
-        live = self._live.get(beat.name)
+        name = beat.member.name
+        if name not in self._live and beat.is_ready:
+            self.put(beat.member, now)
+        live = self._live.get(name)
         if live is not None:
             live.heard_at = now
             live.is_ready = beat.is_ready
@@ -127,6 +130,15 @@
             if suspect is not None:
                 suspect.suspected_at = now
 
+    def is_heard(self, name: str, within_s: float, now: float) -> bool:
+        """Return whether a member was heard lately; true where it is not watched."""
+        if name == self._own.name:
+            return True
+        live = self._live.get(name)
+        if live is None:
+            return False
+        return not live.heard_at or now - live.heard_at < within_s
+
     def targets(self) -> list[Member]:
         """Return the members that should hear this gateway's heartbeats."""
         names = sorted(self._members)
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -26,8 +26,6 @@
 COVER_TIMEOUT_S = 0.7
 """Longest wait for the store inside one reservation."""
 FLUSH_TIMEOUT_S = 3.0
-HANDOVER_TIMEOUT_S = 0.15
-"""Longest wait for the former home: a peer answers within 5 ms."""
 IDLE_S = 70.0
 """Unused accounts are dropped after this long: programs return within 60 s."""
 SWEEP_S = 5.0
@@ -90,6 +88,7 @@
     __slots__ = (
         "_accounts",
         "_doubt",
+        "_given_up",
         "_hand_over",
         "_locks",
         "_log",
@@ -114,6 +113,8 @@
         self._log = log
         self._accounts: dict[str, Account] = {}
         self._locks: dict[str, asyncio.Lock] = {}
+        # Spent tokens of accounts given up; true until another home writes its row.
+        self._given_up: dict[str, int] = {}
         self._serial = 0
 
     async def reserve(self, program: str, turn: str, tokens: int, budget: int) -> int:
@@ -126,15 +127,9 @@
         async with self._locks.setdefault(program, asyncio.Lock()):
             account = self._accounts.get(program)
             if account is None:
-                account = await self._open(program, budget, tokens)
+                account = self._open(program, budget)
             account.used_at = asyncio.get_running_loop().time()
-            try:
-                return await self._grant(program, account, turn, tokens)
-            except RowStoreAwayError:
-                if not account.version and account.spent == account.base:
-                    # Nothing was granted: the next turn decides anew.
-                    self._accounts.pop(program, None)
-                raise
+            return await self._grant(program, account, turn, tokens)
 
     async def _grant(
         self, program: str, account: Account, turn: str, tokens: int
@@ -149,7 +144,8 @@
                         f"{tokens} more do not fit"
                     )
                 case NeedsCover(tokens=needed):
-                    await self._cover(program, account, needed)
+                    if not self._may_go_uncovered(program, account, tokens):
+                        await self._cover(program, account, needed)
         raise RowStoreAwayError("the account changed hands again and again")
 
     def settle(self, program: str, turn: str, tokens: int) -> None:
@@ -158,13 +154,15 @@
         if account is not None:
             account.settle(turn, tokens)
 
-    def give_up(self, program: str) -> int | None:
+    async def give_up(self, program: str) -> int | None:
         """Forget an account for another home; returns its spent tokens."""
-        lock = self._locks.get(program)
-        account = self._accounts.get(program)
-        if account is None or (lock is not None and lock.locked()):
-            return None
-        del self._accounts[program]
+        if program not in self._accounts:
+            return self._given_up.get(program)
+        async with self._locks.setdefault(program, asyncio.Lock()):
+            account = self._accounts.pop(program, None)
+        if account is None:
+            return self._given_up.get(program)
+        self._given_up[program] = account.spent
         self._log.note("account_handed_over", program=program, spent=account.spent)
         return account.spent
 
@@ -205,21 +203,29 @@
                 if now - account.used_at > IDLE_S:
                     await self._drop(program, account)
 
-    async def _open(self, program: str, budget: int, tokens: int) -> Account:
-        """Create an account; its row is read when the cover is written."""
-        doubt = self._doubt()
-        account = Account(budget)
-        if doubt.may_be_lost:
+    def _open(self, program: str, budget: int) -> Account:
+        """Create an account; a row that exists is found when it is covered."""
+        account = Account(budget, opened_serial=self._serial)
+        if self._doubt().may_be_lost:
             account.base = int(budget * DOUBT_SHARE)
-        uncovered = int(budget * UNCOVERED_SHARE)
-        if doubt.is_away:
-            if not doubt.may_grant_uncovered or tokens > uncovered:
-                raise RowStoreAwayError("the store must cover a new account")
-            account.covered = account.base + uncovered
-            self._log.note("account_uncovered", program=program, tokens=uncovered)
         self._accounts[program] = account
         return account
 
+    def _may_go_uncovered(self, program: str, account: Account, tokens: int) -> bool:
+        """Let a new program begin while the store is away, up to a small share."""
+        doubt = self._doubt()
+        uncovered = int(account.budget * UNCOVERED_SHARE)
+        if (
+            not doubt.is_away
+            or not doubt.may_grant_uncovered
+            or account.version
+            or account.spent + tokens > account.base + uncovered
+        ):
+            return False
+        account.covered = account.base + uncovered
+        self._log.note("account_uncovered", program=program, tokens=uncovered)
+        return True
+
     async def _cover(self, program: str, account: Account, tokens: int) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
         key = RowKey(TABLE, part_of(program), program)
@@ -231,26 +237,26 @@
                 [write], expected={key: account.version}, timeout_s=COVER_TIMEOUT_S
             )
         except RowConflictError as error:
-            await self._adopt(program, account, write, error.rows)
+            await self._adopt(program, account, error.rows)
             return
         account.covered, account.version = tokens, version
+        self._given_up.pop(program, None)
 
-    async def _adopt(
-        self, program: str, account: Account, own: RowWrite, rows: list[Row]
-    ) -> None:
+    async def _adopt(self, program: str, account: Account, rows: list[Row]) -> None:
         found = next((item for item in rows if item.value is not None), None)
         if found is None:
             # The row was dropped as unused; what is known here stands.
             account.version = 0
             return
         row = msgspec.msgpack.decode(found.value, type=_SpendingRow)
-        if found.value == own.value:
+        if row.holder == self._name and row.serial > account.opened_serial:
+            # An earlier write of this account whose answer was lost.
             account.covered, account.version = row.tokens, found.version
             return
         uncovered = account.spent if not account.version else 0
         spent = row.tokens
-        if row.holder and row.holder != self._name:
-            told = await self._hand_over(row.holder, program)
+        if row.holder:
+            told = await self._former_spent(row.holder, program)
             spent = row.tokens if told is None else told
         self._log.note(
             "account_adopted",
@@ -264,6 +270,11 @@
         account.adopt(spent if is_fresh else spent + uncovered, found.version)
         account.covered = 0
 
+    async def _former_spent(self, holder: str, program: str) -> int | None:
+        if holder == self._name:
+            return self._given_up.get(program)
+        return await self._hand_over(holder, program)
+
     async def _flush_batch(self, batch: list[tuple[str, Account]]) -> None:
         writes, expected = [], {}
         for program, account in batch:
@@ -285,6 +296,7 @@
     async def _drop(self, program: str, account: Account) -> None:
         self._accounts.pop(program, None)
         self._locks.pop(program, None)
+        self._given_up.pop(program, None)
         if not account.version:
             return
         key = RowKey(TABLE, part_of(program), program)
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -13,11 +13,15 @@
 from .members import Membership
 from .rendezvous import rendezvous_order
 from .rows import RowStoreAwayError
-from .spending import BudgetSpentError, SpendingHome
+from .spending import COVER_TIMEOUT_S, BudgetSpentError, SpendingHome
 
 SPENDING_PATH = "/spending"
-HOME_TIMEOUT_S = 0.25
-"""Longest wait for a home beyond what its store call takes; usual are 3 ms."""
+HOME_TIMEOUT_S = COVER_TIMEOUT_S + 0.15
+"""Longest wait for a home that lives: its store call and the way."""
+SILENT_HOME_S = 0.1
+"""Time without an answer after which a home must have been heard lately."""
+HEARD_LATELY_S = 0.6
+"""Two heartbeats, and a little."""
 HOMES_TRIED = 3
 AVOID_HOME_S = 1.0
 """How long a home that did not answer is passed over: until heartbeats tell."""
@@ -92,7 +96,7 @@
             home.settle(program, turn, tokens)
             return SpendingAnswer("granted")
         case HandOverRequest(program):
-            spent = home.give_up(program)
+            spent = await home.give_up(program)
             if spent is None:
                 return SpendingAnswer("none")
             return SpendingAnswer("granted", spent)
@@ -106,7 +110,6 @@
         home: The accounts held here.
         pool: Connections to peers.
         is_home: Returns whether this gateway takes accounts.
-        store_usual_s: Returns the usual time of a store call in seconds.
         log: Decision log.
     """
 
@@ -117,7 +120,6 @@
         "_log",
         "_membership",
         "_pool",
-        "_store_usual_s",
     )
 
     def __init__(
@@ -127,14 +129,12 @@
         pool: Pool,
         *,
         is_home: Callable[[], bool],
-        store_usual_s: Callable[[], float],
         log: DecisionLog,
     ) -> None:
         self._membership = membership
         self._home = home
         self._pool = pool
         self._is_home = is_home
-        self._store_usual_s = store_usual_s
         self._log = log
         self._avoid_until: dict[str, float] = {}
 
@@ -148,11 +148,10 @@
             RowStoreAwayError: No home could grant them.
         """
         request = ReserveRequest(program, turn, tokens, budget)
-        timeout_s = HOME_TIMEOUT_S + 3 * self._store_usual_s()
         reason = "no home answered"
         for home in self._homes(program):
             try:
-                answer = await self._ask(home, request, timeout_s)
+                answer = await self._ask_living(home, request)
             except SendError as error:
                 reason = f"home {home}: {error.message}"
                 self._avoid(home, reason)
@@ -184,7 +183,7 @@
         """Ask a holder for an account; ``None`` where it has none or is silent."""
         request = HandOverRequest(program)
         try:
-            answer = await self._ask(holder, request, HOME_TIMEOUT_S)
+            answer = await self._ask_living(holder, request)
         except SendError as error:
             self._log.note(
                 "not_handed_over", program=program, holder=holder, reason=error.message
@@ -209,6 +208,22 @@
         self._avoid_until[home] = now + AVOID_HOME_S
         self._log.note("home_silent", peer=home, reason=reason)
 
+    async def _ask_living(self, home: str, request: SpendingRequest) -> SpendingAnswer:
+        """Ask a home, giving up early on one that is not heard either.
+
+        Raises:
+            SendError: It did not answer.
+        """
+        loop = asyncio.get_running_loop()
+        asking = loop.create_task(self._ask(home, request, HOME_TIMEOUT_S))
+        try:
+            while not (await asyncio.wait([asking], timeout=SILENT_HOME_S))[0]:
+                if not self._membership.is_heard(home, HEARD_LATELY_S, loop.time()):
+                    raise SendError("neither an answer nor a heartbeat")
+            return await asking
+        finally:
+            asking.cancel()
+
     async def _ask(
         self, home: str, request: SpendingRequest, timeout_s: float
     ) -> SpendingAnswer:
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -143,8 +143,11 @@
             steps.append(self._await_store())
             if program.previous_turn:
                 steps.append(self._read_chain(turn, program.previous_turn))
-        async with asyncio.timeout_at(turn.deadline):
-            results = await asyncio.gather(*steps, return_exceptions=True)
+        try:
+            async with asyncio.timeout(STATE_TIMEOUT_S):
+                results = await asyncio.gather(*steps, return_exceptions=True)
+        except TimeoutError:
+            results = [RowStoreAwayError("turns or budgets were not told in time")]
         for result in results:
             if isinstance(result, RowStoreAwayError):
                 raise StateAwayError(
--- a/src/carobspur/platform/directory.py
+++ b/src/carobspur/platform/directory.py
@@ -17,6 +17,7 @@
     SpendingRequest,
     answer_spending,
 )
+from .bootstrap import SNAPSHOT_PATH
 from .store import RELAY_PATH, PlatformRowStore, RelayRequest
 
 ADDRESS_TTL_S = 1
@@ -82,6 +83,15 @@
         self.finish(msgspec.msgpack.encode(answer))
 
 
+class _SnapshotHandler(tornado.web.RequestHandler):
+    def initialize(self, snapshot: Callable[[], bytes]) -> None:
+        self._snapshot = snapshot
+
+    def get(self) -> None:
+        """Give a gateway that has just started what is known here."""
+        self.finish(self._snapshot())
+
+
 class _MetricsHandler(tornado.web.RequestHandler):
     def initialize(self, registry: CollectorRegistry) -> None:
         self._registry = registry
@@ -110,13 +120,14 @@
 
 
 def peer_application(
-    store: PlatformRowStore, home: SpendingHome
+    store: PlatformRowStore, home: SpendingHome, snapshot: Callable[[], bytes]
 ) -> tornado.web.Application:
     """Return the application for other gateways."""
     return _application(
         [
             (RELAY_PATH, _RelayHandler, {"store": store}),
             (SPENDING_PATH, _SpendingHandler, {"home": home}),
+            (SNAPSHOT_PATH, _SnapshotHandler, {"snapshot": snapshot}),
         ]
     )
 
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -35,6 +35,7 @@
 from ..gateway.telemetry import Telemetry
 from ..gateway.turns import TurnKeeper
 from . import configuration as wire_configuration
+from .bootstrap import encode_snapshot, load_from_peers
 from .directory import (
     directory_application,
     metrics_application,
@@ -133,7 +134,6 @@
             self._home,
             self._internal_pool,
             is_home=lambda: not self._context.is_leaving,
-            store_usual_s=lambda: self._store.usual_s,
             log=log,
         )
         self._broker = Broker(
@@ -159,7 +159,10 @@
                 self._heartbeats.running(*split_address(listen.heartbeats))
             )
             for application, address in (
-                (peer_application(self._store, self._home), listen.peers),
+                (
+                    peer_application(self._store, self._home, self._snapshot),
+                    listen.peers,
+                ),
                 (ready_application(self._is_ready), listen.ready),
                 (
                     directory_application(self._membership, self._is_ready),
@@ -175,6 +178,9 @@
                     self._join(),
                     self._watch_settings(reloading),
                     self._home.sweep_forever(),
+                    load_from_peers(
+                        self._feeds, self._all_peers, self._internal_pool, self._log
+                    ),
                 )
             )
             host, port = split_address(listen.callers)
@@ -239,11 +245,19 @@
             may_grant_uncovered=away_since is not None and died_at < away_since,
         )
 
+    def _snapshot(self) -> bytes:
+        return encode_snapshot(self._feeds)
+
+    def _all_peers(self) -> list[str]:
+        known = [member.peers for member in self._membership.others()]
+        own = self._settings.listen.peers
+        seeds = self._settings.store.seed_addresses
+        return known or [address for address in seeds if address != own]
+
     def _relays(self) -> list[str]:
         now = asyncio.get_running_loop().time()
-        peers = [item.peers for item in self._membership.with_store(now)]
-        if peers:
-            return peers
+        if any(True for _ in self._membership.others()):
+            return [item.peers for item in self._membership.with_store(now)]
         own = self._settings.listen.peers
         seeds = self._settings.store.seed_addresses
         return [address for address in seeds if address != own]
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -30,14 +30,16 @@
 from ..gateway.telemetry import Telemetry
 
 MIN_ATTEMPT_S = 0.15
-"""Shortest time of a first attempt: ten usual transactions."""
+"""Shortest time until a call is made again: ten usual transactions."""
 MAX_ATTEMPT_S = 1.6
-"""Longest time of an attempt: a store slowed 90 times answers within 0.5 s."""
+"""Longest time until then: a store slowed 90 times answers within 0.5 s."""
 ATTEMPT_OVER_USUAL = 6
-"""First attempts may take this many times the usual answer; repeats twice as long."""
+"""A call is made again after this many times the usual answer, then twice as long."""
 USUAL_WEIGHT = 0.3
 """Weight of the newest answer in the usual time."""
 FIRST_USUAL_S = 0.015
+MAX_PARALLEL = 3
+"""Attempts of one call under way at once."""
 BUSY_PAUSE_S = 0.02
 """Pause after a refusal that says nothing was done; doubled by each that follows."""
 MAX_BUSY_PAUSE_S = 0.3
@@ -109,6 +111,7 @@
 
     __slots__ = (
         "_address",
+        "_answered_at",
         "_failures",
         "_log",
         "_lost_at",
@@ -141,6 +144,7 @@
         self._telemetry = telemetry
         self._usual_s = FIRST_USUAL_S
         self._failures = 0
+        self._answered_at = float("-inf")
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
         self._regained = asyncio.Event()
@@ -157,11 +161,6 @@
         """Whether neither this gateway nor a peer reaches the store."""
         return self._lost_at is not None and not self._peers()
 
-    @property
-    def usual_s(self) -> float:
-        """Usual time of a call in seconds."""
-        return self._usual_s
-
     @property
     def lost_at(self) -> float | None:
         """Loop time at which the direct way was lost; ``None`` while it works."""
@@ -271,22 +270,40 @@
             attempt_s = max(MIN_ATTEMPT_S, ATTEMPT_OVER_USUAL * self._usual_s)
         pause_s = BUSY_PAUSE_S
         reason = "the store is away"
-        while (left_s := deadline - loop.time()) > SCRAP_S:
-            if self.is_away:
-                await self._wait_regained(left_s)
-                continue
-            request = RelayRequest(method, target, body, min(attempt_s, left_s))
-            answer, reason = await self._attempt(operation, request)
-            if answer is not None and answer.status not in _NOTHING_DONE:
-                self._telemetry.store_seconds.labels(operation).observe(
-                    loop.time() - started
+        attempts: set[asyncio.Task] = set()
+        try:
+            while (left_s := deadline - loop.time()) > SCRAP_S:
+                if self.is_away and not attempts:
+                    await self._wait_regained(left_s)
+                    continue
+                asked_at = loop.time()
+                if len(attempts) < MAX_PARALLEL:
+                    request = RelayRequest(method, target, body, left_s)
+                    attempts.add(loop.create_task(self._attempt(operation, request)))
+                done, attempts = await asyncio.wait(
+                    attempts,
+                    timeout=min(attempt_s, left_s),
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
-                if answer.status in (_OK, _CONFLICT, _HISTORY_GONE):
-                    return answer
-                raise RowStoreError(f"the row store answered {answer.status}")
-            attempt_s = min(2 * attempt_s, max(attempt_s, MAX_ATTEMPT_S))
-            await asyncio.sleep(min(pause_s, max(0.0, deadline - loop.time())))
-            pause_s = min(2 * pause_s, MAX_BUSY_PAUSE_S)
+                if not done:
+                    # The answer may be lost or only slow: ask again beside it.
+                    reason = f"no answer in {attempt_s:.2f} s"
+                    self._failed(reason, asked_at=asked_at)
+                    attempt_s = min(2 * attempt_s, max(attempt_s, MAX_ATTEMPT_S))
+                    continue
+                answer, reason = done.pop().result()
+                if answer is not None and answer.status not in _NOTHING_DONE:
+                    self._telemetry.store_seconds.labels(operation).observe(
+                        loop.time() - started
+                    )
+                    if answer.status in (_OK, _CONFLICT, _HISTORY_GONE):
+                        return answer
+                    raise RowStoreError(f"the row store answered {answer.status}")
+                await asyncio.sleep(min(pause_s, max(0.0, deadline - loop.time())))
+                pause_s = min(2 * pause_s, MAX_BUSY_PAUSE_S)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
         raise RowStoreAwayError(f"row store, {operation}: {reason}")
 
     async def _wait_regained(self, timeout_s: float) -> None:
@@ -330,10 +347,10 @@
                 timeout_s=request.timeout_s,
             )
         except SendError as error:
-            self._failed(error.message)
+            self._failed(error.message, asked_at=started)
             raise
         if answer.status in _NOTHING_DONE:
-            self._failed(f"status {answer.status}")
+            self._failed(f"status {answer.status}", asked_at=started)
         else:
             if is_usual:
                 taken_s = loop.time() - started
@@ -357,7 +374,10 @@
             raise SendError(f"peer {peer} does not reach the store")
         return SimpleAnswer(relayed.status, {}, relayed.body)
 
-    def _failed(self, reason: str) -> None:
+    def _failed(self, reason: str, *, asked_at: float) -> None:
+        if asked_at < self._answered_at:
+            # Newer calls were answered: this one tells of the past.
+            return
         self._failures += 1
         if self._failures < FAILURES_UNTIL_AWAY or self._lost_at is not None:
             return
@@ -369,6 +389,7 @@
 
     def _succeeded(self) -> None:
         self._failures = 0
+        self._answered_at = asyncio.get_running_loop().time()
         if self._lost_at is None:
             return
         now = asyncio.get_running_loop().time()
