--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -33,6 +33,8 @@
 """Longest wait for the row store before a turn: a slow store answers within 0.5 s."""
 COMMIT_TIMEOUT_S = 1.6
 """Longest wait for the row store after a turn: callers give up after 2 s of silence."""
+STATE_SHARE_OF_TIME = 0.3
+"""Share of the time left that such a wait may take."""
 STATE_RETRY_AFTER_S = 0.7
 """When to come back while the store is away: a fraction of a short outage."""
 STORE_POLL_S = 0.02
@@ -144,7 +146,7 @@
             if program.previous_turn:
                 steps.append(self._read_chain(turn, program.previous_turn))
         try:
-            async with asyncio.timeout(STATE_TIMEOUT_S):
+            async with asyncio.timeout(self._state_wait_s(turn)):
                 results = await asyncio.gather(*steps, return_exceptions=True)
         except TimeoutError:
             results = [RowStoreAwayError("turns or budgets were not told in time")]
@@ -157,6 +159,15 @@
             if isinstance(result, BaseException):
                 raise result
 
+    @staticmethod
+    def _state_wait_s(turn: _Turn) -> float:
+        """Return how long to wait for the store.
+
+        A caller with little time left must hear the refusal before it leaves.
+        """
+        left_s = turn.deadline - asyncio.get_running_loop().time()
+        return min(STATE_TIMEOUT_S, STATE_SHARE_OF_TIME * left_s)
+
     async def _reserve(self, turn: _Turn, budget: int) -> None:
         call = turn.call
         turn.reservation = await self._spending.reserve(
