--- a/src/carobspur/gateway/health.py
+++ b/src/carobspur/gateway/health.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .calls import EndpointLoad
+from .load_sharing import PeerLoads
 
 PACE_WEIGHT = 0.25
 """Weight of the newest answer in an endpoint's average."""
@@ -59,12 +61,49 @@
 
 
 class HealthBook:
-    """States of endpoints by key."""
+    """States of endpoints by key.
 
-    __slots__ = ("_states",)
+    Attributes:
+        peers: What other gateways have under way.
+        on_change: Called when the number of requests under way changes.
+    """
+
+    __slots__ = ("_states", "on_change", "peers")
 
     def __init__(self) -> None:
         self._states: dict[str, EndpointState] = {}
+        self.peers = PeerLoads()
+        self.on_change: Callable[[], None] = lambda: None
+
+    def begin(self, key: str) -> None:
+        """Count a request that is sent to an endpoint."""
+        self.state(key).in_flight += 1
+        self.on_change()
+
+    def end(self, key: str) -> None:
+        """Count a request that has ended there."""
+        self.state(key).in_flight -= 1
+        self.on_change()
+
+    def counts(self) -> dict[str, int]:
+        """Return this gateway's requests under way by endpoint."""
+        return {
+            key: state.in_flight
+            for key, state in self._states.items()
+            if state.in_flight > 0
+        }
+
+    def running(self, key: str, now: float) -> int:
+        """Return the requests of all gateways that occupy an endpoint.
+
+        What peers report is newer than what the endpoint last told, and counts
+        requests that have not reached it yet.
+        """
+        state = self.state(key)
+        others = self.peers.total(key, now)
+        if others:
+            return state.in_flight + others
+        return state.running(now)
 
     def state(self, key: str) -> EndpointState:
         """Return an endpoint's state, a fresh one for a new endpoint."""
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -3,27 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 
 import msgspec
 
 from .decisions import DecisionLog
-from .members import HEARTBEAT_S, Heartbeat, Membership
+from .load_sharing import LoadReport, PeerLoads
+from .members import HEARTBEAT_S, Heartbeat, Member, Membership
 
 
 class _Receiver(asyncio.DatagramProtocol):
-    def __init__(self, membership: Membership) -> None:
+    def __init__(self, membership: Membership, loads: PeerLoads) -> None:
         self._membership = membership
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._loads = loads
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | LoadReport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
-            beat = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.MsgspecError:
             # Anybody may send to an open port.
             return
-        self._membership.heard(beat, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        match message:
+            case Heartbeat():
+                self._membership.heard(message, now)
+            case LoadReport():
+                self._loads.note(message, now)
 
     def error_received(self, exc: OSError) -> None:
         """Pass over refused datagrams: silence says the same."""
@@ -34,19 +41,22 @@
 
     Args:
         membership: Who hears them.
+        loads: Told of what peers have under way.
         state: Returns readiness and whether the row store is reached.
         log: Decision log.
     """
 
-    __slots__ = ("_known", "_log", "_membership", "_state", "_transport")
+    __slots__ = ("_known", "_loads", "_log", "_membership", "_state", "_transport")
 
     def __init__(
         self,
         membership: Membership,
+        loads: PeerLoads,
         state: Callable[[], tuple[bool, bool]],
         log: DecisionLog,
     ) -> None:
         self._membership = membership
+        self._loads = loads
         self._state = state
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
@@ -57,7 +67,7 @@
         """Receive and send until the context ends."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(self._membership), local_addr=(host, port)
+            lambda: _Receiver(self._membership, self._loads), local_addr=(host, port)
         )
         task = loop.create_task(self._send_forever())
         try:
@@ -75,10 +85,20 @@
         data = msgspec.msgpack.encode(beat)
         everyone = suspects or not is_ready
         targets = self._membership.others() if everyone else self._membership.targets()
-        for member in targets:
+        self._send_to(targets, data)
+        self._loads.forget_old(now)
+        self._note_changes(now)
+
+    def send_load(self, report: LoadReport) -> int:
+        """Send a load report to all peers alive; returns how many there are."""
+        peers = self._membership.alive(asyncio.get_running_loop().time())
+        self._send_to(peers, msgspec.msgpack.encode(report))
+        return len(peers)
+
+    def _send_to(self, members: Iterable[Member], data: bytes) -> None:
+        for member in members:
             host, _, port = member.heartbeats.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
-        self._note_changes(now)
 
     def _note_changes(self, now: float) -> None:
         alive = {member.name for member in self._membership.alive(now)}
--- /dev/null
+++ b/src/carobspur/gateway/load_sharing.py
@@ -0,0 +1,99 @@
+"""Gateways tell each other what each has under way at every endpoint.
+
+One gateway sees only its own share of an endpoint's load. In a burst seven of them
+would each fill the same engine; with their counts each knows the whole queue.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+MIN_INTERVAL_S = 0.03
+"""Shortest time between two reports of a gateway: a fifth of a turn."""
+INTERVAL_PER_MEMBER_S = 0.005
+"""Added for each member, so that reports cost the same at any size."""
+MAX_INTERVAL_S = 1.0
+REPORT_LIFE_S = 1.0
+"""How long a report counts; a gateway that died has nothing under way."""
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """One datagram: what a gateway has under way.
+
+    Attributes:
+        name: Sender.
+        counts: Requests by endpoint key; endpoints without any are left out.
+    """
+
+    name: str
+    counts: dict[str, int]
+
+
+class PeerLoads:
+    """What other gateways have under way."""
+
+    __slots__ = ("_reports",)
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[float, dict[str, int]]] = {}
+
+    def note(self, report: LoadReport, now: float) -> None:
+        """Take note of a report; the newest of each gateway counts."""
+        self._reports[report.name] = (now, report.counts)
+
+    def total(self, key: str, now: float) -> int:
+        """Return the requests of all other gateways at an endpoint."""
+        return sum(
+            counts.get(key, 0)
+            for at, counts in self._reports.values()
+            if now - at < REPORT_LIFE_S
+        )
+
+    def forget_old(self, now: float) -> None:
+        """Drop reports that no longer count."""
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if now - report[0] < REPORT_LIFE_S
+        }
+
+
+class LoadReporter:
+    """Sends a report soon after something has changed.
+
+    Args:
+        send: Sends a report to all peers; returns how many there are.
+        counts: Returns what is under way here.
+        name: Name of this gateway.
+    """
+
+    __slots__ = ("_counts", "_interval_s", "_is_due", "_name", "_send")
+
+    def __init__(
+        self,
+        send: Callable[[LoadReport], int],
+        counts: Callable[[], dict[str, int]],
+        *,
+        name: str,
+    ) -> None:
+        self._send = send
+        self._counts = counts
+        self._name = name
+        self._interval_s = MIN_INTERVAL_S
+        self._is_due = False
+
+    def changed(self) -> None:
+        """Send a report within the interval."""
+        if not self._is_due:
+            self._is_due = True
+            asyncio.get_running_loop().call_later(self._interval_s, self.report)
+
+    def report(self) -> None:
+        """Send a report now."""
+        self._is_due = False
+        peers = self._send(LoadReport(self._name, self._counts()))
+        added_s = INTERVAL_PER_MEMBER_S * max(0, peers - 6)
+        self._interval_s = min(MAX_INTERVAL_S, MIN_INTERVAL_S + added_s)
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -42,7 +42,7 @@
     heartbeats: str
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """One datagram between gateways.
 
     Attributes:
@@ -95,8 +95,9 @@
         """Take note of a member's row."""
         for other in list(self._members.values()):
             if other.callers == member.callers and other.name != member.name:
-                # It started anew without having left.
-                self.died_at = now
+                if not self.is_leaving(other.name):
+                    # It started anew without having left.
+                    self.died_at = now
                 self.remove(other.name)
         if member.callers == self._own.callers and member.name != self._own.name:
             # An earlier start of this gateway; its row was never removed.
--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -30,8 +30,10 @@
 """Prompt tokens that an engine reads in a millisecond, from the platform's sheet."""
 STEP_MS_PER_RUN = 3.0
 """What one more running request adds to the decoding of a turn of usual length."""
-ENGINE_SERVICE_MS = 150.0
-"""Usual time of a turn on an idle engine: what one waits for a place."""
+GAPS_PER_TURN = 5.0
+"""Time of a usual turn, in pauses between its events: four events and its start."""
+ENGINE_GAP_MS = 34.0
+"""Usual pause between events, before anything was measured."""
 PLAIN_SERVICE_MS = 60.0
 """Usual time of a plain call, before anything was measured."""
 
@@ -82,7 +84,7 @@
     state = health.state(endpoint.key)
     pace_ms = state.pace(now) * 1000 or PLAIN_SERVICE_MS
     slots = max(endpoint.slots, 1)
-    running = state.running(now)
+    running = health.running(endpoint.key, now)
     waiting = max(0, running + 1 - slots)
     # Below its slots an endpoint serves at its pace; a little spread keeps the
     # shares even where nothing waits.
@@ -95,9 +97,11 @@
 ) -> float:
     state = health.state(endpoint.key)
     slots = max(endpoint.slots, 1)
-    running = state.running(now)
+    running = health.running(endpoint.key, now)
     waiting = max(0, running + 1 - slots)
-    base_ms = state.pace(now) * 1000 or ENGINE_SERVICE_MS
+    # An engine's pace is its pause between events: it shows a slow engine whatever
+    # the length of prompts and of its queue.
+    base_ms = GAPS_PER_TURN * (state.pace(now) * 1000 or ENGINE_GAP_MS)
     read_ms = 0.0 if is_home else need.prompt_tokens / READ_TOKENS_PER_MS
     return (
         base_ms
--- a/src/carobspur/gateway/sender.py
+++ b/src/carobspur/gateway/sender.py
@@ -133,8 +133,7 @@
             LostAnswerError: The connection ended without an answer's head.
         """
         loop = asyncio.get_running_loop()
-        state = self._health.state(endpoint.key)
-        state.in_flight += 1
+        self._health.begin(endpoint.key)
         connection = None
         is_kept = False
         outcome = "cancelled"
@@ -165,7 +164,7 @@
             outcome = "lost"
             raise
         finally:
-            state.in_flight -= 1
+            self._health.end(endpoint.key)
             self._telemetry.sends.labels(outcome).inc()
             if is_kept:
                 self._pool.give_back(endpoint.key, connection)
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -74,6 +74,20 @@
 """Asks a holder for a program's account; returns its spent tokens, or ``None``."""
 
 
+class MovedAccount(msgspec.Struct, frozen=True, tag="moved"):
+    """An account on its way to another home, which alone may use it from now on."""
+
+    program: str
+    budget: int
+    spent: int
+    covered: int
+    version: int
+
+
+Move = Callable[[MovedAccount], Awaitable[bool]]
+"""Hands an account to its next home; returns whether that has taken it."""
+
+
 class SpendingHome:
     """The accounts of the programs whose home this gateway is.
 
@@ -166,6 +180,39 @@
         self._log.note("account_handed_over", program=program, spent=account.spent)
         return account.spent
 
+    def take_over(self, moved: MovedAccount) -> bool:
+        """Go on with an account that its home has given up; false if one is open."""
+        if moved.program in self._accounts:
+            return False
+        self._accounts[moved.program] = Account(
+            moved.budget,
+            base=moved.spent,
+            covered=moved.covered,
+            version=moved.version,
+            used_at=asyncio.get_running_loop().time(),
+            opened_serial=self._serial,
+        )
+        return True
+
+    async def move_all(self, move: Move) -> None:
+        """Move every account to its next home; write those that cannot be moved."""
+        programs = list(self._accounts)
+        await asyncio.gather(*(self._move(program, move) for program in programs))
+        await self.flush()
+
+    async def _move(self, program: str, move: Move) -> None:
+        async with self._locks.setdefault(program, asyncio.Lock()):
+            account = self._accounts.pop(program, None)
+        if account is None or not account.spent:
+            return
+        self._given_up[program] = account.spent
+        moved = MovedAccount(
+            program, account.budget, account.spent, account.covered, account.version
+        )
+        if not await move(moved):
+            # Back again, to be written with what is really spent.
+            self._accounts[program] = account
+
     async def flush(self) -> None:
         """Write what is really spent, so that a successor loses nothing."""
         writes: dict[str, list[tuple[str, Account]]] = {}
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -9,11 +9,16 @@
 import msgspec
 
 from .decisions import DecisionLog
-from .http1 import Pool, SendError, fetch
+from .http1 import NotSentError, Pool, SendError, fetch
 from .members import Membership
 from .rendezvous import rendezvous_order
 from .rows import RowStoreAwayError
-from .spending import COVER_TIMEOUT_S, BudgetSpentError, SpendingHome
+from .spending import (
+    COVER_TIMEOUT_S,
+    BudgetSpentError,
+    MovedAccount,
+    SpendingHome,
+)
 
 SPENDING_PATH = "/spending"
 HOME_TIMEOUT_S = COVER_TIMEOUT_S + 0.15
@@ -65,7 +70,7 @@
     reason: str = ""
 
 
-SpendingRequest = ReserveRequest | SettleRequest | HandOverRequest
+SpendingRequest = ReserveRequest | SettleRequest | HandOverRequest | MovedAccount
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +105,8 @@
             if spent is None:
                 return SpendingAnswer("none")
             return SpendingAnswer("granted", spent)
+        case MovedAccount():
+            return SpendingAnswer("granted" if home.take_over(request) else "none")
 
 
 class SpendingClient:
@@ -191,6 +198,30 @@
             return None
         return answer.tokens if answer.outcome == "granted" else None
 
+    async def move(self, account: MovedAccount) -> bool:
+        """Hand an account to its next home; returns whether that has taken it.
+
+        An account whose taking is in doubt counts as taken: two homes must never
+        use the same cover.
+        """
+        for home in self._homes(account.program):
+            if home == self._membership.own.name:
+                continue
+            try:
+                answer = await self._ask(home, account, SETTLE_TIMEOUT_S)
+            except NotSentError:
+                continue
+            except SendError as error:
+                self._log.note(
+                    "move_in_doubt",
+                    program=account.program,
+                    home=home,
+                    reason=error.message,
+                )
+                return True
+            return answer.outcome == "granted"
+        return False
+
     def _homes(self, program: str) -> list[str]:
         now = asyncio.get_running_loop().time()
         names = [
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -290,16 +290,18 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         splitter = EventSplitter()
-        sent_at = loop.time()
-        is_first = True
+        first_at = last_at = 0.0
+        count = 0
         skip_to = _number(turn.last_event) if turn.reads_from_start else None
         if turn.reads_from_start:
             turn.passed.clear()
         async for piece in exchange.pieces():
             for event in splitter.feed(piece):
-                if is_first:
-                    is_first = False
-                    self._note_first(turn, exchange.endpoint, loop.time() - sent_at)
+                count += 1
+                last_at = loop.time()
+                if count == 1:
+                    first_at = last_at
+                    self._note_first(turn)
                 turn.passed.append(event)
                 if skip_to is not None and (event.number or 0) <= skip_to:
                     continue
@@ -309,6 +311,9 @@
         if not responder.has_started:
             responder.start(exchange.head.status, exchange.head.headers)
         turn.has_ended = True
+        if count > 1:
+            gap_s = (last_at - first_at) / (count - 1)
+            self._context.health.note_success(exchange.endpoint.key, gap_s, last_at)
 
     async def _write_event(
         self, turn: _Turn, event: StreamEvent, exchange: Exchange, responder: Responder
@@ -366,9 +371,8 @@
             turn.runs = max(turn.runs, 1)
         self._note_sent(turn, engine, outcome, reason)
 
-    def _note_first(self, turn: _Turn, engine: Endpoint, taken_s: float) -> None:
+    def _note_first(self, turn: _Turn) -> None:
         now = asyncio.get_running_loop().time()
-        self._context.health.note_success(engine.key, taken_s, now)
         self._context.telemetry.first_event_seconds.observe(now - turn.call.arrived)
 
     def _note_sent(
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -23,6 +23,7 @@
 from ..gateway.health import HealthBook
 from ..gateway.heartbeats_udp import HeartbeatSender
 from ..gateway.http1 import Pool
+from ..gateway.load_sharing import LoadReporter
 from ..gateway.members import Member, Membership
 from ..gateway.plain import PlainCalls
 from ..gateway.routes import CallerLimits
@@ -149,7 +150,13 @@
             is_current=self._is_current,
         )
         self._ingress = Ingress(self._broker, self._limits)
-        self._heartbeats = HeartbeatSender(self._membership, self._state, log)
+        self._heartbeats = HeartbeatSender(
+            self._membership, health.peers, self._state, log
+        )
+        reporter = LoadReporter(
+            self._heartbeats.send_load, health.counts, name=self._membership.own.name
+        )
+        health.on_change = reporter.changed
 
     async def run(self, stopping: asyncio.Event, reloading: asyncio.Event) -> None:
         """Serve until asked to stop, then stop without cutting a request."""
@@ -198,7 +205,7 @@
         self._log.note("stopping", in_flight=self._broker.in_flight)
         self._heartbeats.send()
         self._ingress.stop_keeping()
-        self._context.spawn(self._home.flush())
+        self._context.spawn(self._home.move_all(self._spending.move))
         own = RowKey(MEMBERS_TABLE, "", self._membership.own.name)
         self._context.spawn(self._write_quietly(RowWrite(own, None)))
         while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
