--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-AHEAD_SHARE = 0.2
+AHEAD_SHARE = 0.12
 """Share of a budget that is covered beyond what is spent; lost where a home dies."""
 UNCOVERED_SHARE = 0.15
 """Share of a budget that a home may grant to a new program while the store is away."""
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -10,7 +10,7 @@
 
 from .decisions import DecisionLog
 from .load_sharing import LoadReport, PeerLoads
-from .members import HEARTBEAT_S, Heartbeat, Member, Membership
+from .members import HEARTBEAT_S, MEMBER_EVERY, Heartbeat, Member, Membership
 
 
 class _Receiver(asyncio.DatagramProtocol):
@@ -46,7 +46,15 @@
         log: Decision log.
     """
 
-    __slots__ = ("_known", "_loads", "_log", "_membership", "_state", "_transport")
+    __slots__ = (
+        "_known",
+        "_loads",
+        "_log",
+        "_membership",
+        "_sent",
+        "_state",
+        "_transport",
+    )
 
     def __init__(
         self,
@@ -61,6 +69,7 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._known: set[str] = set()
+        self._sent = 0
 
     @asynccontextmanager
     async def running(self, host: str, port: int) -> AsyncIterator[None]:
@@ -81,7 +90,10 @@
         now = asyncio.get_running_loop().time()
         is_ready, reaches_store = self._state()
         suspects = self._membership.suspects(now)
-        beat = Heartbeat(self._membership.own, is_ready, suspects, reaches_store)
+        own = self._membership.own
+        member = own if self._sent % MEMBER_EVERY == 0 else None
+        self._sent += 1
+        beat = Heartbeat(own.name, is_ready, suspects, reaches_store, member)
         data = msgspec.msgpack.encode(beat)
         everyone = suspects or not is_ready
         targets = self._membership.others() if everyone else self._membership.targets()
--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Callable
 
 import msgspec
 
-MIN_INTERVAL_S = 0.03
-"""Shortest time between two reports of a gateway: a fifth of a turn."""
+MIN_INTERVAL_S = 0.04
+"""Shortest time between two reports of a gateway: a quarter of a turn."""
 INTERVAL_PER_MEMBER_S = 0.005
 """Added for each member, so that reports cost the same at any size."""
 MAX_INTERVAL_S = 1.0
@@ -24,12 +25,21 @@
     """One datagram: what a gateway has under way.
 
     Attributes:
-        name: Sender.
-        counts: Requests by endpoint key; endpoints without any are left out.
+        sender: Short form of the sender's name.
+        counts: Requests by the short form of the endpoint's key; endpoints without
+            any are left out.
     """
 
-    name: str
-    counts: dict[str, int]
+    sender: int
+    counts: dict[int, int]
+
+
+def short_form(name: str) -> int:
+    """Return four bytes that stand for a name in datagrams.
+
+    Two names with the same form would only make an endpoint look busier.
+    """
+    return zlib.crc32(name.encode())
 
 
 class PeerLoads:
@@ -38,16 +48,17 @@
     __slots__ = ("_reports",)
 
     def __init__(self) -> None:
-        self._reports: dict[str, tuple[float, dict[str, int]]] = {}
+        self._reports: dict[int, tuple[float, dict[int, int]]] = {}
 
     def note(self, report: LoadReport, now: float) -> None:
         """Take note of a report; the newest of each gateway counts."""
-        self._reports[report.name] = (now, report.counts)
+        self._reports[report.sender] = (now, report.counts)
 
     def total(self, key: str, now: float) -> int:
         """Return the requests of all other gateways at an endpoint."""
+        short = short_form(key)
         return sum(
-            counts.get(key, 0)
+            counts.get(short, 0)
             for at, counts in self._reports.values()
             if now - at < REPORT_LIFE_S
         )
@@ -55,8 +66,8 @@
     def forget_old(self, now: float) -> None:
         """Drop reports that no longer count."""
         self._reports = {
-            name: report
-            for name, report in self._reports.items()
+            sender: report
+            for sender, report in self._reports.items()
             if now - report[0] < REPORT_LIFE_S
         }
 
@@ -70,7 +81,7 @@
         name: Name of this gateway.
     """
 
-    __slots__ = ("_counts", "_interval_s", "_is_due", "_name", "_send")
+    __slots__ = ("_counts", "_interval_s", "_is_due", "_send", "_sender")
 
     def __init__(
         self,
@@ -81,7 +92,7 @@
     ) -> None:
         self._send = send
         self._counts = counts
-        self._name = name
+        self._sender = short_form(name)
         self._interval_s = MIN_INTERVAL_S
         self._is_due = False
 
@@ -94,6 +105,7 @@
     def report(self) -> None:
         """Send a report now."""
         self._is_due = False
-        peers = self._send(LoadReport(self._name, self._counts()))
+        counts = {short_form(key): count for key, count in self._counts().items()}
+        peers = self._send(LoadReport(self._sender, counts))
         added_s = INTERVAL_PER_MEMBER_S * max(0, peers - 6)
         self._interval_s = min(MAX_INTERVAL_S, MIN_INTERVAL_S + added_s)
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -16,6 +16,8 @@
 """Members that hear each heartbeat: all of the usual seven, few of hundreds."""
 HEARTBEAT_S = 0.25
 """Time between heartbeats."""
+MEMBER_EVERY = 4
+"""Every so many heartbeats carry the sender's row."""
 SILENCE_S = 1.0
 """Silence after which a member is suspected: four heartbeats."""
 NEW_MEMBER_S = 2.0
@@ -46,16 +48,19 @@
     """One datagram between gateways.
 
     Attributes:
-        member: Sender; new members become known so while the store is away.
+        name: Sender.
         is_ready: Whether it should be given callers.
         suspects: Names of members that the sender no longer hears.
         reaches_store: Whether the sender reaches the row store.
+        member: The sender's row, in some heartbeats; new members become known so
+            while the store is away.
     """
 
-    member: Member
+    name: str
     is_ready: bool
     suspects: list[str] = []
     reaches_store: bool = True
+    member: Member | None = None
 
 
 @dataclass(slots=True)
@@ -118,10 +123,9 @@
 
     def heard(self, beat: Heartbeat, now: float) -> None:
         """Take note of a heartbeat."""
-        name = beat.member.name
-        if name not in self._live and beat.is_ready:
+        if beat.name not in self._live and beat.member is not None and beat.is_ready:
             self.put(beat.member, now)
-        live = self._live.get(name)
+        live = self._live.get(beat.name)
         if live is not None:
             live.heard_at = now
             live.is_ready = beat.is_ready
--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -68,18 +68,30 @@
     endpoints: Sequence[Endpoint], need: Need, health: HealthBook, now: float
 ) -> Endpoint | None:
     """Return the engine with the least predicted time for a turn."""
-    keys = [item.key for item in endpoints] if need.affinity else []
-    home = rendezvous_order(need.affinity, keys)[:1]
+    home = _home_key(endpoints, need)
     return min(
         endpoints,
         key=lambda item: (
-            _engine_ms(item, need, health, now, is_home=item.key in home),
+            _engine_ms(item, need, health, now, is_home=item.key == home),
             item.id,
         ),
         default=None,
     )
 
 
+def _home_key(endpoints: Sequence[Endpoint], need: Need) -> str:
+    """Return the key of the engine that has a program's prompts in its cache.
+
+    Callers stay with gateways of their data centre, so engines there come first:
+    prompts are the larger part of the bytes between data centres.
+    """
+    if not need.affinity:
+        return ""
+    near = [item.key for item in endpoints if item.data_centre == need.data_centre]
+    keys = near or [item.key for item in endpoints]
+    return next(iter(rendezvous_order(need.affinity, keys)), "")
+
+
 def _plain_ms(endpoint: Endpoint, need: Need, health: HealthBook, now: float) -> float:
     state = health.state(endpoint.key)
     pace_ms = state.pace(now) * 1000 or PLAIN_SERVICE_MS
