Platform path tested against stand-ins; new programs begin uncovered sooner

Cause: the path had no test without the bench; its first run found that a program that begins in the first moment of an outage was refused although it may begin.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -25,6 +25,8 @@
 TABLE = "spending"
 COVER_TIMEOUT_S = 0.7
 """Longest wait for the store inside one reservation."""
+FIRST_COVER_S = 0.36
+"""Part of that wait after which an outage is known: two calls without an answer."""
 FLUSH_TIMEOUT_S = 3.0
 IDLE_S = 70.0
 """Unused accounts are dropped after this long: programs return within 60 s."""
@@ -158,8 +160,7 @@
                         f"{tokens} more do not fit"
                     )
                 case NeedsCover(tokens=needed):
-                    if not self._may_go_uncovered(program, account, tokens):
-                        await self._cover(program, account, needed)
+                    await self._cover_or_go_on(program, account, needed, tokens)
         raise RowStoreAwayError("the account changed hands again and again")
 
     def settle(self, program: str, turn: str, tokens: int) -> None:
@@ -236,7 +237,9 @@
                 if account.version:
                     continue
                 try:
-                    await self._cover(program, account, account.spent)
+                    await self._cover(
+                        program, account, account.spent, timeout_s=COVER_TIMEOUT_S
+                    )
                 except RowStoreAwayError as error:
                     self._log.note("not_covered", program=program, reason=error.message)
                     return
@@ -258,6 +261,24 @@
         self._accounts[program] = account
         return account
 
+    async def _cover_or_go_on(
+        self, program: str, account: Account, needed: int, tokens: int
+    ) -> None:
+        """Cover tokens, or begin without where the store turns out to be away.
+
+        Raises:
+            RowStoreAwayError: The store is away and the program may not begin.
+        """
+        if self._may_go_uncovered(program, account, tokens):
+            return
+        try:
+            await self._cover(program, account, needed, timeout_s=FIRST_COVER_S)
+        except RowStoreAwayError:
+            if self._may_go_uncovered(program, account, tokens):
+                return
+            left_s = COVER_TIMEOUT_S - FIRST_COVER_S
+            await self._cover(program, account, needed, timeout_s=left_s)
+
     def _may_go_uncovered(self, program: str, account: Account, tokens: int) -> bool:
         """Let a new program begin while the store is away, up to a small share."""
         doubt = self._doubt()
@@ -273,7 +294,9 @@
         self._log.note("account_uncovered", program=program, tokens=uncovered)
         return True
 
-    async def _cover(self, program: str, account: Account, tokens: int) -> None:
+    async def _cover(
+        self, program: str, account: Account, tokens: int, *, timeout_s: float
+    ) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
         key = RowKey(TABLE, part_of(program), program)
         self._serial += 1
@@ -281,7 +304,7 @@
         write = RowWrite(key, msgspec.msgpack.encode(row))
         try:
             version = await self._store.write(
-                [write], expected={key: account.version}, timeout_s=COVER_TIMEOUT_S
+                [write], expected={key: account.version}, timeout_s=timeout_s
             )
         except RowConflictError as error:
             await self._adopt(program, account, error.rows)
--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -160,9 +161,17 @@
         """Return the reader of a new request."""
         return _Reader(request_conn, self._broker, self._limits())
 
-    def listen(self, host: str, port: int, *, backlog: int) -> None:
-        """Take connections from now on."""
+    @asynccontextmanager
+    async def listening(
+        self, host: str, port: int, *, backlog: int
+    ) -> AsyncIterator[None]:
+        """Take connections; closes those that are open at the end."""
         self._server.listen(port, host, backlog=backlog)
+        try:
+            yield
+        finally:
+            self._server.stop()
+            await self._server.close_all_connections()
 
     def apply_limits(self) -> None:
         """Apply the limits in force to connections that come from now on."""
@@ -172,11 +181,6 @@
         """Let every connection end with its next answer."""
         self._server.conn_params.no_keep_alive = True
 
-    async def close(self) -> None:
-        """Take no more connections and close those that are open."""
-        self._server.stop()
-        await self._server.close_all_connections()
-
 
 def _fields(headers: Headers) -> HTTPHeaders:
     fields = HTTPHeaders()
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -191,7 +191,9 @@
                 )
             )
             host, port = split_address(listen.callers)
-            self._ingress.listen(host, port, backlog=BACKLOG_CONNECTIONS)
+            await stack.enter_async_context(
+                self._ingress.listening(host, port, backlog=BACKLOG_CONNECTIONS)
+            )
             self._log.note("started", data_centre=self._context.data_centre)
             await stopping.wait()
             await self._stop()
@@ -211,7 +213,6 @@
         while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
             await asyncio.sleep(STOP_POLL_S)
         await self._context.finish_tasks(max(0.0, end - loop.time()))
-        await self._ingress.close()
         self._log.note("stopped", in_flight=self._broker.in_flight)
 
     def _member(self) -> Member:
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -289,7 +289,8 @@
                     # The answer may be lost or only slow: ask again beside it.
                     reason = f"no answer in {attempt_s:.2f} s"
                     self._failed(reason, asked_at=asked_at)
-                    attempt_s = min(2 * attempt_s, max(attempt_s, MAX_ATTEMPT_S))
+                    if self._failures >= FAILURES_UNTIL_AWAY:
+                        attempt_s = min(2 * attempt_s, max(attempt_s, MAX_ATTEMPT_S))
                     continue
                 answer, reason = done.pop().result()
                 if answer is not None and answer.status not in _NOTHING_DONE:
--- /dev/null
+++ b/src/carobspur_standins/platform_replica.py
@@ -0,0 +1,238 @@
+"""Stand-in of the platform's replicas: model engines and plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class ReplicaFault(StrEnum):
+    """What a replica does with one request instead of answering well."""
+
+    LOST = "lost"
+    """Runs it and closes the connection without an answer."""
+    CUT = "cut"
+    """Breaks off in the middle of the answer."""
+    GARBAGE = "garbage"
+    """Answers with bytes that are no HTTP."""
+    EXTRA = "extra"
+    """Answers well and sends a second answer of another request."""
+    LATE_EXTRA = "late_extra"
+    """Sends an answer of another request before the right one."""
+    FULL = "full"
+    """Refuses without running it."""
+    UNSIGNED = "unsigned"
+    """Answers without its proof of origin."""
+    CLOSE = "close"
+    """Answers well and closes the connection at once."""
+    UNFRAMED = "unframed"
+    """Answers without a length; the end of the connection ends the answer."""
+    HANG = "hang"
+    """Runs it and never answers."""
+
+
+@dataclass(slots=True)
+class SeenRequest:
+    """A request as the replica got it.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Fields by name in lower case.
+        body: The body.
+        has_run: Whether the replica began to work on it.
+        was_left: Whether the sender closed the connection before the end.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    has_run: bool = False
+    was_left: bool = False
+
+
+@dataclass(slots=True)
+class ReplicaStandin:
+    """One replica; serves what :attr:`faults` leaves in order.
+
+    Attributes:
+        id: Id of this start.
+        service: Service it belongs to.
+        events: Events of each stream; 0 for a plain service.
+        event_s: Time between events.
+        work_s: Time of a plain answer.
+        faults: Faults of the next requests, ``None`` for a good answer.
+        seen: All requests.
+    """
+
+    id: str
+    service: str
+    events: int = 0
+    event_s: float = 0.005
+    work_s: float = 0.002
+    slots: int = 8
+    faults: deque[ReplicaFault | None] = field(default_factory=deque)
+    seen: list[SeenRequest] = field(default_factory=list)
+    running: int = 0
+    connections: int = 0
+    _server: asyncio.Server | None = None
+    _numbers: itertools.count = field(default_factory=itertools.count)
+
+    async def listen(self, host: str, port: int = 0) -> int:
+        """Serve; returns the port."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop taking connections."""
+        self._server.close()
+
+    @property
+    def ran(self) -> list[SeenRequest]:
+        """Requests that the replica began to work on."""
+        return [request for request in self.seen if request.has_run]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                continue
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # The sender has left.
+            return
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        request = await _read_request(reader)
+        self.seen.append(request)
+        fault = self.faults.popleft() if self.faults else None
+        if request.headers.get("target-instance", self.id) != self.id:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+            )
+            return True
+        if fault is ReplicaFault.FULL:
+            writer.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return True
+        request.has_run = True
+        self.running += 1
+        watch = asyncio.ensure_future(reader.read(1))
+        work = asyncio.ensure_future(self._answer(request, writer, fault))
+        try:
+            await asyncio.wait([watch, work], return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                request.was_left = True
+                return False
+            return work.result()
+        finally:
+            self.running -= 1
+            work.cancel()
+            watch.cancel()
+
+    async def _answer(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> bool:
+        if fault is ReplicaFault.HANG:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.work_s)
+        match fault:
+            case ReplicaFault.LOST:
+                return False
+            case ReplicaFault.GARBAGE:
+                writer.write(b"\x00\x01 this is no answer \r\n\r\n")
+                return False
+            case ReplicaFault.LATE_EXTRA:
+                writer.write(self._head("other-id", 4) + b"else")
+        if self.events:
+            await self._stream(request, writer, fault)
+        else:
+            self._plain(request, writer, fault)
+        if fault is ReplicaFault.EXTRA:
+            writer.write(self._head("other-id", 4) + b"else")
+        await writer.drain()
+        return fault not in (
+            ReplicaFault.CUT,
+            ReplicaFault.CLOSE,
+            ReplicaFault.UNFRAMED,
+        )
+
+    def _plain(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> None:
+        body = f"{self.id} ran {request.target}".encode()
+        head = self._head(request.headers.get("request-id", ""), len(body))
+        match fault:
+            case ReplicaFault.CUT:
+                writer.write(head + body[:3])
+            case ReplicaFault.UNSIGNED:
+                writer.write(head.replace(b"Response-Signature", b"X-Other") + body)
+            case ReplicaFault.UNFRAMED:
+                lines = head.split(b"\r\n")
+                kept = [line for line in lines if not line.startswith(b"Content-Len")]
+                writer.write(b"\r\n".join(kept) + body)
+            case _:
+                writer.write(head + body)
+
+    async def _stream(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> None:
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        head = self._head(request.headers.get("request-id", ""), None)
+        writer.write(head)
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if fault is ReplicaFault.CUT and number == self.events:
+                event = event[:7]
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                return
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+    def _head(self, ident: str, length: int | None) -> bytes:
+        framing = (
+            "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream"
+            if length is None
+            else f"Content-Length: {length}"
+        )
+        return (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {ident}\r\n"
+            f"Response-Signature: {self.id}.{next(self._numbers)}\r\n"
+            f"Instance-Load: {self.running},0,{self.slots}\r\n"
+            f"Keep-Alive: timeout=5\r\n{framing}\r\n\r\n"
+        ).encode()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> SeenRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *fields = head[:-4].split("\r\n")
+    method, target, _ = line.split(" ", 2)
+    headers = {}
+    for item in fields:
+        name, _, value = item.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length") or 0))
+    return SeenRequest(method, target, headers, body)
--- /dev/null
+++ b/src/carobspur_standins/platform_store.py
@@ -0,0 +1,234 @@
+"""Stand-in of the platform's row store, with the faults that it may show."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+TX_S = 0.005
+"""Time of a transaction on the platform."""
+MAX_ROWS = 500
+HISTORY_ROWS = 10_000
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store at the moment.
+
+    Attributes:
+        is_silent: It takes calls and never answers.
+        status: It answers every call with this status; 0 for none.
+        delay_s: Added to every answer.
+        lose_answers: Writes that are done and not answered, counted down.
+    """
+
+    is_silent: bool = False
+    status: int = 0
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+
+@dataclass(slots=True)
+class _StoredRow:
+    value: str | None
+    version: int
+
+
+@dataclass(slots=True)
+class RowStoreStandin:
+    """Rows in memory, served by the platform's protocol.
+
+    Attributes:
+        faults: What is wrong with it.
+        calls: Calls by path, for tests that count them.
+        version: Version of the newest transaction.
+    """
+
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: dict[str, int] = field(default_factory=dict)
+    version: int = 0
+    history_from: int = 0
+    _rows: dict[tuple[str, str, str], _StoredRow] = field(default_factory=dict)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: HTTPServer | None = None
+
+    def listen(self, host: str, port: int = 0) -> int:
+        """Serve; returns the port."""
+        handlers = [
+            (r"/carobspur/rows-tx", _WriteHandler, {"store": self}),
+            (r"/carobspur/rows-get", _ReadHandler, {"store": self}),
+            (r"/carobspur/rows-feed", _FeedHandler, {"store": self}),
+        ]
+        application = tornado.web.Application(handlers, log_function=lambda _: None)
+        self._server = HTTPServer(application)
+        sockets = bind_sockets(port, host)
+        self._server.add_sockets(sockets)
+        return sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def put(self, table: str, key: str, value: str | None, *, part: str = "") -> int:
+        """Write one row as the operator or a replica does; returns its version."""
+        self.version += 1
+        self._rows[(table, part, key)] = _StoredRow(value, self.version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def forget_history(self) -> None:
+        """Drop the history, so that feeds must read their tables anew."""
+        self.history_from = self.version + 1
+
+    def rows(self, table: str, part: str | None = None) -> list[dict]:
+        """Return the rows of a table that exist, in order of keys."""
+        return [
+            _row(name, row)
+            for name, row in sorted(self._rows.items())
+            if name[0] == table
+            and (part is None or name[1] == part)
+            and row.value is not None
+        ]
+
+    def apply(self, request: dict) -> tuple[int, dict]:
+        """Carry out a transaction; returns status and body of the answer."""
+        failed = [
+            item
+            for item in request.get("expectedRevision", [])
+            if self._version(item) != item["ver"]
+        ]
+        if failed:
+            rows = [_row(_name(item), self._stored(item)) for item in failed]
+            return 412, {"rows": rows, "ver": self.version}
+        self.version += 1
+        for item in request.get("writes", []):
+            self._rows[_name(item)] = _StoredRow(item["value"], self.version)
+        for item in request.get("remove", []):
+            self._rows[_name(item)] = _StoredRow(None, self.version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return 200, {"ver": self.version, "nowMs": 0}
+
+    def changes(self, table: str, after: int) -> list[dict]:
+        """Return the rows of a table that changed after a version, in order."""
+        found = [
+            _row(name, row)
+            for name, row in self._rows.items()
+            if name[0] == table and row.version > after
+        ]
+        return sorted(found, key=lambda item: item["ver"])
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Wait for the next change, at most so long."""
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    def _version(self, item: dict) -> int:
+        stored = self._stored(item)
+        return stored.version if stored.value is not None else 0
+
+    def _stored(self, item: dict) -> _StoredRow:
+        return self._rows.get(_name(item), _StoredRow(None, 0))
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, store: RowStoreStandin) -> None:
+        self._store = store
+
+    async def prepare(self) -> None:
+        store = self._store
+        name = self.request.path.rpartition("/")[2]
+        store.calls[name] = store.calls.get(name, 0) + 1
+        if store.faults.is_silent:
+            await self._never_answer()
+        if store.faults.status:
+            self.set_status(store.faults.status)
+            self.finish()
+            return
+        await asyncio.sleep(store.faults.delay_s)
+
+    async def _never_answer(self) -> None:
+        await asyncio.sleep(3600)
+
+    def _text(self, name: str) -> str:
+        # Keys may hold control characters, which tornado's accessor drops.
+        return self.request.query_arguments.get(name, [b""])[-1].decode()
+
+    def _answer(self, status: int, body: dict) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body))
+
+
+class _WriteHandler(_Handler):
+    async def post(self) -> None:
+        await asyncio.sleep(TX_S)
+        status, body = self._store.apply(json.loads(self.request.body))
+        if self._store.faults.lose_answers:
+            self._store.faults.lose_answers -= 1
+            await self._never_answer()
+        self._answer(status, body)
+
+
+class _ReadHandler(_Handler):
+    def get(self) -> None:
+        first = self._text("from")
+        end = self._text("to")
+        limit = int(self.get_query_argument("limit", str(MAX_ROWS)))
+        rows = [
+            row
+            for row in self._store.rows(
+                self.get_query_argument("table"), self.get_query_argument("part", "")
+            )
+            if row["key"] >= first and (not end or row["key"] < end)
+        ]
+        page = rows[: min(limit, MAX_ROWS)]
+        self._answer(
+            200,
+            {
+                "rows": page,
+                "truncated": len(page) < len(rows),
+                "ver": self._store.version,
+                "nowMs": 0,
+            },
+        )
+
+
+class _FeedHandler(_Handler):
+    async def get(self) -> None:
+        table = self.get_query_argument("table")
+        after = int(self.get_query_argument("after"))
+        wait_s = int(self.get_query_argument("waitMs")) / 1000
+        if after < self._store.history_from:
+            self._answer(410, {"error": "history is gone"})
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while not self._store.changes(table, after) and loop.time() < deadline:
+            await self._store.wait_changed(deadline - loop.time())
+        rows = self._store.changes(table, after)
+        self._answer(200, {"rows": rows, "ver": self._store.version, "nowMs": 0})
+
+
+def _name(item: dict) -> tuple[str, str, str]:
+    return item["table"], item.get("part", ""), item["key"]
+
+
+def _row(name: tuple[str, str, str], row: _StoredRow) -> dict:
+    table, part, key = name
+    body = {"table": table, "part": part, "key": key, "ver": row.version}
+    if row.value is None:
+        body["tombstone"] = True
+    else:
+        body["value"] = row.value
+    return body
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,309 @@
+"""Builders of whole deployments on the platform's protocol, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import logging
+import socket
+from base64 import b64encode
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from carobspur.gateway.decisions import DecisionLog
+from carobspur.gateway.settings import GatewaySettings
+from carobspur.platform.main import Gateway
+from carobspur_standins.platform_replica import ReplicaStandin
+from carobspur_standins.platform_store import RowStoreStandin
+
+HOST = "127.0.0.1"
+ENGINES = "engines"
+TOOLS = "tools"
+READY_S = 5.0
+TOKENS_PER_EVENT = 10
+
+_ids = itertools.count(1)
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that nobody listens on at the moment."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def route(name: str, kind: str, service: str, **more: object) -> dict:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": "host.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 250,
+        "maxAttempts": 1,
+        "priority": 1,
+        **more,
+    }
+
+
+def configuration(version: int = 1, **more: object) -> dict:
+    """Return a configuration with one route of each kind."""
+    engine = {"slots": 8, "kvCacheTokens": 100000, "stride": TOKENS_PER_EVENT}
+    return {
+        "version": version,
+        "routes": [
+            route("read", "idempotent", TOOLS, maxAttempts=2),
+            route("pay", "non_idempotent", TOOLS),
+            route("walk", "streaming", ENGINES, resumable=True, retentionS=60),
+            route("chat", "streaming", ENGINES, keepsHistory=True, retentionS=60),
+        ],
+        "services": [
+            {"name": ENGINES, "healthPath": "/healthz", "engine": engine},
+            {"name": TOOLS, "healthPath": "/healthz"},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        **more,
+    }
+
+
+def settings_text(
+    store_port: int, ports: dict[str, int], *, name: str, seeds: list[int] | None = None
+) -> str:
+    """Return the INI file of a gateway."""
+    seed_text = ",".join(f"{HOST}:{port}" for port in seeds or [])
+    listen = "\n".join(f"{key} = {HOST}:{port}" for key, port in ports.items())
+    return (
+        f"[instance]\nname = {name}\ndata_centre = east\nregion = r\nhost = {HOST}\n"
+        f"[listen]\n{listen}\n"
+        f"[store]\naddress = {HOST}:{store_port}\nrow_bytes = 65536\n"
+        f"seeds = {seed_text}\n"
+        "[times]\nstop_s = 8\naddress_ttl_s = 5\n"
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """What a caller got; ``is_whole`` is false where the answer broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass(slots=True)
+class GatewayHandle:
+    """One gateway of a world."""
+
+    name: str
+    ports: dict[str, int]
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+    reloading: asyncio.Event = field(default_factory=asyncio.Event)
+    task: asyncio.Task | None = None
+    lines: list[dict] = field(default_factory=list)
+
+    def events(self, event: str) -> list[dict]:
+        """Return the logged decisions of one kind."""
+        return [line for line in self.lines if line["event"] == event]
+
+
+class _Collector(logging.Handler):
+    def __init__(self, lines: list[dict]) -> None:
+        super().__init__()
+        self._lines = lines
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._lines.append({"event": record.getMessage(), **record.__dict__})
+
+
+class World:
+    """A store, replicas and gateways; see :func:`world`."""
+
+    def __init__(self) -> None:
+        self.store = RowStoreStandin()
+        self.store_port = 0
+        self.gateways: list[GatewayHandle] = []
+        self.replicas: dict[str, ReplicaStandin] = {}
+        self.replica_ports: dict[str, int] = {}
+
+    def configure(self, content: dict) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("op", "config", _encoded(content))
+
+    async def add_replica(
+        self, service: str, *, events: int = 0, **more: object
+    ) -> ReplicaStandin:
+        """Start a replica and register it."""
+        ident = f"i-{service}-{next(_ids)}"
+        replica = ReplicaStandin(ident, service, events=events, **more)
+        self.replica_ports[ident] = await replica.listen(HOST)
+        self.replicas[ident] = replica
+        self.register(replica)
+        return replica
+
+    def register(self, replica: ReplicaStandin, **more: object) -> None:
+        """Write a replica's entry."""
+        entry = {
+            "service": replica.service,
+            "address": f"{HOST}:{self.replica_ports[replica.id]}",
+            "zone": "east",
+            "version": "v1",
+            "slots": replica.slots,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+            **more,
+        }
+        self.store.put("servers", replica.id, _encoded(entry))
+
+    def unregister(self, replica: ReplicaStandin) -> None:
+        """Remove a replica's entry."""
+        self.store.put("servers", replica.id, None)
+
+    def start_gateway(self, *, seeds: list[int] | None = None) -> GatewayHandle:
+        """Start one more gateway; seeds are peers' ports."""
+        names = ("callers", "ready", "directory", "peers", "metrics")
+        ports = {name: free_port() for name in names}
+        ports["heartbeats"] = free_port(socket.SOCK_DGRAM)
+        name = f"gateway-{next(_ids)}"
+        handle = GatewayHandle(name, ports)
+        logger = logging.getLogger(f"test.{name}")
+        logger.setLevel(logging.INFO)
+        logger.propagate = False
+        logger.addHandler(_Collector(handle.lines))
+        settings = GatewaySettings.parse(
+            settings_text(self.store_port, ports, name=name, seeds=seeds)
+        )
+        gateway = Gateway(settings, "/nonexistent", DecisionLog(logger))
+        handle.task = asyncio.ensure_future(
+            gateway.run(handle.stopping, handle.reloading)
+        )
+        self.gateways.append(handle)
+        return handle
+
+    async def until_ready(self) -> None:
+        """Wait until every gateway serves and knows all others."""
+        deadline = asyncio.get_running_loop().time() + READY_S
+        while not await self._all_ready():
+            if asyncio.get_running_loop().time() > deadline:
+                raise AssertionError("the gateways did not get ready")
+            await asyncio.sleep(0.02)
+
+    async def kill(self, handle: GatewayHandle) -> None:
+        """End a gateway without a word, as a kill does."""
+        handle.task.cancel()
+        await asyncio.gather(handle.task, return_exceptions=True)
+        self.gateways.remove(handle)
+
+    async def call(
+        self, path: str, *, via: int = 0, body: bytes = b"", **headers: object
+    ) -> CallerAnswer:
+        """Send one request on a connection of its own."""
+        port = self.gateways[via].ports["callers"]
+        return await call(port, path, body=body, headers=request_headers(**headers))
+
+    async def _all_ready(self) -> bool:
+        for handle in self.gateways:
+            if handle.task.done():
+                handle.task.result()
+            answer = await call(handle.ports["directory"], "/carobspur/resolve")
+            known = json.loads(answer.body or b"{}").get("addresses", [])
+            if len(known) < len(self.gateways):
+                return False
+        return True
+
+
+def request_headers(**headers: object) -> dict[str, str]:
+    """Return headers by keyword, ``program_id`` for ``Program-Id``; adds an id."""
+    found = {"Host": "host.example", "Request-Id": f"r{next(_ids)}"}
+    for name, value in headers.items():
+        found["-".join(part.title() for part in name.split("_"))] = str(value)
+    return found
+
+
+async def call(
+    port: int,
+    path: str,
+    *,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    method: str = "",
+) -> CallerAnswer:
+    """Send one request and read its answer by its framing."""
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return CallerAnswer(0, {}, b"", False)
+    method = method or ("POST" if body else "GET")
+    fields = dict(headers or {"Host": "x"})
+    if body:
+        fields["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+    try:
+        return await _read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return CallerAnswer(0, {}, b"", False)
+    line, *fields = head[:-4].split("\r\n")
+    headers = {}
+    for item in fields:
+        name, _, value = item.partition(":")
+        headers[name.lower()] = value.strip()
+    body = b""
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readuntil(b"\r\n")
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return CallerAnswer(int(line.split()[1]), headers, body, False)
+    return CallerAnswer(int(line.split()[1]), headers, body, True)
+
+
+@asynccontextmanager
+async def world(
+    *, gateways: int = 1, engines: int = 1, tools: int = 1, events: int = 4
+) -> AsyncIterator[World]:
+    """Run a deployment that serves, and end it."""
+    async with AsyncExitStack() as stack:
+        made = World()
+        made.store_port = made.store.listen(HOST)
+        stack.push_async_callback(made.store.close)
+        made.configure(configuration())
+        for _ in range(engines):
+            await made.add_replica(ENGINES, events=events)
+        for _ in range(tools):
+            await made.add_replica(TOOLS)
+        for _ in range(gateways):
+            made.start_gateway()
+        try:
+            await made.until_ready()
+            yield made
+        finally:
+            for handle in list(made.gateways):
+                await made.kill(handle)
+            for replica in made.replicas.values():
+                replica.close()
+
+
+def _encoded(content: dict) -> str:
+    return b64encode(json.dumps(content).encode()).decode()
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,406 @@
+"""The whole path on the platform's protocol: callers, gateways, store, replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from unittest import IsolatedAsyncioTestCase
+
+from carobspur_standins.platform_replica import ReplicaFault
+
+from .platform_world import ENGINES, TOOLS, call, configuration, route, world
+
+STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
+
+
+class PlainCallsTest(IsolatedAsyncioTestCase):
+    async def test_passes_requests_and_answers_unchanged(self) -> None:
+        async with world() as made:
+            answer = await made.call("/read/a?b=c", x_own="kept", pin_ms=5)
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            (seen,) = tool.seen
+        self.assertEqual((200, True), (answer.status, answer.is_whole))
+        self.assertEqual(f"{tool.id} ran /read/a?b=c".encode(), answer.body)
+        self.assertTrue(answer.headers["response-signature"].startswith(tool.id))
+        self.assertEqual("/read/a?b=c", seen.target)
+        self.assertEqual("kept", seen.headers["x-own"])
+        self.assertEqual(tool.id, seen.headers["target-instance"])
+        self.assertNotIn("pin-ms", seen.headers)
+        self.assertLessEqual(int(seen.headers["deadline-ms"]), 3000)
+
+    async def test_longest_prefix_wins_and_unknown_paths_are_denied(self) -> None:
+        async with world() as made:
+            routes = [*configuration()["routes"], route("read/x", "idempotent", "none")]
+            made.configure(configuration(2, routes=routes))
+            await asyncio.sleep(0.1)
+            answer = await made.call("/read/x/y")
+            unknown = await made.call("/nothing/")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(404, unknown.status)
+
+    async def test_an_older_configuration_never_comes_back(self) -> None:
+        async with world() as made:
+            made.configure(configuration(9))
+            await asyncio.sleep(0.1)
+            made.configure(configuration(3, routes=[]))
+            await asyncio.sleep(0.1)
+            answer = await made.call("/read/a")
+        self.assertEqual(200, answer.status)
+
+    async def test_answer_followed_by_a_close_still_counts(self) -> None:
+        async with world() as made:
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            tool.faults.extend([ReplicaFault.CLOSE] * 10)
+            answers = [await made.call("/pay/a", body=b"x") for _ in range(10)]
+        self.assertEqual([200] * 10, [answer.status for answer in answers])
+
+    async def test_answer_without_a_length_ends_with_its_connection(self) -> None:
+        async with world() as made:
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            tool.faults.append(ReplicaFault.UNFRAMED)
+            answer = await made.call("/pay/a", body=b"x")
+        self.assertEqual(200, answer.status)
+        self.assertIn(b"ran /pay/a", answer.body)
+
+    async def test_late_answers_of_others_are_passed_over(self) -> None:
+        async with world() as made:
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            for fault in (ReplicaFault.EXTRA, ReplicaFault.LATE_EXTRA, None):
+                tool.faults.append(fault)
+            answers = [await made.call("/pay/a", body=b"x") for _ in range(3)]
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+        self.assertTrue(all(b"ran /pay/a" in answer.body for answer in answers))
+        self.assertEqual(3, len(tool.ran))
+
+    async def test_repeatable_call_goes_to_another_endpoint(self) -> None:
+        for fault in (
+            ReplicaFault.LOST,
+            ReplicaFault.CUT,
+            ReplicaFault.GARBAGE,
+            ReplicaFault.UNSIGNED,
+            ReplicaFault.FULL,
+        ):
+            with self.subTest(fault):
+                async with world(tools=2) as made:
+                    tools = [r for r in made.replicas.values() if r.service == TOOLS]
+                    for tool in tools:
+                        tool.faults.append(fault)
+                        tool.faults.append(None)
+                    tools[0].faults.clear()
+                    answers = [await made.call("/read/a") for _ in range(4)]
+                self.assertEqual([200] * 4, [item.status for item in answers])
+
+    async def test_call_that_may_have_run_is_not_sent_again(self) -> None:
+        for fault in (ReplicaFault.LOST, ReplicaFault.CUT, ReplicaFault.GARBAGE):
+            with self.subTest(fault):
+                async with world(tools=2) as made:
+                    tools = [r for r in made.replicas.values() if r.service == TOOLS]
+                    for tool in tools:
+                        tool.faults.append(fault)
+                    answer = await made.call("/pay/a", body=b"x")
+                    ran = sum(len(tool.ran) for tool in tools)
+                self.assertEqual(502, answer.status)
+                self.assertEqual(1, ran)
+
+    async def test_refused_call_goes_on_and_then_says_when_to_return(self) -> None:
+        async with world(tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            for tool in tools:
+                tool.faults.extend([ReplicaFault.FULL] * 2)
+            answer = await made.call("/pay/a", body=b"x")
+            ran = sum(len(tool.ran) for tool in tools)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, ran)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    async def test_route_timeout_ends_a_call(self) -> None:
+        async with world() as made:
+            routes = [route("slow", "non_idempotent", TOOLS, timeoutMs=200)]
+            made.configure(configuration(2, routes=routes))
+            await asyncio.sleep(0.1)
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            tool.faults.append(ReplicaFault.HANG)
+            started = asyncio.get_running_loop().time()
+            answer = await made.call("/slow/a", body=b"x")
+            taken_s = asyncio.get_running_loop().time() - started
+            await asyncio.sleep(0.05)
+        self.assertEqual(504, answer.status)
+        self.assertLess(taken_s, 0.7)
+        self.assertTrue(tool.ran[0].was_left)
+
+    async def test_too_large_a_body_is_refused(self) -> None:
+        async with world() as made:
+            answer = await made.call("/pay/a", body=b"x" * 65537)
+        self.assertEqual(413, answer.status)
+
+    async def test_caller_that_leaves_stops_the_endpoint(self) -> None:
+        async with world() as made:
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            tool.faults.append(ReplicaFault.HANG)
+            task = asyncio.ensure_future(made.call("/read/a"))
+            while not tool.ran:
+                await asyncio.sleep(0.005)
+            task.cancel()
+            await asyncio.sleep(0.1)
+        self.assertTrue(tool.ran[0].was_left)
+
+
+class EndpointsTest(IsolatedAsyncioTestCase):
+    async def test_draining_and_removed_endpoints_get_nothing_new(self) -> None:
+        async with world(tools=3) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            made.register(tools[0], state="draining", sequence=2)
+            made.unregister(tools[1])
+            await asyncio.sleep(0.1)
+            for _ in range(6):
+                await made.call("/read/a")
+            counts = [len(tool.seen) for tool in tools]
+        self.assertEqual([0, 0, 6], counts)
+
+    async def test_older_entries_and_damaged_ones_name_nothing(self) -> None:
+        async with world(tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            made.register(tools[0], state="draining", sequence=5)
+            await asyncio.sleep(0.1)
+            made.register(tools[0], state="ready", sequence=4)
+            made.store.put("servers", "i-other", "bm90IGpzb24=")
+            made.store.put("servers", "i-half", "!!")
+            await asyncio.sleep(0.1)
+            for _ in range(4):
+                await made.call("/read/a")
+        self.assertEqual([0, 4], [len(tool.seen) for tool in tools])
+
+    async def test_lost_history_is_read_anew(self) -> None:
+        async with world(tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            made.unregister(tools[0])
+            made.store.forget_history()
+            await asyncio.sleep(2.5)
+            for _ in range(4):
+                await made.call("/read/a")
+        self.assertEqual([0, 4], [len(tool.seen) for tool in tools])
+
+
+class StreamsTest(IsolatedAsyncioTestCase):
+    async def test_passes_events_as_they_are(self) -> None:
+        async with world() as made:
+            answer = await made.call("/walk/a", body=b"prompt")
+        self.assertEqual((200, True), (answer.status, answer.is_whole))
+        self.assertEqual(STREAM, answer.body)
+
+    async def test_broken_stream_is_resumed_inside_its_answer(self) -> None:
+        async with world() as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            engine.faults.append(ReplicaFault.CUT)
+            answer = await made.call("/walk/a", body=b"prompt")
+        self.assertEqual((STREAM, True), (answer.body, answer.is_whole))
+        self.assertEqual("3", engine.ran[1].headers["last-event-id"])
+
+    async def test_stream_that_cannot_be_resumed_never_looks_complete(self) -> None:
+        async with world() as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            engine.faults.append(ReplicaFault.CUT)
+            answer = await made.call("/chat/a", body=b"prompt", program_id="p")
+        self.assertEqual((200, False), (answer.status, answer.is_whole))
+        self.assertEqual(1, len(engine.ran))
+
+    async def test_caller_resumes_after_its_last_event(self) -> None:
+        async with world() as made:
+            answer = await made.call("/walk/a", body=b"prompt", last_event_id=2)
+        self.assertEqual(STREAM[STREAM.index(b"id: 3") :], answer.body)
+
+
+class TurnsTest(IsolatedAsyncioTestCase):
+    async def test_next_turn_gets_the_whole_chain_at_any_gateway(self) -> None:
+        async with world(gateways=3) as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            previous = {}
+            for number in range(3):
+                answer = await made.call(
+                    "/chat/a",
+                    via=number,
+                    body=b"input %d;" % number,
+                    program_id="p",
+                    request_id=f"turn-{number}",
+                    **previous,
+                )
+                self.assertTrue(answer.is_whole)
+                previous = {"previous_turn": f"turn-{number}"}
+        output = b"".join(b"token %d\n" % n for n in range(1, 5))
+        expected = b"input 0;" + output + b"input 1;" + output + b"input 2;"
+        self.assertEqual(expected, engine.ran[2].body)
+
+    async def test_turn_is_kept_before_its_end_and_outlives_every_gateway(self) -> None:
+        async with world(gateways=2) as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            await made.call("/chat/a", body=b"a", program_id="p", request_id="t1")
+            for handle in list(made.gateways):
+                await made.kill(handle)
+            made.start_gateway()
+            await made.until_ready()
+            answer = await made.call(
+                "/chat/a", body=b"b", program_id="other", previous_turn="t1"
+            )
+            self.assertEqual(200, answer.status, answer.body)
+        self.assertTrue(answer.is_whole)
+        self.assertTrue(engine.ran[1].body.startswith(b"atoken 1\n"))
+
+    async def test_unknown_turn_is_denied_only_on_proof(self) -> None:
+        async with world() as made:
+            denied = await made.call(
+                "/chat/a", body=b"b", program_id="p", previous_turn="none"
+            )
+            made.store.faults.status = 503
+            unsure = await made.call(
+                "/chat/a", body=b"b", program_id="p", previous_turn="none"
+            )
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+        self.assertEqual([404, 503], [denied.status, unsure.status])
+        self.assertEqual([], engine.ran)
+
+    async def test_turn_that_cannot_be_kept_does_not_end(self) -> None:
+        async with world(events=30) as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            task = asyncio.ensure_future(
+                made.call("/chat/a", body=b"a", program_id="p", request_id="t1")
+            )
+            while not engine.ran:
+                await asyncio.sleep(0.005)
+            made.store.faults.status = 503
+            answer = await task
+        self.assertEqual((200, False), (answer.status, answer.is_whole))
+
+    async def test_lost_answer_of_a_commit_is_made_good(self) -> None:
+        async with world() as made:
+            made.store.faults.lose_answers = 1
+            answer = await made.call("/chat/a", body=b"a", program_id="p")
+        self.assertTrue(answer.is_whole)
+
+
+class BudgetsTest(IsolatedAsyncioTestCase):
+    async def _spend(self, made, number: int, via: int = 0):
+        return await made.call(
+            "/walk/a",
+            via=via,
+            body=b"x",
+            program_id="p",
+            request_id=f"s{number}",
+            token_budget=200,
+            token_usage="10,50",
+        )
+
+    async def test_budget_holds_over_gateways_and_restarts(self) -> None:
+        async with world(gateways=3) as made:
+            statuses = []
+            for number in range(8):
+                answer = await self._spend(made, number, via=number % 3)
+                statuses.append(answer.status)
+                if number == 1:
+                    await made.kill(made.gateways[0])
+                    made.start_gateway()
+                    await made.until_ready()
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+        # Four events of ten tokens a turn.
+        self.assertLessEqual(len(engine.ran) * 40, 200)
+        self.assertEqual(402, statuses[-1])
+        self.assertGreaterEqual(len(engine.ran), 2)
+
+    async def test_parallel_turns_share_one_budget(self) -> None:
+        async with world(gateways=3) as made:
+            answers = await asyncio.gather(
+                *(self._spend(made, number, via=number % 3) for number in range(12))
+            )
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+        self.assertLessEqual(len(engine.ran) * 50, 200)
+        self.assertEqual({200, 402}, {answer.status for answer in answers})
+
+    async def test_planned_stop_hands_accounts_over_exactly(self) -> None:
+        async with world(gateways=2) as made:
+            for number in range(2):
+                await self._spend(made, number)
+            first = made.gateways[0]
+            first.stopping.set()
+            await asyncio.sleep(0.3)
+            answers = [await self._spend(made, 10 + n, via=1) for n in range(2)]
+        self.assertEqual([200, 200], [answer.status for answer in answers])
+
+    async def test_programs_under_way_go_on_while_the_store_is_away(self) -> None:
+        async with world(gateways=2) as made:
+            headers = {"program_id": "p", "token_budget": 2000, "token_usage": "10,50"}
+            await made.call("/walk/a", body=b"x", **headers)
+            made.store.faults.status = 503
+            await asyncio.sleep(0.3)
+            answers = [
+                await made.call("/walk/a", body=b"x", **headers) for _ in range(3)
+            ]
+            new = await made.call(
+                "/walk/a", body=b"x", **{**headers, "program_id": "new"}
+            )
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+        self.assertEqual(200, new.status)
+
+
+class OutageTest(IsolatedAsyncioTestCase):
+    async def test_gateway_that_starts_in_an_outage_learns_from_peers(self) -> None:
+        async with world(gateways=1) as made:
+            made.store.faults.status = 503
+            made.start_gateway(seeds=[made.gateways[0].ports["peers"]])
+            await asyncio.sleep(1.0)
+            answer = await made.call("/read/a", via=1)
+            listed = await call(
+                made.gateways[0].ports["directory"], "/carobspur/resolve"
+            )
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(json.loads(listed.body)["addresses"]))
+
+    async def test_turn_is_refused_with_a_time_while_the_store_is_silent(self) -> None:
+        async with world() as made:
+            made.store.faults.is_silent = True
+            started = asyncio.get_running_loop().time()
+            answer = await made.call(
+                "/chat/a",
+                body=b"a",
+                program_id="p",
+                deadline_ms=3000,
+                token_budget=200,
+                token_usage="10,50",
+            )
+            taken_s = asyncio.get_running_loop().time() - started
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertLess(taken_s, 1.2)
+        self.assertEqual([], engine.ran)
+
+    async def test_configuration_changes_are_in_force_after_an_outage(self) -> None:
+        async with world() as made:
+            made.store.faults.status = 503
+            await asyncio.sleep(2.5)
+            made.store.faults.status = 0
+            made.configure(configuration(5, routes=[route("new", "idempotent", TOOLS)]))
+            await asyncio.sleep(1.0)
+            answer = await made.call("/new/a")
+        self.assertEqual(200, answer.status)
+
+
+class StopTest(IsolatedAsyncioTestCase):
+    async def test_planned_stop_cuts_nothing_and_leaves_the_addresses(self) -> None:
+        async with world(gateways=2) as made:
+            tool = next(r for r in made.replicas.values() if r.service == TOOLS)
+            tool.work_s = 0.5
+            task = asyncio.ensure_future(made.call("/pay/a", body=b"x"))
+            while not tool.ran:
+                await asyncio.sleep(0.005)
+            leaving = made.gateways[0]
+            leaving.stopping.set()
+            await asyncio.sleep(0.1)
+            ready = await call(leaving.ports["ready"], "/carobspur/readyz")
+            other = made.gateways[1]
+            listed = await call(other.ports["directory"], "/carobspur/resolve")
+            answer = await task
+            late = await made.call("/read/a")
+        self.assertEqual(503, ready.status)
+        self.assertEqual(1, len(json.loads(listed.body)["addresses"]))
+        self.assertEqual(200, answer.status)
+        self.assertEqual(200, late.status)
+        self.assertEqual("close", late.headers.get("connection", "").lower())
