Pace of endpoints counts only where it is clearly slow

Pace is now a ratio to what is usual for a kind of work, and counts from 1.7 on; a cold prompt counts 2.5 times, since it holds up others.

--- a/src/carobspur/gateway/health.py
+++ b/src/carobspur/gateway/health.py
@@ -12,6 +12,11 @@
 """Weight of the newest answer in an endpoint's average."""
 PACE_MEMORY_S = 4.0
 """An average without new answers is forgotten after this long."""
+USUAL_WEIGHT = 0.05
+"""Weight of the newest answer in what is usual for a kind of work."""
+SLOW_FACTOR = 1.7
+"""An endpoint counts as slow from this many times the usual on; work that varies by
+its mean stays below."""
 FIRST_SUSPECT_S = 0.3
 """How long an endpoint is avoided after a failure; doubled by each that follows."""
 MAX_SUSPECT_S = 3.0
@@ -31,7 +36,7 @@
         told: Newest load that it told.
         told_at: Loop time of that.
         told_in_flight: ``in_flight`` at that time.
-        pace_s: Average time of what is measured; 0 for none yet.
+        pace: Average time of its answers, in times of what is usual for their kind.
         pace_at: Loop time of the newest measurement.
         failures: Failures since the last success.
         suspect_until: Loop time until which it is avoided.
@@ -42,7 +47,7 @@
     told: EndpointLoad | None = None
     told_at: float = 0.0
     told_in_flight: int = 0
-    pace_s: float = 0.0
+    pace: float = 1.0
     pace_at: float = 0.0
     failures: int = 0
     suspect_until: float = 0.0
@@ -55,9 +60,10 @@
         told = self.told.running + self.told.waiting
         return max(self.in_flight, told + self.in_flight - self.told_in_flight)
 
-    def pace(self, now: float) -> float:
-        """Return the average time in seconds; 0 where nothing recent is known."""
-        return self.pace_s if now - self.pace_at < PACE_MEMORY_S else 0.0
+    def slowness(self, now: float) -> float:
+        """Return how many times slower than usual it is; 1 where not clearly so."""
+        is_known = now - self.pace_at < PACE_MEMORY_S
+        return self.pace if is_known and self.pace >= SLOW_FACTOR else 1.0
 
 
 class HealthBook:
@@ -68,10 +74,11 @@
         on_change: Called when the number of requests under way changes.
     """
 
-    __slots__ = ("_states", "on_change", "peers")
+    __slots__ = ("_states", "_usual_s", "on_change", "peers")
 
     def __init__(self) -> None:
         self._states: dict[str, EndpointState] = {}
+        self._usual_s: dict[str, float] = {}
         self.peers = PeerLoads()
         self.on_change: Callable[[], None] = lambda: None
 
@@ -121,17 +128,28 @@
         state.told, state.told_at = load, now
         state.told_in_flight = state.in_flight
 
-    def note_success(self, key: str, taken_s: float, now: float) -> None:
-        """Take note of a good answer and how long it took."""
+    def note_success(self, key: str, kind: str, taken_s: float, now: float) -> None:
+        """Take note of a good answer.
+
+        Args:
+            key: The endpoint.
+            kind: What was measured, such as a route; times of one kind compare.
+            taken_s: How long it took.
+            now: Loop time.
+        """
         state = self.state(key)
         state.failures = 0
         state.suspect_until = 0.0
-        known_s = state.pace(now)
-        state.pace_s = (
-            known_s + PACE_WEIGHT * (taken_s - known_s) if known_s else taken_s
-        )
+        usual_s = self.usual_s(kind, taken_s)
+        self._usual_s[kind] = usual_s + USUAL_WEIGHT * (taken_s - usual_s)
+        known = state.pace if now - state.pace_at < PACE_MEMORY_S else 1.0
+        state.pace = known + PACE_WEIGHT * (taken_s / max(usual_s, 1e-6) - known)
         state.pace_at = now
 
+    def usual_s(self, kind: str, otherwise_s: float) -> float:
+        """Return the usual time of a kind of work."""
+        return self._usual_s.get(kind, otherwise_s)
+
     def note_failure(self, key: str, now: float) -> None:
         """Take note of a failure that is the endpoint's own."""
         state = self.state(key)
--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -28,14 +28,14 @@
 """Penalty of an endpoint that refused for lack of places within the last moments."""
 READ_TOKENS_PER_MS = 164.0
 """Prompt tokens that an engine reads in a millisecond, from the platform's sheet."""
+READ_WEIGHT = 2.5
+"""A prompt that is read holds up the requests that run there too."""
 STEP_MS_PER_RUN = 3.0
 """What one more running request adds to the decoding of a turn of usual length."""
-GAPS_PER_TURN = 5.0
-"""Time of a usual turn, in pauses between its events: four events and its start."""
-ENGINE_GAP_MS = 34.0
-"""Usual pause between events, before anything was measured."""
+ENGINE_SERVICE_MS = 170.0
+"""Usual time of a turn on an idle engine: what one waits for a place."""
 PLAIN_SERVICE_MS = 60.0
-"""Usual time of a plain call, before anything was measured."""
+"""Usual time of a plain call."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +94,7 @@
 
 def _plain_ms(endpoint: Endpoint, need: Need, health: HealthBook, now: float) -> float:
     state = health.state(endpoint.key)
-    pace_ms = state.pace(now) * 1000 or PLAIN_SERVICE_MS
+    pace_ms = PLAIN_SERVICE_MS * state.slowness(now)
     slots = max(endpoint.slots, 1)
     running = health.running(endpoint.key, now)
     waiting = max(0, running + 1 - slots)
@@ -111,10 +111,10 @@
     slots = max(endpoint.slots, 1)
     running = health.running(endpoint.key, now)
     waiting = max(0, running + 1 - slots)
-    # An engine's pace is its pause between events: it shows a slow engine whatever
-    # the length of prompts and of its queue.
-    base_ms = GAPS_PER_TURN * (state.pace(now) * 1000 or ENGINE_GAP_MS)
-    read_ms = 0.0 if is_home else need.prompt_tokens / READ_TOKENS_PER_MS
+    base_ms = ENGINE_SERVICE_MS * state.slowness(now)
+    read_ms = 0.0
+    if not is_home:
+        read_ms = READ_WEIGHT * need.prompt_tokens / READ_TOKENS_PER_MS
     return (
         base_ms
         + read_ms
--- a/src/carobspur/gateway/plain.py
+++ b/src/carobspur/gateway/plain.py
@@ -48,7 +48,7 @@
             tried.add(endpoint.key)
             try:
                 async with asyncio.timeout_at(deadline):
-                    outcome = await self._attempt(call, endpoint, deadline)
+                    outcome = await self._attempt(call, route, endpoint, deadline)
             except TimeoutError:
                 raise OutOfTimeError("no answer within the time allowed") from None
             runs += not isinstance(outcome, NotRunThere)
@@ -66,7 +66,7 @@
         return choose_plain(fresh, Need(context.data_centre), context.health, now)
 
     async def _attempt(
-        self, call: Call, endpoint: Endpoint, deadline: float
+        self, call: Call, route: Route, endpoint: Endpoint, deadline: float
     ) -> Outcome:
         loop = asyncio.get_running_loop()
         health = self._context.health
@@ -89,7 +89,8 @@
         if head.status < 300 and not head.is_genuine:
             health.note_failure(endpoint.key, loop.time())
             return Lost("the answer is not the endpoint's")
-        health.note_success(endpoint.key, loop.time() - started, loop.time())
+        now = loop.time()
+        health.note_success(endpoint.key, route.name, now - started, now)
         return Answered(head, body)
 
     def _note(
@@ -102,7 +103,7 @@
             endpoint=endpoint.id,
             registry_version=self._context.endpoints.version,
             in_flight=state.in_flight,
-            pace_ms=round(state.pace_s * 1000),
+            pace=round(state.pace, 2),
             runs=runs,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -38,6 +38,8 @@
 STATE_RETRY_AFTER_S = 0.7
 """When to come back while the store is away: a fraction of a short outage."""
 STORE_POLL_S = 0.02
+GAP_KIND = "event_gap"
+"""What is measured of engines: the pause between two events of a stream."""
 MAX_RESUMES = 2
 """How often one call's stream is resumed: a third loss is the engine's own fault."""
 
@@ -313,7 +315,11 @@
         turn.has_ended = True
         if count > 1:
             gap_s = (last_at - first_at) / (count - 1)
-            self._context.health.note_success(exchange.endpoint.key, gap_s, last_at)
+            # The pause between events shows a slow engine whatever the length of
+            # its prompts and of its queue.
+            self._context.health.note_success(
+                exchange.endpoint.key, GAP_KIND, gap_s, last_at
+            )
 
     async def _write_event(
         self, turn: _Turn, event: StreamEvent, exchange: Exchange, responder: Responder
@@ -387,7 +393,7 @@
             endpoint=engine.id,
             registry_version=self._context.endpoints.version,
             in_flight=state.in_flight,
-            pace_ms=round(state.pace_s * 1000),
+            pace=round(state.pace, 2),
             runs=turn.runs,
             events=len(turn.passed),
             outcome=outcome,
