Kept connections and pending feeds do not outlive an outage of the store

After a cut had healed, a feed was asked on a connection kept from before it, hung for 2.6 s and told of a leaving replica 2.02 s late. Ruled out: the relay (answers within 5 ms). Connections of a peer, endpoint or store that failed are dropped, and feeds ask anew when the store is back. Test: kept connections that fall silent in an outage (fails before, passes after).

--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -33,6 +33,7 @@
     """
 
     __slots__ = (
+        "_asking",
         "_log",
         "_on_rows",
         "_store",
@@ -53,6 +54,7 @@
         self._table = table
         self._on_rows = on_rows
         self._log = log
+        self._asking: asyncio.Task | None = None
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.confirmed_at = float("-inf")
@@ -67,19 +69,22 @@
         if not self.version:
             self._apply(rows, is_whole=False)
 
+    def refresh(self) -> None:
+        """Ask anew: the call under way may hang on a connection that is silent."""
+        if self._asking is not None:
+            self._asking.cancel()
+
     async def follow(self) -> None:
         """Follow until cancelled."""
         backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
         is_whole = False
         is_reached = True
         while True:
+            asked_at = asyncio.get_running_loop().time()
             try:
-                asked_at = asyncio.get_running_loop().time()
-                if is_whole:
-                    await self._follow_changes()
-                else:
-                    await self._read_all()
-                    is_whole = True
+                if not await self._ask(is_whole=is_whole):
+                    continue
+                is_whole = True
             except HistoryGoneError:
                 self._log.note("history_gone", table=self._table, version=self.version)
                 is_whole = False
@@ -101,6 +106,19 @@
                 is_reached = True
             backoff = Backoff(first_s=FIRST_RETRY_S, max_s=MAX_RETRY_S)
 
+    async def _ask(self, *, is_whole: bool) -> bool:
+        """Make the next call; returns false where :meth:`refresh` ended it."""
+        question = self._follow_changes() if is_whole else self._read_all()
+        self._asking = asyncio.get_running_loop().create_task(question)
+        try:
+            await asyncio.wait([self._asking])
+            if self._asking.cancelled():
+                return False
+            self._asking.result()
+        finally:
+            self._asking.cancel()
+        return True
+
     async def _read_all(self) -> None:
         page = await self._store.read(self._table, "", timeout_s=READ_TIMEOUT_S)
         self._apply(page.rows, is_whole=True)
--- a/src/carobspur/gateway/sender.py
+++ b/src/carobspur/gateway/sender.py
@@ -162,6 +162,8 @@
             raise
         except LostAnswerError:
             outcome = "lost"
+            # Other kept connections may have gone silent with this one.
+            self._pool.drop(endpoint.key)
             raise
         finally:
             self._health.end(endpoint.key)
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -263,14 +263,18 @@
         member = self._membership.get(home)
         if member is None:
             raise SendError(f"{home} is no member any more")
-        answer = await fetch(
-            self._pool,
-            member.peers,
-            "POST",
-            SPENDING_PATH,
-            body=msgspec.msgpack.encode(request),
-            timeout_s=timeout_s,
-        )
+        try:
+            answer = await fetch(
+                self._pool,
+                member.peers,
+                "POST",
+                SPENDING_PATH,
+                body=msgspec.msgpack.encode(request),
+                timeout_s=timeout_s,
+            )
+        except SendError:
+            self._pool.drop(member.peers)
+            raise
         if answer.status != 200:
             raise SendError(f"{home} answered {answer.status}")
         return msgspec.msgpack.decode(answer.body, type=SpendingAnswer)
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -93,7 +93,7 @@
             self._internal_pool,
             log,
             self._telemetry,
-            on_regained=lambda: self._context.spawn(self._home.cover_uncovered()),
+            on_regained=self._store_regained,
         )
         health = HealthBook()
         book = EndpointBook()
@@ -239,6 +239,11 @@
             return False
         return True
 
+    def _store_regained(self) -> None:
+        for feed in self._feeds.values():
+            feed.refresh()
+        self._context.spawn(self._home.cover_uncovered())
+
     async def _hand_over(self, holder: str, program: str) -> int | None:
         return await self._spending.hand_over(holder, program)
 
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -360,14 +360,18 @@
         return answer
 
     async def _relay(self, peer: str, request: RelayRequest) -> SimpleAnswer:
-        answer = await fetch(
-            self._pool,
-            peer,
-            "POST",
-            RELAY_PATH,
-            body=msgspec.msgpack.encode(request),
-            timeout_s=request.timeout_s + SCRAP_S,
-        )
+        try:
+            answer = await fetch(
+                self._pool,
+                peer,
+                "POST",
+                RELAY_PATH,
+                body=msgspec.msgpack.encode(request),
+                timeout_s=request.timeout_s + SCRAP_S,
+            )
+        except SendError:
+            self._pool.drop(peer)
+            raise
         if answer.status != _OK:
             raise SendError(f"peer {peer} answered {answer.status}")
         relayed = msgspec.msgpack.decode(answer.body, type=RelayAnswer)
@@ -379,6 +383,8 @@
         if asked_at < self._answered_at:
             # Newer calls were answered: this one tells of the past.
             return
+        # Others that are kept may have gone silent with it.
+        self._pool.drop(self._address())
         self._failures += 1
         if self._failures < FAILURES_UNTIL_AWAY or self._lost_at is not None:
             return
--- a/src/carobspur_standins/platform_store.py
+++ b/src/carobspur_standins/platform_store.py
@@ -56,6 +56,8 @@
     _rows: dict[tuple[str, str, str], _StoredRow] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: HTTPServer | None = None
+    _streams: set[object] = field(default_factory=set)
+    _muted: set[object] = field(default_factory=set)
 
     def listen(self, host: str, port: int = 0) -> int:
         """Serve; returns the port."""
@@ -88,6 +90,15 @@
         """Drop the history, so that feeds must read their tables anew."""
         self.history_from = self.version + 1
 
+    def mute_open_connections(self) -> None:
+        """Never answer on the connections that are open now; new ones work."""
+        self._muted |= self._streams
+
+    def is_muted(self, stream: object) -> bool:
+        """Return whether a connection has gone silent."""
+        self._streams.add(stream)
+        return stream in self._muted
+
     def rows(self, table: str, part: str | None = None) -> list[dict]:
         """Return the rows of a table that exist, in order of keys."""
         return [
@@ -149,7 +160,8 @@
         store = self._store
         name = self.request.path.rpartition("/")[2]
         store.calls[name] = store.calls.get(name, 0) + 1
-        if store.faults.is_silent:
+        stream = self.request.connection.stream
+        if store.is_muted(stream) or store.faults.is_silent:
             await self._never_answer()
         if store.faults.status:
             self.set_status(store.faults.status)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -116,13 +116,17 @@
         return [line for line in self.lines if line["event"] == event]
 
 
-class _Collector(logging.Handler):
+class _CollectingLog(DecisionLog):
+    """Keeps all decisions; logging itself is off in tests."""
+
+    __slots__ = ("_lines",)
+
     def __init__(self, lines: list[dict]) -> None:
-        super().__init__()
+        super().__init__(logging.getLogger("test"))
         self._lines = lines
 
-    def emit(self, record: logging.LogRecord) -> None:
-        self._lines.append({"event": record.getMessage(), **record.__dict__})
+    def note(self, event: str, /, **fields: object) -> None:
+        self._lines.append({"event": event, **fields})
 
 
 class World:
@@ -177,14 +181,10 @@
         ports["heartbeats"] = free_port(socket.SOCK_DGRAM)
         name = f"gateway-{next(_ids)}"
         handle = GatewayHandle(name, ports)
-        logger = logging.getLogger(f"test.{name}")
-        logger.setLevel(logging.INFO)
-        logger.propagate = False
-        logger.addHandler(_Collector(handle.lines))
         settings = GatewaySettings.parse(
             settings_text(self.store_port, ports, name=name, seeds=seeds)
         )
-        gateway = Gateway(settings, "/nonexistent", DecisionLog(logger))
+        gateway = Gateway(settings, "/nonexistent", _CollectingLog(handle.lines))
         handle.task = asyncio.ensure_future(
             gateway.run(handle.stopping, handle.reloading)
         )
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,6 +6,7 @@
 import json
 from unittest import IsolatedAsyncioTestCase
 
+from carobspur.platform.registry import LAPSE_GRACE_S
 from carobspur_standins.platform_replica import ReplicaFault
 
 from .platform_world import ENGINES, TOOLS, call, configuration, route, world
@@ -383,6 +384,36 @@
         self.assertEqual(200, answer.status)
 
 
+class SilentConnectionsTest(IsolatedAsyncioTestCase):
+    async def test_kept_connections_are_not_used_again_after_an_outage(self) -> None:
+        async with world(tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            made.store.mute_open_connections()
+            made.store.faults.status = 503
+            await self._until_lost(made)
+            made.store.faults.status = 0
+            await asyncio.sleep(LAPSE_GRACE_S + 0.3)
+            made.unregister(tools[0])
+            await asyncio.sleep(1.0)
+            for _ in range(4):
+                await made.call("/read/a")
+        self.assertEqual([0, 4], [len(tool.seen) for tool in tools])
+
+    async def _until_lost(self, made) -> None:
+        """Make calls that need the store until the gateway has noticed."""
+        for number in range(20):
+            await made.call(
+                "/walk/a",
+                body=b"x",
+                program_id=f"p{number}",
+                token_budget=60,
+                token_usage="10,50",
+            )
+            if made.gateways[0].events("store_lost"):
+                return
+        raise AssertionError("the outage was not noticed")
+
+
 class StopTest(IsolatedAsyncioTestCase):
     async def test_planned_stop_cuts_nothing_and_leaves_the_addresses(self) -> None:
         async with world(gateways=2) as made:
