A gateway that alone is cut off follows through its peers at once

Feeds ask anew when the way is lost, and only an outage for all gateways lets entries lapse. Test: cut gateway follows through a peer (failed before).

--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -93,7 +93,7 @@
             self._internal_pool,
             log,
             self._telemetry,
-            on_regained=self._store_regained,
+            on_change=self._store_changed,
         )
         health = HealthBook()
         book = EndpointBook()
@@ -239,10 +239,11 @@
             return False
         return True
 
-    def _store_regained(self) -> None:
+    def _store_changed(self) -> None:
         for feed in self._feeds.values():
             feed.refresh()
-        self._context.spawn(self._home.cover_uncovered())
+        if self._store.is_reached:
+            self._context.spawn(self._home.cover_uncovered())
 
     async def _hand_over(self, holder: str, program: str) -> int | None:
         return await self._spending.hand_over(holder, program)
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -106,21 +106,21 @@
         pool: Connections.
         log: Decision log.
         telemetry: Counts calls.
-        on_regained: Called when the direct way works again.
+        on_change: Called when the direct way is lost, and when it works again.
     """
 
     __slots__ = (
         "_address",
         "_answered_at",
+        "_away_at",
         "_failures",
         "_log",
         "_lost_at",
-        "_on_regained",
+        "_on_change",
         "_peers",
         "_pool",
         "_probe",
         "_regained",
-        "_regained_at",
         "_telemetry",
         "_turn",
         "_usual_s",
@@ -134,10 +134,10 @@
         log: DecisionLog,
         telemetry: Telemetry,
         *,
-        on_regained: Callable[[], None],
+        on_change: Callable[[], None],
     ) -> None:
         self._address = address
-        self._on_regained = on_regained
+        self._on_change = on_change
         self._peers = peers
         self._pool = pool
         self._log = log
@@ -146,7 +146,7 @@
         self._failures = 0
         self._answered_at = float("-inf")
         self._lost_at: float | None = None
-        self._regained_at = float("-inf")
+        self._away_at = float("-inf")
         self._regained = asyncio.Event()
         self._probe: asyncio.Task | None = None
         self._turn = 0
@@ -167,9 +167,13 @@
         return self._lost_at
 
     def was_away(self, within_s: float) -> bool:
-        """Return whether the store is away or came back within this time."""
+        """Return whether the store is away or came back within this time.
+
+        A gateway that alone is cut off hears of changes through its peers, so the
+        store is not away for it.
+        """
         now = asyncio.get_running_loop().time()
-        return not self.is_reached or now - self._regained_at < within_s
+        return self.is_away or now - self._away_at < within_s
 
     async def write(
         self,
@@ -393,6 +397,7 @@
         self._regained.clear()
         self._log.note("store_lost", reason=reason)
         self._probe = loop.create_task(self._probe_until_regained())
+        self._on_change()
 
     def _succeeded(self) -> None:
         self._failures = 0
@@ -402,9 +407,8 @@
         now = asyncio.get_running_loop().time()
         self._log.note("store_regained", after_s=round(now - self._lost_at, 2))
         self._lost_at = None
-        self._regained_at = now
         self._regained.set()
-        self._on_regained()
+        self._on_change()
 
     async def _probe_until_regained(self) -> None:
         """Ask for one row that need not exist, until there is an answer."""
@@ -413,6 +417,8 @@
             "GET", "/carobspur/rows-get?" + query, b"", PROBE_TIMEOUT_S
         )
         while self._lost_at is not None:
+            if self.is_away:
+                self._away_at = asyncio.get_running_loop().time()
             await asyncio.sleep(PROBE_S)
             try:
                 await self._direct(request, is_usual=False)
--- a/src/carobspur_standins/platform_store.py
+++ b/src/carobspur_standins/platform_store.py
@@ -8,6 +8,7 @@
 
 import tornado.web
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 TX_S = 0.005
@@ -25,12 +26,14 @@
         status: It answers every call with this status; 0 for none.
         delay_s: Added to every answer.
         lose_answers: Writes that are done and not answered, counted down.
+        silent_ports: Ports on which it never answers, as behind a partition.
     """
 
     is_silent: bool = False
     status: int = 0
     delay_s: float = 0.0
     lose_answers: int = 0
+    silent_ports: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -55,28 +58,29 @@
     history_from: int = 0
     _rows: dict[tuple[str, str, str], _StoredRow] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
-    _server: HTTPServer | None = None
-    _streams: set[object] = field(default_factory=set)
-    _muted: set[object] = field(default_factory=set)
+    _servers: list[HTTPServer] = field(default_factory=list)
+    _streams: set[IOStream] = field(default_factory=set)
+    _muted: set[IOStream] = field(default_factory=set)
 
     def listen(self, host: str, port: int = 0) -> int:
-        """Serve; returns the port."""
+        """Serve on one more port; returns it."""
         handlers = [
             (r"/carobspur/rows-tx", _WriteHandler, {"store": self}),
             (r"/carobspur/rows-get", _ReadHandler, {"store": self}),
             (r"/carobspur/rows-feed", _FeedHandler, {"store": self}),
         ]
         application = tornado.web.Application(handlers, log_function=lambda _: None)
-        self._server = HTTPServer(application)
+        server = HTTPServer(application)
         sockets = bind_sockets(port, host)
-        self._server.add_sockets(sockets)
+        server.add_sockets(sockets)
+        self._servers.append(server)
         return sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop serving."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
 
     def put(self, table: str, key: str, value: str | None, *, part: str = "") -> int:
         """Write one row as the operator or a replica does; returns its version."""
@@ -94,10 +98,11 @@
         """Never answer on the connections that are open now; new ones work."""
         self._muted |= self._streams
 
-    def is_muted(self, stream: object) -> bool:
+    def is_muted(self, stream: IOStream) -> bool:
         """Return whether a connection has gone silent."""
         self._streams.add(stream)
-        return stream in self._muted
+        port = stream.socket.getsockname()[1]
+        return stream in self._muted or port in self.faults.silent_ports
 
     def rows(self, table: str, part: str | None = None) -> list[dict]:
         """Return the rows of a table that exist, in order of keys."""
@@ -176,7 +181,9 @@
         # Keys may hold control characters, which tornado's accessor drops.
         return self.request.query_arguments.get(name, [b""])[-1].decode()
 
-    def _answer(self, status: int, body: dict) -> None:
+    async def _answer(self, status: int, body: dict) -> None:
+        if self._store.is_muted(self.request.connection.stream):
+            await self._never_answer()
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
@@ -189,11 +196,11 @@
         if self._store.faults.lose_answers:
             self._store.faults.lose_answers -= 1
             await self._never_answer()
-        self._answer(status, body)
+        await self._answer(status, body)
 
 
 class _ReadHandler(_Handler):
-    def get(self) -> None:
+    async def get(self) -> None:
         first = self._text("from")
         end = self._text("to")
         limit = int(self.get_query_argument("limit", str(MAX_ROWS)))
@@ -205,7 +212,7 @@
             if row["key"] >= first and (not end or row["key"] < end)
         ]
         page = rows[: min(limit, MAX_ROWS)]
-        self._answer(
+        await self._answer(
             200,
             {
                 "rows": page,
@@ -222,14 +229,14 @@
         after = int(self.get_query_argument("after"))
         wait_s = int(self.get_query_argument("waitMs")) / 1000
         if after < self._store.history_from:
-            self._answer(410, {"error": "history is gone"})
+            await self._answer(410, {"error": "history is gone"})
             return
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while not self._store.changes(table, after) and loop.time() < deadline:
             await self._store.wait_changed(deadline - loop.time())
         rows = self._store.changes(table, after)
-        self._answer(200, {"rows": rows, "ver": self._store.version, "nowMs": 0})
+        await self._answer(200, {"rows": rows, "ver": self._store.version, "nowMs": 0})
 
 
 def _name(item: dict) -> tuple[str, str, str]:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -106,6 +106,7 @@
 
     name: str
     ports: dict[str, int]
+    store_port: int
     stopping: asyncio.Event = field(default_factory=asyncio.Event)
     reloading: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task | None = None
@@ -134,7 +135,6 @@
 
     def __init__(self) -> None:
         self.store = RowStoreStandin()
-        self.store_port = 0
         self.gateways: list[GatewayHandle] = []
         self.replicas: dict[str, ReplicaStandin] = {}
         self.replica_ports: dict[str, int] = {}
@@ -180,9 +180,10 @@
         ports = {name: free_port() for name in names}
         ports["heartbeats"] = free_port(socket.SOCK_DGRAM)
         name = f"gateway-{next(_ids)}"
-        handle = GatewayHandle(name, ports)
+        store_port = self.store.listen(HOST)
+        handle = GatewayHandle(name, ports, store_port)
         settings = GatewaySettings.parse(
-            settings_text(self.store_port, ports, name=name, seeds=seeds)
+            settings_text(store_port, ports, name=name, seeds=seeds)
         )
         gateway = Gateway(settings, "/nonexistent", _CollectingLog(handle.lines))
         handle.task = asyncio.ensure_future(
@@ -286,7 +287,6 @@
     """Run a deployment that serves, and end it."""
     async with AsyncExitStack() as stack:
         made = World()
-        made.store_port = made.store.listen(HOST)
         stack.push_async_callback(made.store.close)
         made.configure(configuration())
         for _ in range(engines):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -399,6 +399,18 @@
                 await made.call("/read/a")
         self.assertEqual([0, 4], [len(tool.seen) for tool in tools])
 
+    async def test_gateway_cut_from_the_store_follows_through_a_peer(self) -> None:
+        async with world(gateways=2, tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            made.store.faults.silent_ports.add(made.gateways[0].store_port)
+            await self._until_lost(made)
+            await asyncio.sleep(0.3)
+            made.unregister(tools[0])
+            await asyncio.sleep(0.5)
+            for _ in range(4):
+                await made.call("/read/a")
+        self.assertEqual([0, 4], [len(tool.seen) for tool in tools])
+
     async def _until_lost(self, made) -> None:
         """Make calls that need the store until the gateway has noticed."""
         for number in range(20):
