--- /dev/null
+++ b/experiments/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateway processes, faults from outside, promises checked."""
--- /dev/null
+++ b/experiments/fault_soak/callers.py
@@ -0,0 +1,118 @@
+"""Callers: programs of turns and tool calls, through any gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+from tests.platform_world import CallerAnswer, call, request_headers
+
+from .deployment import SoakWorld
+from .promises import Ledger, SentCall
+
+BUDGET = 400
+MAX_TOKENS = 50
+TRIES = 6
+RETRY_S = 0.3
+CALL_TIMEOUT_S = 5.0
+THINK_S = 0.1
+OUTPUT = b"".join(b"token %d\n" % number for number in range(1, 5))
+
+
+class Caller:
+    """Runs one program after the other.
+
+    Args:
+        world: The deployment.
+        ledger: Takes every answer.
+        rng: Source of all choices.
+        number: Tells callers apart.
+    """
+
+    def __init__(
+        self, world: SoakWorld, ledger: Ledger, rng: random.Random, number: int
+    ) -> None:
+        self._world = world
+        self._ledger = ledger
+        self._rng = rng
+        self._names = (f"c{number}-{item}" for item in itertools.count())
+
+    async def run(self, stopped: asyncio.Event) -> None:
+        """Run programs until told to stop."""
+        while not stopped.is_set():
+            program = next(self._names)
+            if self._rng.random() < 0.5:
+                await self._chat(program)
+            else:
+                await self._walk(program)
+
+    async def _chat(self, program: str) -> None:
+        """Turns that the system keeps; each carries only its new input."""
+        chain, previous = b"", ""
+        for number in range(self._rng.randint(1, 5)):
+            text = f"{program} input {number};".encode()
+            for _ in range(TRIES):
+                done = await self._send(
+                    "/chat/a", text, program=program, previous=previous, chain=chain
+                )
+                if done.answer.status == 200 and done.answer.is_whole:
+                    break
+                await asyncio.sleep(RETRY_S)
+            else:
+                return
+            chain, previous = chain + text + OUTPUT, done.id
+            await self._tools()
+
+    async def _walk(self, program: str) -> None:
+        """Turns that carry the whole prompt, more than the budget holds."""
+        for number in range(self._rng.randint(3, 14)):
+            text = f"{program} prompt {number};".encode()
+            done = await self._send("/walk/a", text, program=program)
+            if done.answer.status == 402:
+                return
+            await self._tools()
+
+    async def _tools(self) -> None:
+        await asyncio.sleep(self._rng.uniform(0, THINK_S))
+        for kind in ("read", "pay"):
+            if self._rng.random() < 0.6:
+                await self._send(f"/{kind}/{self._rng.randrange(10**6)}", b"")
+
+    async def _send(
+        self,
+        path: str,
+        body: bytes,
+        *,
+        program: str = "",
+        previous: str = "",
+        chain: bytes = b"",
+    ) -> SentCall:
+        headers = request_headers(deadline_ms=3000)
+        if program:
+            headers |= {
+                "Program-Id": program,
+                "Token-Budget": str(BUDGET),
+                "Token-Usage": f"10,{MAX_TOKENS}",
+            }
+        if previous:
+            headers["Previous-Turn"] = previous
+        gateway = self._rng.choice(self._world.processes)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await call(
+                    gateway.ports["callers"], path, body=body, headers=headers
+                )
+        except (TimeoutError, ConnectionError):
+            answer = CallerAnswer(0, {}, b"", False)
+        done = SentCall(
+            headers["Request-Id"],
+            path,
+            answer,
+            body=chain + body,
+            program=program,
+            budget=BUDGET if program else 0,
+            previous=previous,
+        )
+        self._ledger.note(done)
+        return done
--- /dev/null
+++ b/experiments/fault_soak/deployment.py
@@ -0,0 +1,150 @@
+"""The deployment under test: gateways as processes, each behind a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from tests.platform_world import (
+    ENGINES,
+    HOST,
+    TOOLS,
+    World,
+    configuration,
+    free_port,
+    settings_text,
+)
+
+from .proxy import Proxy
+
+ROOT = Path(__file__).parent.parent.parent
+SETTINGS_VARIABLE = "CAROBSPUR_BOOT"
+STOP_WAIT_S = 12.0
+
+
+@dataclass(slots=True)
+class GatewayProcess:
+    """One gateway and what leads to it.
+
+    Attributes:
+        name: Its name.
+        ports: Ports by use.
+        settings: Its settings file.
+        store_proxy: What lies between it and the store.
+        process: The process; a new one after each restart.
+        starts: How often it was started.
+        log: File that takes its standard output.
+    """
+
+    name: str
+    ports: dict[str, int]
+    settings: Path
+    store_proxy: Proxy
+    log: Path
+    process: subprocess.Popen | None = None
+    starts: int = 0
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start its process."""
+        self.starts += 1
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "gateway.py")],
+                env={**os.environ, SETTINGS_VARIABLE: str(self.settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send its process a signal, if it still runs."""
+        if self.is_alive:
+            self.process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait until its process has ended; kill it when it takes too long."""
+        deadline = asyncio.get_running_loop().time() + STOP_WAIT_S
+        while self.is_alive and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(0.05)
+        if self.is_alive:
+            self.process.kill()
+        self.process.wait()
+
+
+class SoakWorld(World):
+    """A world whose gateways are processes."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__()
+        self.folder = folder
+        self.processes: list[GatewayProcess] = []
+        self.versions = itertools.count(2)
+
+    async def add_process(self, number: int) -> GatewayProcess:
+        """Start one more gateway process."""
+        store_port = self.store.listen(HOST)
+        proxy = Proxy(store_port, host=HOST)
+        proxy_port = await proxy.listen()
+        names = ("callers", "ready", "directory", "peers", "metrics")
+        ports = {name: free_port() for name in names}
+        ports["heartbeats"] = free_port(socket.SOCK_DGRAM)
+        seeds = [item.ports["peers"] for item in self.processes]
+        name = f"g{number}"
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(settings_text(proxy_port, ports, name=name, seeds=seeds))
+        made = GatewayProcess(name, ports, settings, proxy, self.folder / f"{name}.log")
+        made.start()
+        self.processes.append(made)
+        self.gateways.append(made)
+        return made
+
+    async def end(self) -> None:
+        """End every process that this world started."""
+        for made in self.processes:
+            made.signal(signal.SIGCONT)
+            made.signal(signal.SIGKILL)
+        for made in self.processes:
+            await made.ended()
+            made.store_proxy.close()
+        for replica in self.replicas.values():
+            replica.close()
+        await self.store.close()
+
+    def _check_alive(self, handle: GatewayProcess) -> None:
+        if not handle.is_alive:
+            raise AssertionError(f"{handle.name} ended: {handle.log.read_text()}")
+
+
+@asynccontextmanager
+async def deployment(
+    *, gateways: int, engines: int, tools: int
+) -> AsyncIterator[SoakWorld]:
+    """Run a deployment of processes, and end it."""
+    with tempfile.TemporaryDirectory(prefix="fault-soak-") as folder:
+        world = SoakWorld(Path(folder))
+        world.configure(configuration())
+        try:
+            for _ in range(engines):
+                await world.add_replica(ENGINES, events=4)
+            for _ in range(tools):
+                await world.add_replica(TOOLS)
+            for number in range(gateways):
+                await world.add_process(number)
+            await world.until_ready()
+            yield world
+        finally:
+            await world.end()
--- /dev/null
+++ b/experiments/fault_soak/faults.py
@@ -0,0 +1,166 @@
+"""Faults from outside: signals, proxies, the store, replicas, configurations."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from tests.platform_world import ENGINES, TOOLS, configuration, route
+
+from carobspur_standins.platform_replica import ReplicaFault
+
+from .deployment import GatewayProcess, SoakWorld
+from .proxy import Harm
+
+Fault = Callable[[SoakWorld, random.Random], Awaitable[str]]
+
+SHORT_S = (0.3, 1.5)
+LONG_S = (1.0, 4.0)
+
+
+def _gateway(world: SoakWorld, rng: random.Random) -> GatewayProcess:
+    return rng.choice(world.processes)
+
+
+async def kill_and_restart(world: SoakWorld, rng: random.Random) -> str:
+    """Kill one gateway, or all at once."""
+    victims = world.processes if rng.random() < 0.2 else [_gateway(world, rng)]
+    for victim in victims:
+        victim.signal(signal.SIGCONT)
+        victim.signal(signal.SIGKILL)
+    await asyncio.sleep(rng.uniform(*SHORT_S))
+    for victim in victims:
+        await victim.ended()
+        victim.start()
+    return f"killed {[victim.name for victim in victims]}"
+
+
+async def pause(world: SoakWorld, rng: random.Random) -> str:
+    """Freeze one gateway and let it wake."""
+    victim = _gateway(world, rng)
+    victim.signal(signal.SIGSTOP)
+    await asyncio.sleep(rng.uniform(*LONG_S))
+    victim.signal(signal.SIGCONT)
+    return f"paused {victim.name}"
+
+
+async def stop_and_restart(world: SoakWorld, rng: random.Random) -> str:
+    """Stop one gateway as planned work does."""
+    victim = _gateway(world, rng)
+    victim.signal(signal.SIGCONT)
+    victim.signal(signal.SIGTERM)
+    await victim.ended()
+    victim.start()
+    return f"stopped {victim.name}"
+
+
+async def reload_settings(world: SoakWorld, rng: random.Random) -> str:
+    """Write a settings file anew, sometimes a damaged one, and send SIGHUP."""
+    victim = _gateway(world, rng)
+    good = victim.settings.read_text()
+    if rng.random() < 0.5:
+        victim.settings.write_text("[store]\naddress = nowhere\n")
+        victim.signal(signal.SIGHUP)
+        await asyncio.sleep(rng.uniform(*SHORT_S))
+    victim.settings.write_text(good)
+    victim.signal(signal.SIGHUP)
+    return f"settings of {victim.name}"
+
+
+async def harm_way_to_store(world: SoakWorld, rng: random.Random) -> str:
+    """Harm the way between one gateway, or all, and the store."""
+    victims = world.processes if rng.random() < 0.3 else [_gateway(world, rng)]
+    harm = rng.choice([item for item in Harm if item is not Harm.NONE])
+    for victim in victims:
+        victim.store_proxy.harm(harm)
+    await asyncio.sleep(rng.uniform(*LONG_S))
+    for victim in victims:
+        victim.store_proxy.harm(Harm.NONE)
+    return f"{harm} towards the store at {[victim.name for victim in victims]}"
+
+
+async def store_trouble(world: SoakWorld, rng: random.Random) -> str:
+    """Let the store refuse, be slow, lose answers or forget its history."""
+    faults = world.store.faults
+    match rng.choice(("busy", "slow", "lost", "history", "connections")):
+        case "busy":
+            faults.status = rng.choice((429, 503))
+            await asyncio.sleep(rng.uniform(*LONG_S))
+            faults.status = 0
+            return "the store refused"
+        case "slow":
+            faults.delay_s = rng.uniform(0.05, 0.4)
+            await asyncio.sleep(rng.uniform(*LONG_S))
+            faults.delay_s = 0.0
+            return "the store was slow"
+        case "lost":
+            faults.lose_answers = rng.randint(1, 5)
+            return "the store lost answers"
+        case "history":
+            world.store.forget_history()
+            return "the store forgot its history"
+        case _:
+            world.store.mute_open_connections()
+            return "open connections to the store fell silent"
+
+
+async def replica_trouble(world: SoakWorld, rng: random.Random) -> str:
+    """Let some answers of a replica go wrong."""
+    replica = rng.choice(list(world.replicas.values()))
+    faults = [item for item in ReplicaFault if item is not ReplicaFault.HANG]
+    replica.faults.extend(rng.choice(faults) for _ in range(rng.randint(1, 4)))
+    return f"wrong answers of {replica.id}"
+
+
+async def replace_replica(world: SoakWorld, rng: random.Random) -> str:
+    """Drain a replica beside a new one, or let its entry lapse for a moment."""
+    service = rng.choice((ENGINES, TOOLS))
+    old = rng.choice([r for r in world.replicas.values() if r.service == service])
+    if rng.random() < 0.4:
+        world.unregister(old)
+        await asyncio.sleep(rng.uniform(*SHORT_S))
+        world.register(old, sequence=3)
+        return f"{old.id} lapsed"
+    await world.add_replica(service, events=old.events)
+    world.register(old, state="draining", sequence=2)
+    await asyncio.sleep(2.0)
+    world.unregister(old)
+    return f"{old.id} left"
+
+
+async def change_configuration(world: SoakWorld, rng: random.Random) -> str:
+    """Write further versions, some of them in quick succession."""
+    for _ in range(rng.randint(1, 3)):
+        version = next(world.versions)
+        extra = route(f"extra-{version}", "idempotent", TOOLS)
+        content = configuration(version)
+        content["routes"].append(extra)
+        world.configure(content)
+        await asyncio.sleep(rng.uniform(0, 0.3))
+    return "new configurations"
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_and_restart,
+    pause,
+    stop_and_restart,
+    reload_settings,
+    harm_way_to_store,
+    store_trouble,
+    replica_trouble,
+    replica_trouble,
+    replace_replica,
+    change_configuration,
+)
+
+
+async def inject(
+    world: SoakWorld, rng: random.Random, stopped: asyncio.Event, told: list[str]
+) -> None:
+    """Inject one fault after the other until told to stop."""
+    while not stopped.is_set():
+        fault = rng.choice(FAULTS)
+        told.append(await fault(world, rng))
+        await asyncio.sleep(rng.uniform(0, 0.8))
--- /dev/null
+++ b/experiments/fault_soak/proxy.py
@@ -0,0 +1,118 @@
+"""A loopback proxy that delays, silences or resets what passes through it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from enum import StrEnum
+
+CHUNK_BYTES = 65536
+
+
+class Harm(StrEnum):
+    """What the proxy does to connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENCE = "silence"
+    """Nothing passes either way; connections stay open."""
+    SILENCE_ANSWERS = "silence_answers"
+    """Only what the server sends is held back."""
+    RESET = "reset"
+    """Open and new connections are reset."""
+
+
+class Proxy:
+    """Forwards one port to another.
+
+    Args:
+        target: Port that connections go to.
+        host: Address of both ends.
+        delay_s: Delay of each piece under :attr:`Harm.DELAY`.
+    """
+
+    def __init__(self, target: int, *, host: str, delay_s: float = 0.3) -> None:
+        self._target = target
+        self._host = host
+        self._delay_s = delay_s
+        self._harm = Harm.NONE
+        self._healed = asyncio.Event()
+        self._healed.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> int:
+        """Take connections; returns the port."""
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Take no more connections and reset those that are open."""
+        self._server.close()
+        self._reset_all()
+
+    def harm(self, harm: Harm) -> None:
+        """Do this to all connections from now on."""
+        self._harm = harm
+        if harm in (Harm.SILENCE, Harm.SILENCE_ANSWERS):
+            self._healed.clear()
+        else:
+            self._healed.set()
+        if harm is Harm.RESET:
+            self._reset_all()
+
+    def _reset_all(self) -> None:
+        for writer in self._writers:
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._harm is Harm.RESET:
+            _reset(writer)
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._host, self._target
+            )
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, is_answer=False),
+                self._pump(far_reader, writer, is_answer=True),
+            )
+        finally:
+            self._writers -= {writer, far_writer}
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self._harm is Harm.DELAY:
+                    await asyncio.sleep(self._delay_s)
+                if is_answer or self._harm is Harm.SILENCE:
+                    await self._healed.wait()
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, RuntimeError):
+            # One end has gone; the other is told below.
+            pass
+        finally:
+            writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -215,14 +215,18 @@
 
     async def _all_ready(self) -> bool:
         for handle in self.gateways:
-            if handle.task.done():
-                handle.task.result()
+            self._check_alive(handle)
             answer = await call(handle.ports["directory"], "/carobspur/resolve")
             known = json.loads(answer.body or b"{}").get("addresses", [])
             if len(known) < len(self.gateways):
                 return False
         return True
 
+    def _check_alive(self, handle: GatewayHandle) -> None:
+        """Raise what ended a gateway that should run."""
+        if handle.task.done():
+            handle.task.result()
+
 
 def request_headers(**headers: object) -> dict[str, str]:
     """Return headers by keyword, ``program_id`` for ``Program-Id``; adds an id."""
