Rows of turns and budgets are removed after their time

Cause: rows stayed for ever; accounts were dropped after a fixed 70 s, which a route with a longer retention would break. Each gateway removes what it wrote, in batches a part; rows of dead gateways are found by a rare look at one part. Tests: own rows and orphans.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -57,6 +57,7 @@
         covered: Tokens that the store's row counts as spent.
         version: Version of that row; 0 for none.
         used_at: Loop time of the last use.
+        kept_s: How long after its last turn the program may return.
         opened_serial: The home's last write before it opened the account.
     """
 
@@ -67,6 +68,7 @@
     covered: int = 0
     version: int = 0
     used_at: float = 0.0
+    kept_s: float = 0.0
     opened_serial: int = 0
 
     @property
--- /dev/null
+++ b/src/carobspur/gateway/row_sweep.py
@@ -0,0 +1,96 @@
+"""Removes rows whose time is over: own ones soon, those of dead gateways rarely."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+
+from .decisions import DecisionLog
+from .partition import all_parts
+from .rows import RowKey, RowStore, RowStoreError, RowWrite
+
+OWN_SWEEP_S = 5.0
+"""Time between removals of rows that this gateway wrote."""
+ORPHAN_SWEEP_S = 120.0
+"""Mean time between looks of one gateway at one part of a table."""
+ORPHAN_MARGIN_S = 300.0
+"""Rows are orphans this long after their time: far beyond any jump of a clock."""
+MAX_ROWS_A_WRITE = 100
+TIMEOUT_S = 2.0
+
+ExpiryOf = Callable[[bytes], float]
+"""Returns the Unix time in seconds after which a row of a table may go."""
+
+
+class RowSweeper:
+    """Removes rows.
+
+    Args:
+        store: The row store.
+        expiries: How rows of each table tell their time.
+        log: Decision log.
+    """
+
+    __slots__ = ("_expiries", "_log", "_own", "_store")
+
+    def __init__(
+        self, store: RowStore, expiries: dict[str, ExpiryOf], log: DecisionLog
+    ) -> None:
+        self._store = store
+        self._expiries = expiries
+        self._log = log
+        self._own: deque[tuple[float, RowKey]] = deque()
+
+    def note(self, key: RowKey, kept_s: float) -> None:
+        """Remove a row that was written now once so many seconds have passed."""
+        due = asyncio.get_running_loop().time() + kept_s
+        self._own.append((due, key))
+
+    async def sweep_own_forever(self) -> None:
+        """Remove rows of this gateway when their time is over."""
+        while True:
+            await asyncio.sleep(OWN_SWEEP_S)
+            now = asyncio.get_running_loop().time()
+            by_part: dict[str, list[RowKey]] = {}
+            while self._own and self._own[0][0] < now:
+                _, key = self._own.popleft()
+                by_part.setdefault(key.part, []).append(key)
+            for keys in by_part.values():
+                await self._remove(keys)
+
+    async def sweep_orphans_forever(self) -> None:
+        """Look at one random part of one table now and then."""
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 1.5) * ORPHAN_SWEEP_S)
+            table = random.choice(list(self._expiries))
+            await self.sweep_orphans(table, random.choice(all_parts()))
+
+    async def sweep_orphans(self, table: str, part: str) -> None:
+        """Remove the rows of a part whose time is long over."""
+        expiry_of = self._expiries[table]
+        limit = time.time() - ORPHAN_MARGIN_S
+        try:
+            page = await self._store.read(table, part, timeout_s=TIMEOUT_S)
+        except RowStoreError as error:
+            self._log.note("sweep_put_off", table=table, reason=error.message)
+            return
+        old = [
+            row.key
+            for row in page.rows
+            if row.value is not None and expiry_of(row.value) < limit
+        ]
+        await self._remove(old)
+
+    async def _remove(self, keys: list[RowKey]) -> None:
+        for start in range(0, len(keys), MAX_ROWS_A_WRITE):
+            batch = keys[start : start + MAX_ROWS_A_WRITE]
+            try:
+                await self._store.write(
+                    [RowWrite(key, None) for key in batch], timeout_s=TIMEOUT_S
+                )
+            except RowStoreError as error:
+                # The sweep of orphans finds them later.
+                self._log.note("rows_left", rows=len(batch), reason=error.message)
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -28,8 +29,8 @@
 FIRST_COVER_S = 0.36
 """Part of that wait after which an outage is known: two calls without an answer."""
 FLUSH_TIMEOUT_S = 3.0
-IDLE_S = 70.0
-"""Unused accounts are dropped after this long: programs return within 60 s."""
+IDLE_MARGIN_S = 10.0
+"""Unused accounts are dropped so long after their programs may return."""
 SWEEP_S = 5.0
 MAX_ROWS_A_WRITE = 50
 MAX_TRIES = 4
@@ -50,11 +51,18 @@
         tokens: Tokens that count as spent.
         holder: Name of the home; empty where nobody holds the account.
         serial: Tells two writes of a home apart.
+        kept_until: Unix time in seconds after which the row may go.
     """
 
     tokens: int
     holder: str
     serial: int
+    kept_until: float
+
+
+def spending_expiry(value: bytes) -> float:
+    """Return the Unix time in seconds after which a program's row may go."""
+    return msgspec.msgpack.decode(value, type=_SpendingRow).kept_until
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +92,7 @@
     spent: int
     covered: int
     version: int
+    kept_s: float
 
 
 Move = Callable[[MovedAccount], Awaitable[bool]]
@@ -133,9 +142,18 @@
         self._given_up: dict[str, int] = {}
         self._serial = 0
 
-    async def reserve(self, program: str, turn: str, tokens: int, budget: int) -> int:
+    async def reserve(
+        self, program: str, turn: str, tokens: int, budget: int, *, kept_s: float
+    ) -> int:
         """Set a turn's tokens aside; returns what the program's other turns hold.
 
+        Args:
+            program: The program.
+            turn: The turn's request id.
+            tokens: The most that it may generate.
+            budget: Tokens that all turns of the program may generate.
+            kept_s: How long after its last turn a program may return.
+
         Raises:
             BudgetSpentError: They do not fit.
             RowStoreAwayError: The store must cover them and could not be asked.
@@ -144,6 +162,7 @@
             account = self._accounts.get(program)
             if account is None:
                 account = self._open(program, budget)
+            account.kept_s = max(account.kept_s, kept_s)
             account.used_at = asyncio.get_running_loop().time()
             return await self._grant(program, account, turn, tokens)
 
@@ -191,6 +210,7 @@
             covered=moved.covered,
             version=moved.version,
             used_at=asyncio.get_running_loop().time(),
+            kept_s=moved.kept_s,
             opened_serial=self._serial,
         )
         return True
@@ -208,7 +228,12 @@
             return
         self._given_up[program] = account.spent
         moved = MovedAccount(
-            program, account.budget, account.spent, account.covered, account.version
+            program,
+            account.budget,
+            account.spent,
+            account.covered,
+            account.version,
+            account.kept_s,
         )
         if not await move(moved):
             # Back again, to be written with what is really spent.
@@ -250,7 +275,7 @@
             await asyncio.sleep(SWEEP_S)
             now = asyncio.get_running_loop().time()
             for program, account in list(self._accounts.items()):
-                if now - account.used_at > IDLE_S:
+                if now - account.used_at > account.kept_s + IDLE_MARGIN_S:
                     await self._drop(program, account)
 
     def _open(self, program: str, budget: int) -> Account:
@@ -299,8 +324,7 @@
     ) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
         key = RowKey(TABLE, part_of(program), program)
-        self._serial += 1
-        row = _SpendingRow(tokens, self._name, self._serial)
+        row = self._row(account, tokens, self._name)
         write = RowWrite(key, msgspec.msgpack.encode(row))
         try:
             version = await self._store.write(
@@ -312,6 +336,11 @@
         account.covered, account.version = tokens, version
         self._given_up.pop(program, None)
 
+    def _row(self, account: Account, tokens: int, holder: str) -> _SpendingRow:
+        self._serial += 1
+        kept_until = time.time() + account.kept_s
+        return _SpendingRow(tokens, holder, self._serial, kept_until)
+
     async def _adopt(self, program: str, account: Account, rows: list[Row]) -> None:
         found = next((item for item in rows if item.value is not None), None)
         if found is None:
@@ -349,8 +378,7 @@
         writes, expected = [], {}
         for program, account in batch:
             key = RowKey(TABLE, part_of(program), program)
-            self._serial += 1
-            row = _SpendingRow(account.spent, "", self._serial)
+            row = self._row(account, account.spent, "")
             writes.append(RowWrite(key, msgspec.msgpack.encode(row)))
             expected[key] = account.version
         try:
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -40,6 +40,7 @@
     turn: str
     tokens: int
     budget: int
+    kept_s: float
 
 
 class SettleRequest(msgspec.Struct, frozen=True, tag="settle"):
@@ -89,9 +90,11 @@
 ) -> SpendingAnswer:
     """Return a home's answer to a request of another gateway."""
     match request:
-        case ReserveRequest(program, turn, tokens, budget):
+        case ReserveRequest(program, turn, tokens, budget, kept_s):
             try:
-                others = await home.reserve(program, turn, tokens, budget)
+                others = await home.reserve(
+                    program, turn, tokens, budget, kept_s=kept_s
+                )
             except BudgetSpentError as error:
                 return SpendingAnswer("spent", reason=error.message)
             except RowStoreAwayError as error:
@@ -146,15 +149,15 @@
         self._avoid_until: dict[str, float] = {}
 
     async def reserve(
-        self, program: str, turn: str, tokens: int, budget: int
+        self, program: str, turn: str, tokens: int, budget: int, *, kept_s: float
     ) -> Reservation:
-        """Set a turn's tokens aside.
+        """Set a turn's tokens aside; see :meth:`SpendingHome.reserve`.
 
         Raises:
             BudgetSpentError: They do not fit.
             RowStoreAwayError: No home could grant them.
         """
-        request = ReserveRequest(program, turn, tokens, budget)
+        request = ReserveRequest(program, turn, tokens, budget, kept_s)
         reason = "no home answered"
         for home in self._homes(program):
             try:
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -22,7 +22,7 @@
     StateAwayError,
 )
 from .routes import Route
-from .rows import RowStore, RowStoreAwayError
+from .rows import RowKey, RowStore, RowStoreAwayError
 from .sender import Exchange
 from .spending_client import Reservation, SpendingClient
 from .turns import EMPTY_CHAIN, Chain, TurnKeeper
@@ -95,9 +95,18 @@
         spending: Keeps budgets.
         store: Turns are written to it.
         store_is_away: Returns whether no gateway reaches the store.
+        on_kept: Called with the key of a row that was written, and for how many
+            seconds it must stay.
     """
 
-    __slots__ = ("_context", "_spending", "_store", "_store_is_away", "_turns")
+    __slots__ = (
+        "_context",
+        "_on_kept",
+        "_spending",
+        "_store",
+        "_store_is_away",
+        "_turns",
+    )
 
     def __init__(
         self,
@@ -107,12 +116,14 @@
         store: RowStore,
         *,
         store_is_away: Callable[[], bool],
+        on_kept: Callable[[RowKey, float], None],
     ) -> None:
         self._context = context
         self._turns = turns
         self._spending = spending
         self._store = store
         self._store_is_away = store_is_away
+        self._on_kept = on_kept
 
     async def serve(
         self, call: Call, route: Route, responder: Responder, *, deadline: float
@@ -173,7 +184,11 @@
     async def _reserve(self, turn: _Turn, budget: int) -> None:
         call = turn.call
         turn.reservation = await self._spending.reserve(
-            call.program.id, call.id, call.max_tokens, budget
+            call.program.id,
+            call.id,
+            call.max_tokens,
+            budget,
+            kept_s=turn.route.retention_s,
         )
         self._context.log.note(
             "reserved",
@@ -353,6 +368,7 @@
             )
             raise EndpointFailedError("the turn could not be kept") from error
         self._turns.note_kept(chain)
+        self._on_kept(write.key, turn.route.retention_s)
 
     def _generated(self, turn: _Turn) -> int:
         """Return the tokens that the turn generated, at most what was reserved."""
--- a/src/carobspur/gateway/turns.py
+++ b/src/carobspur/gateway/turns.py
@@ -65,6 +65,11 @@
 EMPTY_CHAIN = Chain()
 
 
+def turn_expiry(value: bytes) -> float:
+    """Return the Unix time in seconds after which a turn's row may go."""
+    return msgspec.msgpack.decode(value, type=_TurnRow).kept_until
+
+
 class TurnKeeper:
     """Reads and writes turns.
 
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -27,14 +27,17 @@
 from ..gateway.members import Member, Membership
 from ..gateway.plain import PlainCalls
 from ..gateway.routes import CallerLimits
+from ..gateway.row_sweep import RowSweeper
 from ..gateway.rows import Row, RowKey, RowStoreAwayError, RowWrite
 from ..gateway.sender import Sender
 from ..gateway.settings import GatewaySettings, split_address
-from ..gateway.spending import SpendingHome, StoreDoubt
+from ..gateway.spending import TABLE as SPENDING_TABLE
+from ..gateway.spending import SpendingHome, StoreDoubt, spending_expiry
 from ..gateway.spending_client import SpendingClient
 from ..gateway.streams import StreamCalls
 from ..gateway.telemetry import Telemetry
-from ..gateway.turns import TurnKeeper
+from ..gateway.turns import TABLE as TURNS_TABLE
+from ..gateway.turns import TurnKeeper, turn_expiry
 from . import configuration as wire_configuration
 from .bootstrap import encode_snapshot, load_from_peers
 from .directory import (
@@ -63,8 +66,8 @@
 STOP_MARGIN_S = 0.8
 """Time kept back before the platform kills the process."""
 STOP_POLL_S = 0.05
-DOUBT_S = 70.0
-"""How long accounts may be missed after a gateway died: programs return within 60 s."""
+DOUBT_MARGIN_S = 10.0
+"""Accounts may be missed so long after the programs of a dead gateway may return."""
 SETTINGS_POLL_S = 1.0
 
 
@@ -122,6 +125,11 @@
                 self._store, MEMBERS_TABLE, self._members_changed, log
             ),
         }
+        self._sweeper = RowSweeper(
+            self._store,
+            {TURNS_TABLE: turn_expiry, SPENDING_TABLE: spending_expiry},
+            log,
+        )
         turns = TurnKeeper(self._store, row_bytes=settings.store.row_bytes)
         self._home = SpendingHome(
             self._membership.own.name,
@@ -146,6 +154,7 @@
                 self._spending,
                 self._store,
                 store_is_away=lambda: self._store.is_away,
+                on_kept=self._sweeper.note,
             ),
             is_current=self._is_current,
         )
@@ -185,6 +194,8 @@
                     self._join(),
                     self._watch_settings(reloading),
                     self._home.sweep_forever(),
+                    self._sweeper.sweep_own_forever(),
+                    self._sweeper.sweep_orphans_forever(),
                     load_from_peers(
                         self._feeds, self._all_peers, self._internal_pool, self._log
                     ),
@@ -252,7 +263,7 @@
         now = asyncio.get_running_loop().time()
         died_at = self._membership.died_at
         away_since = self._store.lost_at
-        died_lately = now - died_at < DOUBT_S
+        died_lately = now - died_at < self._longest_retention_s() + DOUBT_MARGIN_S
         return StoreDoubt(
             is_away=self._store.is_away,
             may_be_lost=died_lately,
@@ -268,6 +279,11 @@
         seeds = self._settings.store.seed_addresses
         return known or [address for address in seeds if address != own]
 
+    def _longest_retention_s(self) -> float:
+        configuration = self._context.configuration
+        routes = configuration.routes if configuration else ()
+        return max((route.retention_s for route in routes), default=0.0)
+
     def _relays(self) -> list[str]:
         now = asyncio.get_running_loop().time()
         if any(True for _ in self._membership.others()):
--- /dev/null
+++ b/tests/test_row_sweep.py
@@ -0,0 +1,69 @@
+"""Rows go when their time is over."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from unittest import IsolatedAsyncioTestCase
+
+from carobspur.gateway import row_sweep
+from carobspur.gateway.decisions import DecisionLog
+from carobspur.gateway.row_sweep import ORPHAN_MARGIN_S, RowSweeper
+from carobspur.gateway.rows import Row, RowKey, RowWrite, Snapshot
+
+TABLE = "turns"
+
+
+class _Rows:
+    def __init__(self, rows: dict[RowKey, bytes]) -> None:
+        self.rows = rows
+
+    async def read(self, table: str, part: str, **_: object) -> Snapshot:
+        found = [
+            Row(key, value, 1)
+            for key, value in self.rows.items()
+            if (key.table, key.part) == (table, part)
+        ]
+        return Snapshot(found, 1)
+
+    async def write(self, writes: list[RowWrite], **_: object) -> int:
+        assert len({write.key.part for write in writes}) == 1
+        for write in writes:
+            self.rows.pop(write.key, None)
+        return 2
+
+
+def _sweeper(rows: _Rows) -> RowSweeper:
+    log = DecisionLog(logging.getLogger("test"))
+    return RowSweeper(rows, {TABLE: lambda value: float(value)}, log)
+
+
+class RowSweepTest(IsolatedAsyncioTestCase):
+    async def test_orphans_go_long_after_their_time(self) -> None:
+        old = RowKey(TABLE, "p1", "old")
+        late = RowKey(TABLE, "p1", "late")
+        now = time.time()
+        rows = _Rows(
+            {
+                old: str(now - ORPHAN_MARGIN_S - 1).encode(),
+                late: str(now - ORPHAN_MARGIN_S + 60).encode(),
+            }
+        )
+        await _sweeper(rows).sweep_orphans(TABLE, "p1")
+        self.assertEqual([late], list(rows.rows))
+
+    async def test_own_rows_go_when_their_time_is_over(self) -> None:
+        keys = [RowKey(TABLE, f"p{number % 3}", str(number)) for number in range(9)]
+        kept = RowKey(TABLE, "p1", "kept")
+        rows = _Rows(dict.fromkeys([*keys, kept], b"0"))
+        sweeper = _sweeper(rows)
+        for key in keys:
+            sweeper.note(key, 0.0)
+        sweeper.note(kept, 60.0)
+        self.addCleanup(setattr, row_sweep, "OWN_SWEEP_S", row_sweep.OWN_SWEEP_S)
+        row_sweep.OWN_SWEEP_S = 0.01
+        task = asyncio.ensure_future(sweeper.sweep_own_forever())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        self.assertEqual([kept], list(rows.rows))
