--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -5,6 +5,7 @@
 import os
 import secrets
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +30,9 @@
     InventoryConflictError,
     InventoryError,
 )
+from .gateway.explanation import LoggedEvent, read_events
+from .gateway.explanation import explain as explain_request
+from .gateway.settings import GatewaySettings
 from .inventory import Key, Role
 from .inventory_checks import Fault
 from .kernel import PluginKind, load_plugins, plugin
@@ -49,6 +53,17 @@
 SECRET_BYTES = 32
 
 
+def _logged_events(logs: tuple[str, ...]) -> Iterator[LoggedEvent]:
+    if not logs:
+        yield from read_events(sys.stdin)
+    for path in logs:
+        try:
+            with Path(path).open(encoding="utf-8", errors="replace") as file:
+                yield from read_events(file)
+        except OSError as error:
+            raise UsageError(f"cannot read {path}: {error}") from error
+
+
 class ProgramCommands:
     """Shows and stops programs of an organisation."""
 
@@ -131,6 +146,19 @@
         check_tls(Settings.read(str(file)).tls)
         self._session.show({"faults": []}, lambda _: f"{file}: no faults")
 
+    @command
+    def check_gateway(self, file: str) -> None:
+        """Check a gateway's settings file and name every fault.
+
+        Example:
+            carobspur settings check-gateway gateway.ini
+
+        Args:
+            file: The INI file.
+        """
+        GatewaySettings.read(str(file))
+        self._session.show({"faults": []}, lambda _: f"{file}: no faults")
+
 
 class KeyCommands:
     """Makes keys."""
@@ -199,6 +227,20 @@
         self.settings = SettingsCommands(session)
         self.key = KeyCommands(session)
 
+    @command
+    def explain(self, request: str, *logs: str) -> None:
+        """Tell why a request of a gateway was answered as it was, from its logs.
+
+        Example:
+            carobspur explain 9c41d07be2a35f68 gateway-*.log
+
+        Args:
+            request: The request's id.
+            logs: Decision logs of any gateways; none for standard input.
+        """
+        found = explain_request(str(request), _logged_events(logs))
+        self._session.show(found.as_dict(), lambda _: found.text())
+
     @command
     def status(self) -> None:
         """Show instances, data centres, the revision in force, endpoints, budgets.
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,60 @@
+"""From a request's id to its cause, from log lines alone."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from carobspur.cli import run
+from carobspur.gateway.explanation import explain, read_events
+
+
+def line(time: float, event: str, *, instance: str = "g1", **fields: object) -> str:
+    return json.dumps({"time": time, "event": event, "instance": instance, **fields})
+
+
+LINES = [
+    "   1.2 g1 " + line(10.0, "store_lost", reason="no answer"),
+    line(9.0, "store_lost", instance="g2", reason="another instance"),
+    line(4.0, "configuration", version=3),
+    line(11.0, "sent", request="r0", program="p", outcome="streaming"),
+    line(12.0, "account_adopted", instance="g3", program="p", covered=500),
+    line(12.5, "sent", request="r1", program="p", endpoint="i1", outcome="lost"),
+    line(13.0, "failed", request="r1", program="p", status=502, cause="endpoint_failed",
+         verdict="may_have_run", reason="the connection ended"),
+    "not a line",
+    '{"time": "soon"}',
+    line(14.0, "failed", request="r2", status=503, cause="away", verdict="not_run"),
+]  # fmt: skip
+
+
+class ExplanationTest(unittest.TestCase):
+    def test_story_holds_what_decided_the_request_and_nothing_else(self) -> None:
+        found = explain("r1", read_events(LINES))
+        self.assertEqual(["sent", "failed"], [item.event for item in found.events])
+        self.assertEqual(["r0", None], [e.fields.get("request") for e in found.program])
+        self.assertEqual([10.0], [item.time for item in found.beliefs])
+        self.assertIn(
+            "settled: status 502, endpoint_failed; may_have_run", found.text()
+        )
+
+    def test_request_without_lines_says_so(self) -> None:
+        self.assertIn("no line", explain("r9", read_events(LINES)).text())
+
+    def test_request_that_nothing_settled(self) -> None:
+        found = explain("r0", read_events(LINES))
+        self.assertIn("settled by nothing", found.text())
+
+    def test_command_reads_files_and_speaks_json(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "g1.log"
+            path.write_text("\n".join(LINES))
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                status = run(["explain", "r2", str(path), "--json"])
+        said = json.loads(output.getvalue())
+        self.assertEqual((0, 503, "not_run"), (status, said["status"], said["verdict"]))
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,36 @@
+"""The page for operators names every event and metric of the gateway."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from carobspur.gateway.telemetry import Telemetry
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
+SOURCES = [
+    *(ROOT / "src" / "carobspur" / "gateway").glob("*.py"),
+    *(ROOT / "src" / "carobspur" / "platform").glob("*.py"),
+]
+BROKERS_EVENTS = {"answered", "failed", "lines_dropped"}
+
+
+class OperationsPageTest(unittest.TestCase):
+    def test_every_event_is_on_the_page_and_none_besides(self) -> None:
+        noted = set(BROKERS_EVENTS)
+        for path in SOURCES:
+            noted |= set(re.findall(r'\.note\(\s*"(\w+)"', path.read_text()))
+        table = PAGE.partition("### What is logged")[2].partition("###")[0]
+        listed = {
+            name
+            for row in re.findall(r"^\| (`[^|]*) \|", table, re.MULTILINE)
+            for name in re.findall(r"`(\w+)`", row)
+        }
+        self.assertEqual(noted, listed)
+
+    def test_every_metric_is_on_the_page_and_none_besides(self) -> None:
+        names = {metric.name for metric in Telemetry().registry.collect()}
+        table = PAGE.partition("### What is counted")[2].partition("###")[0]
+        self.assertEqual(names, set(re.findall(r"`(carobspur_\w+)`", table)))
