--- a/experiments/fault_soak/deployment.py
+++ b/experiments/fault_soak/deployment.py
@@ -59,6 +59,11 @@
         """Whether its process runs."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def lines(self) -> str:
+        """What it has logged."""
+        return self.log.read_text()
+
     def start(self) -> None:
         """Start its process."""
         self.starts += 1
@@ -126,7 +131,7 @@
 
     def _check_alive(self, handle: GatewayProcess) -> None:
         if not handle.is_alive:
-            raise AssertionError(f"{handle.name} ended: {handle.log.read_text()}")
+            raise AssertionError(f"{handle.name} ended: {handle.lines}")
 
 
 @asynccontextmanager
--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -13,6 +13,8 @@
 """Longest wait of one call: changes must be in force 2 s after their acknowledgement,
 also where a connection fell silent."""
 READ_TIMEOUT_S = 1.5
+REFRESH_AGE_S = 0.5
+"""Age from which a question is asked anew: the slowest store answers within it."""
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 
@@ -33,6 +35,7 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_asking",
         "_log",
         "_on_rows",
@@ -55,6 +58,7 @@
         self._on_rows = on_rows
         self._log = log
         self._asking: asyncio.Task | None = None
+        self._asked_at = 0.0
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.confirmed_at = float("-inf")
@@ -70,8 +74,13 @@
             self._apply(rows, is_whole=False)
 
     def refresh(self) -> None:
-        """Ask anew: the call under way may hang on a connection that is silent."""
-        if self._asking is not None:
+        """Ask anew: the call under way may hang on a connection that is silent.
+
+        A question that was asked just now stays: where the store answers slowly, its
+        way is lost and found again several times a second.
+        """
+        age_s = asyncio.get_running_loop().time() - self._asked_at
+        if self._asking is not None and age_s >= REFRESH_AGE_S:
             self._asking.cancel()
 
     async def follow(self) -> None:
@@ -80,7 +89,7 @@
         is_whole = False
         is_reached = True
         while True:
-            asked_at = asyncio.get_running_loop().time()
+            asked_at = self._asked_at = asyncio.get_running_loop().time()
             try:
                 if not await self._ask(is_whole=is_whole):
                     continue
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -91,7 +91,8 @@
         is_ready, reaches_store = self._state()
         suspects = self._membership.suspects(now)
         own = self._membership.own
-        member = own if self._sent % MEMBER_EVERY == 0 else None
+        is_due = self._sent % MEMBER_EVERY == 0 or self._membership.has_unheard()
+        member = own if is_due else None
         self._sent += 1
         beat = Heartbeat(own.name, is_ready, suspects, reaches_store, member)
         data = msgspec.msgpack.encode(beat)
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from .rendezvous import rendezvous_order
+
 WATCHERS = 8
 """Members that hear each heartbeat: all of the usual seven, few of hundreds."""
 HEARTBEAT_S = 0.25
@@ -20,8 +22,10 @@
 """Every so many heartbeats carry the sender's row."""
 SILENCE_S = 1.0
 """Silence after which a member is suspected: four heartbeats."""
-NEW_MEMBER_S = 2.0
-"""How long a member that was never heard counts as alive: its start-up."""
+NEW_MEMBER_S = 0.8
+"""How long a member that was never heard counts as alive: three heartbeats."""
+DEAD_S = 30.0
+"""Silence after which a member's row is removed: longer than a cut that heals."""
 SUSPICION_S = 1.5
 """How long a told suspicion holds without being told again."""
 
@@ -151,6 +155,10 @@
         ring = names[start + 1 :] + names[:start]
         return [self._members[name] for name in ring[:WATCHERS]]
 
+    def has_unheard(self) -> bool:
+        """Return whether a member was never heard; it may not know this gateway."""
+        return any(not self._live[item.name].heard_at for item in self.targets())
+
     def watched(self) -> list[Member]:
         """Return the members whose heartbeats this gateway should hear."""
         names = sorted(self._members)
@@ -175,6 +183,17 @@
             if not self._is_heard(self._live[member.name], now)
         ]
 
+    def dead(self, now: float) -> list[str]:
+        """Return the watched members that this gateway should remove for good."""
+        alive = [member.name for member in self.alive(now)]
+        return [
+            member.name
+            for member in self.watched()
+            if self._silent_s(self._live[member.name], now) > DEAD_S
+            and rendezvous_order(member.name, [*alive, self._own.name])[0]
+            == self._own.name
+        ]
+
     def alive(self, now: float) -> list[Member]:
         """Return the other members that are believed alive and ready."""
         watched = {member.name for member in self.watched()}
@@ -197,6 +216,9 @@
         """Return all other members, alive or not."""
         return [item for name, item in self._members.items() if name != self._own.name]
 
+    def _silent_s(self, live: _Liveness, now: float) -> float:
+        return now - max(live.heard_at, live.known_since)
+
     def _is_heard(self, live: _Liveness, now: float) -> bool:
         if live.heard_at:
             return now - live.heard_at < SILENCE_S
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -69,6 +69,7 @@
 STOP_POLL_S = 0.05
 DOUBT_MARGIN_S = 10.0
 """Accounts may be missed so long after the programs of a dead gateway may return."""
+DEAD_POLL_S = 5.0
 SETTINGS_POLL_S = 1.0
 
 
@@ -195,6 +196,7 @@
                     *(feed.follow() for feed in self._feeds.values()),
                     self._join(),
                     self._watch_settings(reloading),
+                    self._remove_dead_forever(),
                     self._home.sweep_forever(),
                     self._sweeper.sweep_own_forever(),
                     self._sweeper.sweep_orphans_forever(),
@@ -221,7 +223,7 @@
         self._heartbeats.send()
         self._ingress.stop_keeping()
         self._context.spawn(self._home.move_all(self._spending.move))
-        own = RowKey(MEMBERS_TABLE, "", self._membership.own.name)
+        own = _member_key(self._membership.own.name)
         self._context.spawn(self._write_quietly(RowWrite(own, None)))
         while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
             await asyncio.sleep(STOP_POLL_S)
@@ -240,7 +242,7 @@
 
     async def _join(self) -> None:
         own = self._membership.own
-        key = RowKey(MEMBERS_TABLE, "", own.name)
+        key = _member_key(own.name)
         while not await self._write_quietly(RowWrite(key, msgspec.json.encode(own))):
             continue
 
@@ -331,6 +333,15 @@
                 "configuration", version=new.version, row_version=row.version
             )
 
+    async def _remove_dead_forever(self) -> None:
+        while True:
+            await asyncio.sleep(DEAD_POLL_S)
+            now = asyncio.get_running_loop().time()
+            for name in self._membership.dead(now):
+                self._membership.remove(name)
+                self._log.note("member_removed", peer=name)
+                await self._write_quietly(RowWrite(_member_key(name), None))
+
     def _members_changed(self, rows: list[Row], is_whole: bool) -> None:
         now = asyncio.get_running_loop().time()
         if is_whole:
@@ -340,7 +351,7 @@
                     self._membership.remove(member.name)
         for row in rows:
             if row.value is None:
-                self._membership.remove(row.key.key)
+                self._member_row_gone(row.key.key)
                 continue
             try:
                 member = msgspec.json.decode(row.value, type=Member)
@@ -350,6 +361,12 @@
             if member.name != self._membership.own.name:
                 self._membership.put(member, now)
 
+    def _member_row_gone(self, name: str) -> None:
+        if name == self._membership.own.name and not self._context.is_leaving:
+            # Others took a long cut for our death.
+            self._context.spawn(self._join())
+        self._membership.remove(name)
+
     def _endpoint_gone(self, key: str) -> None:
         self._pool.drop(key)
         self._context.health.forget(key)
@@ -375,6 +392,10 @@
         self._log.note("reloaded")
 
 
+def _member_key(name: str) -> RowKey:
+    return RowKey(MEMBERS_TABLE, "", name)
+
+
 def _read_text(path: str) -> str:
     try:
         with open(path, encoding="utf-8") as file:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -197,7 +197,8 @@
         deadline = asyncio.get_running_loop().time() + READY_S
         while not await self._all_ready():
             if asyncio.get_running_loop().time() > deadline:
-                raise AssertionError("the gateways did not get ready")
+                lines = {item.name: item.lines for item in self.gateways}
+                raise AssertionError(f"the gateways did not get ready: {lines}")
             await asyncio.sleep(0.02)
 
     async def kill(self, handle: GatewayHandle) -> None:
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,115 @@
+"""Tables are followed whatever the store does."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from unittest import IsolatedAsyncioTestCase
+
+from carobspur.gateway.decisions import DecisionLog
+from carobspur.gateway.feed import REFRESH_AGE_S, TableFeed
+from carobspur.gateway.rows import (
+    HistoryGoneError,
+    Row,
+    RowKey,
+    RowStoreAwayError,
+    Snapshot,
+)
+
+
+def row(key: str, version: int, value: bytes | None = b"x") -> Row:
+    return Row(RowKey("t", "", key), value, version)
+
+
+class _Store:
+    """Answers from lists; ``None`` stands for a question that hangs."""
+
+    def __init__(self, reads: list, changes: list) -> None:
+        self._reads = reads
+        self._changes = changes
+        self.asked: list[str] = []
+
+    async def read(self, table: str, part: str, **_: object) -> Snapshot:
+        return await self._answer("read", self._reads)
+
+    async def changes(self, table: str, *, after: int, wait_s: float) -> Snapshot:
+        return await self._answer(f"changes {after}", self._changes)
+
+    async def _answer(self, question: str, answers: list) -> Snapshot:
+        self.asked.append(question)
+        answer = answers.pop(0) if answers else None
+        if answer is None:
+            await asyncio.sleep(3600)
+        if isinstance(answer, Exception):
+            raise answer
+        await asyncio.sleep(0.01)
+        return answer
+
+
+def _feed(store: _Store) -> tuple[TableFeed, list]:
+    seen: list = []
+    log = DecisionLog(logging.getLogger("test"))
+
+    def on_rows(rows: list[Row], is_whole: bool) -> None:
+        seen.append(([item.key.key for item in rows], is_whole))
+
+    return TableFeed(store, "t", on_rows, log), seen
+
+
+class FeedTest(IsolatedAsyncioTestCase):
+    async def _run(self, feed: TableFeed, seconds: float) -> None:
+        task = asyncio.ensure_future(feed.follow())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    async def test_reads_all_then_follows_from_its_version(self) -> None:
+        store = _Store(
+            [Snapshot([row("a", 1)], 5)],
+            [Snapshot([row("b", 7), row("a", 8, None)], 8)],
+        )
+        feed, seen = _feed(store)
+        await self._run(feed, 0.1)
+        self.assertEqual(["read", "changes 5", "changes 8"], store.asked)
+        self.assertEqual([(["a"], True), (["b", "a"], False)], seen)
+        self.assertEqual(["b"], list(feed.rows))
+
+    async def test_reads_anew_where_the_history_is_gone_and_where_it_was_away(
+        self,
+    ) -> None:
+        store = _Store(
+            [Snapshot([], 5), Snapshot([row("c", 9)], 9)],
+            [RowStoreAwayError("away"), HistoryGoneError("gone")],
+        )
+        feed, _ = _feed(store)
+        await self._run(feed, 0.4)
+        self.assertEqual(
+            ["read", "changes 5", "changes 5", "read", "changes 9"], store.asked
+        )
+
+    async def test_hanging_question_is_asked_anew(self) -> None:
+        store = _Store([Snapshot([], 5)], [None, Snapshot([row("b", 7)], 7)])
+        feed, seen = _feed(store)
+        task = asyncio.ensure_future(feed.follow())
+        await asyncio.sleep(REFRESH_AGE_S + 0.1)
+        feed.refresh()
+        await asyncio.sleep(0.1)
+        task.cancel()
+        self.assertIn((["b"], False), seen)
+
+    async def test_refreshing_again_and_again_does_not_starve_a_feed(self) -> None:
+        store = _Store([Snapshot([row("a", 1)], 5)], [])
+        feed, seen = _feed(store)
+        task = asyncio.ensure_future(feed.follow())
+        for _ in range(40):
+            feed.refresh()
+            await asyncio.sleep(0.002)
+        task.cancel()
+        self.assertEqual([(["a"], True)], seen)
+
+    async def test_peers_rows_count_until_the_store_has_told(self) -> None:
+        store = _Store([Snapshot([row("a", 1)], 5)], [])
+        feed, seen = _feed(store)
+        feed.load([row("p", 1)])
+        await self._run(feed, 0.05)
+        feed.load([row("q", 1)])
+        self.assertEqual([(["p"], False), (["a"], True)], seen)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,6 +6,7 @@
 
 from carobspur.gateway.addresses import addresses_for
 from carobspur.gateway.members import (
+    DEAD_S,
     NEW_MEMBER_S,
     SILENCE_S,
     SUSPICION_S,
@@ -85,6 +86,25 @@
         self.assertIn(far.name, later)
 
 
+class DeadMembersTest(unittest.TestCase):
+    def test_one_of_those_alive_removes_a_dead_member(self) -> None:
+        removers = []
+        for own in range(4):
+            made = Membership(member(own))
+            for number in range(5):
+                if number != own:
+                    made.put(member(number), 0.0)
+            for number in range(4):
+                made.heard(Heartbeat(member(number).name, True), DEAD_S + 1)
+            self.assertIn(made.dead(DEAD_S + 1), ([], [member(4).name]))
+            removers += made.dead(DEAD_S + 1)
+        self.assertEqual([member(4).name], removers)
+
+    def test_silent_member_stays_while_a_cut_may_heal(self) -> None:
+        made = membership(2)
+        self.assertEqual([], made.dead(DEAD_S - 1))
+
+
 class AddressesTest(unittest.TestCase):
     def _made(self, places: str) -> Membership:
         made = Membership(member(0, data_centre=places[0]))
