--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -13,8 +13,8 @@
 """Longest wait of one call: changes must be in force 2 s after their acknowledgement,
 also where a connection fell silent."""
 READ_TIMEOUT_S = 1.5
-REFRESH_AGE_S = 0.5
-"""Age from which a question is asked anew: the slowest store answers within it."""
+REFRESH_INTERVAL_S = 0.5
+"""Shortest time between two refreshes: the slowest store answers within it."""
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 
@@ -35,10 +35,11 @@
     """
 
     __slots__ = (
-        "_asked_at",
         "_asking",
         "_log",
         "_on_rows",
+        "_refresh_timer",
+        "_refreshed_at",
         "_store",
         "_table",
         "confirmed_at",
@@ -58,7 +59,8 @@
         self._on_rows = on_rows
         self._log = log
         self._asking: asyncio.Task | None = None
-        self._asked_at = 0.0
+        self._refreshed_at = float("-inf")
+        self._refresh_timer: asyncio.TimerHandle | None = None
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.confirmed_at = float("-inf")
@@ -76,11 +78,20 @@
     def refresh(self) -> None:
         """Ask anew: the call under way may hang on a connection that is silent.
 
-        A question that was asked just now stays: where the store answers slowly, its
-        way is lost and found again several times a second.
+        Where the store answers slowly, its way is lost and found again several times
+        a second; so this happens at once, and then at intervals.
         """
-        age_s = asyncio.get_running_loop().time() - self._asked_at
-        if self._asking is not None and age_s >= REFRESH_AGE_S:
+        loop = asyncio.get_running_loop()
+        wait_s = self._refreshed_at + REFRESH_INTERVAL_S - loop.time()
+        if wait_s <= 0:
+            self._refresh_now()
+        elif self._refresh_timer is None:
+            self._refresh_timer = loop.call_later(wait_s, self._refresh_now)
+
+    def _refresh_now(self) -> None:
+        self._refresh_timer = None
+        self._refreshed_at = asyncio.get_running_loop().time()
+        if self._asking is not None:
             self._asking.cancel()
 
     async def follow(self) -> None:
@@ -89,7 +100,7 @@
         is_whole = False
         is_reached = True
         while True:
-            asked_at = self._asked_at = asyncio.get_running_loop().time()
+            asked_at = asyncio.get_running_loop().time()
             try:
                 if not await self._ask(is_whole=is_whole):
                     continue
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -7,7 +7,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from carobspur.gateway.decisions import DecisionLog
-from carobspur.gateway.feed import REFRESH_AGE_S, TableFeed
+from carobspur.gateway.feed import REFRESH_INTERVAL_S, TableFeed
 from carobspur.gateway.rows import (
     HistoryGoneError,
     Row,
@@ -90,12 +90,24 @@
         store = _Store([Snapshot([], 5)], [None, Snapshot([row("b", 7)], 7)])
         feed, seen = _feed(store)
         task = asyncio.ensure_future(feed.follow())
-        await asyncio.sleep(REFRESH_AGE_S + 0.1)
+        await asyncio.sleep(0.1)
         feed.refresh()
         await asyncio.sleep(0.1)
         task.cancel()
         self.assertIn((["b"], False), seen)
 
+    async def test_refresh_that_comes_too_soon_is_made_later(self) -> None:
+        store = _Store([Snapshot([], 5)], [None, None, Snapshot([row("b", 7)], 7)])
+        feed, seen = _feed(store)
+        task = asyncio.ensure_future(feed.follow())
+        await asyncio.sleep(0.1)
+        feed.refresh()
+        await asyncio.sleep(0.05)
+        feed.refresh()
+        await asyncio.sleep(REFRESH_INTERVAL_S)
+        task.cancel()
+        self.assertIn((["b"], False), seen)
+
     async def test_refreshing_again_and_again_does_not_starve_a_feed(self) -> None:
         store = _Store([Snapshot([row("a", 1)], 5)], [])
         feed, seen = _feed(store)
