A cover written late is told as what was really spent; reservations nobody waits for are taken back

Reservations granted after their asker had gone stayed open at their most, and the doubt after a death refused programs too small to have been granted a turn uncovered.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -123,19 +123,31 @@
             it cannot tell, and all of them count.
         unrecorded: Tokens granted beside the row.
         row_version: Version of the row that ``recorded`` belongs to.
+        spent: All tokens spent; what a row counts that this account itself wrote,
+            where the answer to its write was lost.
+        opened_serial: The home's last write before it opened the account.
     """
 
     recorded: int | None
     unrecorded: int
     row_version: int = 0
+    spent: int = 0
+    opened_serial: int = 0
+
+    def about(self, row_version: int, serial: int) -> GivenUp:
+        """Return what holds for the row that was found.
 
-    def about(self, row_version: int) -> GivenUp:
-        """Return what holds for a row of another version too."""
+        Args:
+            row_version: Its version.
+            serial: The home's number of its write.
+        """
         if row_version == self.row_version:
             return self
+        if serial > self.opened_serial:
+            return GivenUp(self.spent, 0)
         return GivenUp(None, self.unrecorded)
 
-    def spent(self, covered: int) -> int:
+    def counted(self, covered: int) -> int:
         """Return what counts as spent where the row covers so many tokens."""
         recorded = covered if self.recorded is None else self.recorded
         return recorded + self.unrecorded
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -42,6 +42,8 @@
 SWEEP_S = 5.0
 MAX_ROWS_A_WRITE = 50
 MAX_TRIES = 4
+MAX_RELEASED = 1000
+"""Turns given up that are remembered: more than wait at one home during an outage."""
 
 
 class BudgetSpentError(CarobspurError):
@@ -88,9 +90,9 @@
     may_grant_uncovered: bool
 
 
-HandOver = Callable[[str, str, int], Awaitable[GivenUp | None]]
-"""Asks a holder for a program's account by the version of its row; ``None`` where it
-says nothing."""
+HandOver = Callable[[str, str, int, int], Awaitable[GivenUp | None]]
+"""Asks a holder for a program's account, by version and serial of the row that was
+found; ``None`` where it says nothing."""
 
 
 class MovedAccount(msgspec.Struct, frozen=True, tag="moved"):
@@ -133,6 +135,7 @@
         "_log",
         "_name",
         "_pull",
+        "_released",
         "_serial",
         "_store",
     )
@@ -155,6 +158,8 @@
         self._log = log
         self._accounts: dict[str, Account] = {}
         self._locks: dict[str, asyncio.Lock] = {}
+        # Turns that were given up before their reservation was made, oldest first.
+        self._released: dict[str, None] = {}
         # What was told of accounts given up; true until another home writes its row.
         self._given_up: dict[str, GivenUp] = {}
         self._serial = 0
@@ -178,10 +183,15 @@
         async with self._locks.setdefault(program, asyncio.Lock()):
             account = self._accounts.get(program)
             if account is None:
-                account = self._open(program, budget)
+                account = self._open(program, budget, tokens)
             account.kept_s = max(account.kept_s, kept_s)
             account.used_at = asyncio.get_running_loop().time()
-            return await self._grant(program, account, turn, tokens)
+            others = await self._grant(program, account, turn, tokens)
+            if turn in self._released:
+                del self._released[turn]
+                account.settle(turn, 0)
+                raise RowStoreAwayError("the gateway that asked did not wait")
+            return others
 
     async def _grant(
         self, program: str, account: Account, turn: str, tokens: int
@@ -205,12 +215,25 @@
         if account is not None:
             account.settle(turn, tokens)
 
-    async def give_up(self, program: str, row_version: int) -> GivenUp | None:
+    def release(self, program: str, turn: str) -> None:
+        """Take back a reservation that nobody waits for, also one yet to be made."""
+        account = self._accounts.get(program)
+        if account is not None and turn in account.open:
+            account.settle(turn, 0)
+            return
+        self._released[turn] = None
+        while len(self._released) > MAX_RELEASED:
+            del self._released[next(iter(self._released))]
+
+    async def give_up(
+        self, program: str, row_version: int, serial: int
+    ) -> GivenUp | None:
         """Forget an account for another home, and tell what was spent.
 
         Args:
             program: The program.
             row_version: Version of the row that the other home has found.
+            serial: This home's number of its write.
         """
         if program in self._accounts:
             async with self._locks.setdefault(program, asyncio.Lock()):
@@ -218,15 +241,22 @@
             if account is not None:
                 self._note_given_up(program, account)
         told = self._given_up.get(program)
-        return told.about(row_version) if told else None
+        return told.about(row_version, serial) if told else None
 
     def _note_given_up(self, program: str, account: Account) -> None:
         before = self._given_up.get(program, GivenUp(None, 0))
         if account.version:
-            told = GivenUp(account.spent, 0, account.version)
+            told = GivenUp(
+                account.spent, 0, account.version, account.spent, account.opened_serial
+            )
         else:
-            unrecorded = before.unrecorded + account.unrecorded
-            told = GivenUp(before.recorded, unrecorded, before.row_version)
+            told = GivenUp(
+                before.recorded,
+                before.unrecorded + account.unrecorded,
+                before.row_version,
+                account.spent + before.unrecorded,
+                account.opened_serial,
+            )
         self._given_up[program] = told
         self._log.note(
             "account_given_up",
@@ -316,10 +346,14 @@
                 if now - account.used_at > account.kept_s + IDLE_MARGIN_S:
                     await self._drop(program, account)
 
-    def _open(self, program: str, budget: int) -> Account:
-        """Create an account; a row that exists is found when it is covered."""
+    def _open(self, program: str, budget: int, tokens: int) -> Account:
+        """Create an account; a row that exists is found when it is covered.
+
+        Where homes may have died with uncovered grants, as much counts as spent; but
+        not for a program too small to have been granted a turn that way.
+        """
         account = Account(budget, opened_serial=self._serial)
-        if self._doubt().may_be_lost:
+        if self._doubt().may_be_lost and tokens <= int(budget * UNCOVERED_SHARE):
             account.base = int(budget * DOUBT_SHARE)
         self._accounts[program] = account
         return account
@@ -398,8 +432,8 @@
             # An earlier write of this account whose answer was lost.
             account.covered, account.version = row.tokens, found.version
             return
-        told = await self._former(row.holder, program, found.version)
-        spent = told.spent(row.tokens) if told else row.tokens
+        told = await self._former(row, program, found.version)
+        spent = told.counted(row.tokens) if told else row.tokens
         self._log.note(
             "account_adopted",
             program=program,
@@ -412,15 +446,15 @@
         account.covered = 0
 
     async def _former(
-        self, holder: str, program: str, row_version: int
+        self, row: _SpendingRow, program: str, version: int
     ) -> GivenUp | None:
         """Return what the holder of a row says of its account."""
-        if holder == self._name:
+        if row.holder == self._name:
             told = self._given_up.get(program)
-            return told.about(row_version) if told else None
-        if not holder:
+            return told.about(version, row.serial) if told else None
+        if not row.holder:
             return None
-        return await self._hand_over(holder, program, row_version)
+        return await self._hand_over(row.holder, program, version, row.serial)
 
     async def _flush_batch(self, batch: list[tuple[str, Account]]) -> None:
         writes, expected = [], {}
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 import msgspec
@@ -52,11 +52,19 @@
     tokens: int
 
 
+class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
+    """Takes back a reservation that its asker no longer waits for."""
+
+    program: str
+    turn: str
+
+
 class HandOverRequest(msgspec.Struct, frozen=True, tag="hand_over"):
     """Asks a home to give an account up."""
 
     program: str
     row_version: int
+    serial: int
 
 
 class PullRequest(msgspec.Struct, frozen=True, tag="pull"):
@@ -85,7 +93,12 @@
 
 
 SpendingRequest = (
-    ReserveRequest | SettleRequest | HandOverRequest | PullRequest | MovedAccount
+    ReserveRequest
+    | SettleRequest
+    | ReleaseRequest
+    | HandOverRequest
+    | PullRequest
+    | MovedAccount
 )
 
 
@@ -118,8 +131,11 @@
         case SettleRequest(program, turn, tokens):
             home.settle(program, turn, tokens)
             return SpendingAnswer("granted")
-        case HandOverRequest(program, row_version):
-            told = await home.give_up(program, row_version)
+        case ReleaseRequest(program, turn):
+            home.release(program, turn)
+            return SpendingAnswer("granted")
+        case HandOverRequest(program, row_version, serial):
+            told = await home.give_up(program, row_version, serial)
             return SpendingAnswer("told", given_up=told)
         case PullRequest(program):
             return SpendingAnswer("told", moved=await home.give_away(program))
@@ -135,6 +151,7 @@
         home: The accounts held here.
         pool: Connections to peers.
         is_home: Returns whether this gateway takes accounts.
+        spawn: Runs a coroutine beside the request that asks for it.
         log: Decision log.
     """
 
@@ -145,6 +162,7 @@
         "_log",
         "_membership",
         "_pool",
+        "_spawn",
     )
 
     def __init__(
@@ -154,12 +172,14 @@
         pool: Pool,
         *,
         is_home: Callable[[], bool],
+        spawn: Callable[[Coroutine[None, None, None]], object],
         log: DecisionLog,
     ) -> None:
         self._membership = membership
         self._home = home
         self._pool = pool
         self._is_home = is_home
+        self._spawn = spawn
         self._log = log
         self._avoid_until: dict[str, float] = {}
 
@@ -180,7 +200,11 @@
             except SendError as error:
                 reason = f"home {home}: {error.message}"
                 self._avoid(home, reason)
+                self._release_later(home, program, turn)
                 continue
+            except asyncio.CancelledError:
+                self._release_later(home, program, turn)
+                raise
             match answer.outcome:
                 case "granted":
                     return Reservation(home, program, turn, tokens, answer.tokens)
@@ -190,6 +214,23 @@
                     raise RowStoreAwayError(answer.reason)
         raise RowStoreAwayError(reason)
 
+    def _release_later(self, home: str, program: str, turn: str) -> None:
+        """Tell a home that nobody waits for what it may still grant."""
+        self._spawn(self._release(home, ReleaseRequest(program, turn)))
+
+    async def _release(self, home: str, request: ReleaseRequest) -> None:
+        try:
+            await self._ask(home, request, SETTLE_TIMEOUT_S)
+        except SendError as error:
+            # The turn then counts at its most.
+            self._log.note(
+                "not_settled",
+                request=request.turn,
+                program=request.program,
+                home=home,
+                reason=error.message,
+            )
+
     async def settle(self, reservation: Reservation, tokens: int) -> None:
         """Tell the home what a turn generated; without an answer it counts whole."""
         request = SettleRequest(reservation.program, reservation.turn, tokens)
@@ -205,10 +246,10 @@
             )
 
     async def hand_over(
-        self, holder: str, program: str, row_version: int
+        self, holder: str, program: str, row_version: int, serial: int
     ) -> GivenUp | None:
         """Ask a holder for an account; ``None`` where it says nothing."""
-        request = HandOverRequest(program, row_version)
+        request = HandOverRequest(program, row_version, serial)
         try:
             answer = await self._ask_living(holder, request)
         except SendError as error:
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -146,6 +146,7 @@
             self._home,
             self._internal_pool,
             is_home=lambda: not self._context.is_leaving,
+            spawn=self._context.spawn,
             log=log,
         )
         self._broker = Broker(
@@ -261,9 +262,9 @@
             self._context.spawn(self._home.cover_uncovered())
 
     async def _hand_over(
-        self, holder: str, program: str, row_version: int
+        self, holder: str, program: str, row_version: int, serial: int
     ) -> GivenUp | None:
-        return await self._spending.hand_over(holder, program, row_version)
+        return await self._spending.hand_over(holder, program, row_version, serial)
 
     async def _pull(self, program: str) -> MovedAccount | None:
         return await self._spending.pull(program)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -340,6 +340,22 @@
         self.assertEqual([200] * 3, [answer.status for answer in answers])
         self.assertEqual(200, new.status)
 
+    async def test_slow_store_does_not_spend_the_budget_of_refused_turns(self) -> None:
+        async with world(gateways=2) as made:
+            made.store.faults.delay_s = 0.6
+            headers = {"program_id": "p", "token_budget": 120, "token_usage": "10,50"}
+            refused = []
+            for _ in range(3):
+                answer = await made.call(
+                    "/walk/a", body=b"x", deadline_ms=1500, **headers
+                )
+                refused.append(answer.status)
+            made.store.faults.delay_s = 0.0
+            await asyncio.sleep(1.5)
+            answer = await made.call("/walk/a", body=b"x", **headers)
+        self.assertIn(503, refused)
+        self.assertEqual(200, answer.status, answer.body)
+
 
 class OutageTest(IsolatedAsyncioTestCase):
     async def test_gateway_that_starts_in_an_outage_learns_from_peers(self) -> None:
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -36,6 +36,7 @@
         self.version = 0
         self.is_away = False
         self.lose_answers = 0
+        self.is_away_after_loss = False
 
     async def write(
         self,
@@ -59,6 +60,7 @@
                 self.rows[write.key] = (write.value, self.version)
         if self.lose_answers:
             self.lose_answers -= 1
+            self.is_away = self.is_away_after_loss
             raise RowStoreAwayError("the answer was lost")
         return self.version
 
@@ -106,10 +108,10 @@
         return None
 
     async def _hand_over(
-        self, holder: str, program: str, row_version: int
+        self, holder: str, program: str, row_version: int, serial: int
     ) -> GivenUp | None:
         home = self.homes.get(holder)
-        return await home.give_up(program, row_version) if home else None
+        return await home.give_up(program, row_version, serial) if home else None
 
 
 class SpendingTest(IsolatedAsyncioTestCase):
@@ -164,13 +166,25 @@
         self.assertGreaterEqual(sum(granted), 9)
         self.assertLessEqual(homes.handed, BUDGET)
 
+    async def test_cover_written_late_spends_nothing_at_another_home(self) -> None:
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        homes.store.lose_answers = 1
+        homes.store.is_away_after_loss = True
+        homes.may_grant_uncovered = False
+        self.assertFalse(await homes.turn(first, budget=2 * TOKENS))
+        homes.store.is_away = False
+        granted = [await homes.turn(second, budget=2 * TOKENS) for _ in range(2)]
+        self.assertEqual([True, True], granted)
+
     async def test_account_given_up_stays_known_until_another_has_written(self) -> None:
         homes = Homes()
         first = homes.start("a")
         await homes.turn(first)
-        self.assertEqual(GivenUp(TOKENS, 0, 1), await first.give_up("p", 1))
-        self.assertEqual(GivenUp(TOKENS, 0, 1), await first.give_up("p", 1))
-        self.assertEqual(GivenUp(None, 0), await first.give_up("p", 2))
+        for _ in range(2):
+            told = await first.give_up("p", 1, 1)
+            self.assertEqual((TOKENS, 0), (told.recorded, told.unrecorded))
+        self.assertEqual(GivenUp(None, 0), await first.give_up("p", 2, 0))
         second = homes.start("b")
         granted = sum([await homes.turn(second) for _ in range(12)])
         self.assertEqual(9, granted)
@@ -212,6 +226,22 @@
             continue
         self.assertLessEqual(homes.handed, BUDGET)
 
+    async def test_reservation_that_nobody_waits_for_is_taken_back(self) -> None:
+        homes = Homes()
+        home = homes.start("a")
+        await home.reserve("p", "given up late", TOKENS, BUDGET, kept_s=60)
+        home.release("p", "given up late")
+        home.release("p", "given up early")
+        with self.assertRaises(RowStoreAwayError):
+            await home.reserve("p", "given up early", TOKENS, BUDGET, kept_s=60)
+        granted = [await homes.turn(home) for _ in range(11)]
+        self.assertEqual(10, sum(granted))
+
+    async def test_doubt_does_not_refuse_a_program_of_one_turn(self) -> None:
+        homes = Homes()
+        homes.may_be_lost = True
+        self.assertTrue(await homes.turn(homes.start("a"), budget=TOKENS))
+
     async def test_planned_stop_moves_accounts_without_the_store(self) -> None:
         homes = Homes()
         first, second = homes.start("a"), homes.start("b")
