--- a/src/carobspur/gateway/calls.py
+++ b/src/carobspur/gateway/calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 Headers = list[tuple[str, str]]
@@ -14,33 +14,15 @@
 
     Attributes:
         id: The program.
-        session: The line of turns inside the program; sub-agents have their own.
-        finish_s: Seconds left until the program should be finished; ``None`` where
-            the caller does not say.
         token_budget: Tokens that all turns of the program may generate together.
         previous_turn: Request id of the turn that this one continues from.
     """
 
     id: str
-    session: str = ""
-    finish_s: float | None = None
     token_budget: int | None = None
     previous_turn: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt that engines may have cached.
-
-    Attributes:
-        id: Names the part's content.
-        tokens: Its length.
-    """
-
-    id: str
-    tokens: int
-
-
 @dataclass(slots=True)
 class Call:
     """One attempt of a caller.
@@ -57,8 +39,6 @@
         program: The agent program, if the call belongs to one.
         prompt_tokens: Length of the prompt; 0 if not told.
         max_tokens: Most tokens that the call may generate; 0 if not told.
-        prompt: Parts of the prompt in order.
-        model: Name of the model; empty for none.
         last_event: Id of the last stream event that the caller has; empty for none.
     """
 
@@ -73,8 +53,6 @@
     program: ProgramPart | None = None
     prompt_tokens: int = 0
     max_tokens: int = 0
-    prompt: list[PromptPart] = field(default_factory=list)
-    model: str = ""
     last_event: str = ""
 
     @property
--- a/src/carobspur/gateway/decisions.py
+++ b/src/carobspur/gateway/decisions.py
@@ -7,6 +7,7 @@
 import os
 import time
 from collections import deque
+from collections.abc import Callable
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -22,6 +23,10 @@
 
     Args:
         descriptor: A file descriptor, set non-blocking here.
+
+    Attributes:
+        dropped: Lines that were dropped because nobody read.
+        on_drop: Called for each of them.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -32,11 +37,13 @@
         self._rest = b""
         self._is_waiting = False
         self.dropped = 0
+        self.on_drop: Callable[[], None] = lambda: None
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a line, or buffer it, or drop it where the buffer is full."""
         if len(self._lines) >= MAX_BUFFERED_LINES:
             self.dropped += 1
+            self.on_drop()
             return
         self._lines.append(self.format(record).encode() + b"\n")
         if not self._is_waiting:
@@ -92,9 +99,15 @@
         self._dropped: dict[str, int] = {}
 
     @classmethod
-    def to_stdout(cls, *, instance: str) -> DecisionLog:
-        """Return a log that writes JSON lines to standard output."""
+    def to_stdout(cls, *, instance: str, on_drop: Callable[[], None]) -> DecisionLog:
+        """Return a log that writes JSON lines to standard output.
+
+        Args:
+            instance: Name of the instance; a field of every line.
+            on_drop: Called for each line that is dropped because nobody reads.
+        """
         handler = NonblockingHandler(1)
+        handler.on_drop = on_drop
         handler.setFormatter(
             JsonFormatter(
                 LOG_FIELDS,
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-from ..gateway.calls import AnswerHead, Call, EndpointLoad, ProgramPart, PromptPart
+from ..gateway.calls import AnswerHead, Call, EndpointLoad, ProgramPart
 from ..gateway.endpoints import Endpoint
 from ..gateway.http1 import encode_request
 from ..gateway.sender import EndpointWire
 
-REQUEST_ID = "Request-Id"
 # Time that the sender will still wait, not a moment; each hop sends what is left.
 DEADLINE = "Deadline-Ms"
 # The only replica that may run the request, by the id of its start.
 ONLY_ENDPOINT = "Target-Instance"
 LAST_EVENT = "Last-Event-Id"
-RETRY_AFTER = "Retry-After"
 
 # The replica's proof that the answer is its own.
 _PROOF = "response-signature"
@@ -89,8 +87,6 @@
         program=_program(known),
         prompt_tokens=_numbers(known.get(_TOKENS, ""))[0],
         max_tokens=_numbers(known.get(_TOKENS, ""))[1],
-        prompt=_prompt(known.get("prompt-prefix", "")),
-        model=known.get("model", ""),
         last_event=known.get("last-event-id", ""),
     )
 
@@ -159,11 +155,8 @@
     if not program:
         return None
     budget = known.get("token-budget", "")
-    finish = known.get("program-deadline-ms", "")
     return ProgramPart(
         id=program,
-        session=known.get("session-id", ""),
-        finish_s=float(finish) / 1000 if finish.isdigit() else None,
         token_budget=int(budget) if budget.isdigit() else None,
         previous_turn=known.get("previous-turn", ""),
     )
@@ -177,15 +170,6 @@
     )
 
 
-def _prompt(text: str) -> list[PromptPart]:
-    parts = []
-    for item in text.split(","):
-        ident, _, tokens = item.strip().partition(":")
-        if ident and tokens.isdigit():
-            parts.append(PromptPart(ident, int(tokens)))
-    return parts
-
-
 def _load(text: str) -> EndpointLoad | None:
     numbers = text.split(",")
     if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -80,15 +80,20 @@
         settings: Its settings.
         settings_path: Where they were read, for reloading.
         log: Decision log.
+        telemetry: Metrics.
     """
 
     def __init__(
-        self, settings: GatewaySettings, settings_path: str, log: DecisionLog
+        self,
+        settings: GatewaySettings,
+        settings_path: str,
+        log: DecisionLog,
+        telemetry: Telemetry,
     ) -> None:
         self._settings = settings
         self._settings_path = settings_path
         self._log = log
-        self._telemetry = Telemetry()
+        self._telemetry = telemetry
         self._pool = Pool(on_open=lambda _: self._telemetry.connections.inc())
         self._internal_pool = Pool()
         self._membership = Membership(self._member())
@@ -428,13 +433,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _serve(settings: GatewaySettings, path: str, log: DecisionLog) -> None:
+async def _serve(
+    settings: GatewaySettings, path: str, log: DecisionLog, telemetry: Telemetry
+) -> None:
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reloading.set)
-    gateway = Gateway(settings, path, log)
+    gateway = Gateway(settings, path, log, telemetry)
     # What start-up made stays; collections then look at requests only.
     gc.collect()
     gc.freeze()
@@ -449,5 +456,8 @@
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    log = DecisionLog.to_stdout(instance=settings.instance.name)
-    asyncio.run(_serve(settings, path, log))
+    telemetry = Telemetry()
+    log = DecisionLog.to_stdout(
+        instance=settings.instance.name, on_drop=telemetry.log_lines_dropped.inc
+    )
+    asyncio.run(_serve(settings, path, log, telemetry))
