A broken stream does not go on at an engine that leaves

Cause: read as a newcomer: the engine that broke a stream off was asked to go on even if it had been told to be draining meanwhile, which could reach it after it has gone. Test: an engine that leaves is not asked to go on (failed before).

--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -106,7 +106,8 @@
         call, program = turn.call, turn.call.program
         if again_at is not None:
             known = context.endpoints.get(again_at.id)
-            if known is not None and known.key == again_at.key:
+            is_same = known is not None and known.key == again_at.key
+            if is_same and not known.is_draining:
                 return again_at
             turn.refused.add(again_at.key)
         if turn.runs and turn.runs >= turn.route.max_attempts and again_at is None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -197,6 +197,22 @@
         self.assertEqual((STREAM, True), (answer.body, answer.is_whole))
         self.assertEqual("3", engine.ran[1].headers["last-event-id"])
 
+    async def test_engine_that_leaves_is_not_asked_to_go_on(self) -> None:
+        async with world(engines=2, events=30) as made:
+            engines = [r for r in made.replicas.values() if r.service == ENGINES]
+            for engine in engines:
+                engine.faults.append(ReplicaFault.CUT)
+            task = asyncio.ensure_future(made.call("/walk/a", body=b"prompt"))
+            while not any(engine.ran for engine in engines):
+                await asyncio.sleep(0.005)
+            first = next(engine for engine in engines if engine.ran)
+            made.register(first, state="draining", sequence=2)
+            answer = await task
+            other = next(engine for engine in engines if engine is not first)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(1, len(first.ran))
+        self.assertGreaterEqual(len(other.ran), 1)
+
     async def test_stream_that_cannot_be_resumed_never_looks_complete(self) -> None:
         async with world() as made:
             engine = next(r for r in made.replicas.values() if r.service == ENGINES)
