--- a/experiments/fault_soak/run.py
+++ b/experiments/fault_soak/run.py
@@ -83,6 +83,9 @@
         replica.faults.clear()
     for made in world.processes:
         made.store_proxy.harm(Harm.NONE)
+        if not made.is_alive:
+            # Ended by itself on damaged settings; the platform starts it again.
+            made.start()
 
 
 def _check_recovered(ledger: Ledger, first_calm: int) -> None:
