--- a/experiments/fault_soak/deployment.py
+++ b/experiments/fault_soak/deployment.py
@@ -17,13 +17,12 @@
 
 from tests.platform_world import (
     ENGINES,
-    HOST,
     TOOLS,
     World,
     configuration,
-    free_port,
     settings_text,
 )
+from tests.ports import HOST, free_port
 
 from .proxy import Proxy
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -6,7 +6,6 @@
 import itertools
 import json
 import logging
-import os
 import socket
 from base64 import b64encode
 from collections.abc import AsyncIterator
@@ -20,32 +19,14 @@
 from carobspur_standins.platform_replica import ReplicaStandin
 from carobspur_standins.platform_store import RowStoreStandin
 
-HOST = "127.0.0.1"
+from .ports import HOST, free_port
+
 ENGINES = "engines"
 TOOLS = "tools"
 READY_S = 5.0
 TOKENS_PER_EVENT = 10
 
-FIRST_PORT, LAST_PORT = 15_000, 32_000
-
 _ids = itertools.count(1)
-_ports = itertools.cycle(range(FIRST_PORT + os.getpid() % 100 * 100, LAST_PORT))
-
-
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that nobody uses, and that no later call returns.
-
-    They lie below the ports that the kernel gives to connections, which could
-    otherwise take one before its server listens.
-    """
-    while True:
-        port = next(_ports)
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
 
 
 def route(name: str, kind: str, service: str, **more: object) -> dict:
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,34 @@
+"""Two test runs at once never give a server the same port."""
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+COUNT = 20
+ASK = f"""
+import itertools
+from tests import ports
+ports._ports = itertools.cycle(range(ports.FIRST_PORT, ports.LAST_PORT))
+print(*[ports.free_port() for _ in range({COUNT})], flush=True)
+input()
+"""
+"""Prints ports from the first on, then waits: its servers do not listen yet."""
+
+
+class FreePortTest(unittest.TestCase):
+    def test_runs_at_once_get_different_ports(self) -> None:
+        given = []
+        for _ in range(2):
+            process = subprocess.Popen(
+                [sys.executable, "-c", ASK],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            self.addCleanup(process.communicate, "\n")
+            given += process.stdout.readline().split()
+        self.assertEqual(len(given), 2 * COUNT)
+        self.assertEqual(len(set(given)), 2 * COUNT)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -8,7 +8,6 @@
 import io
 import ipaddress
 import os
-import socket
 import ssl
 import tempfile
 import unittest
@@ -40,8 +39,7 @@
 from carobspur_standins.table import MemoryTable
 
 from . import builders
-
-HOST = "127.0.0.1"
+from .ports import HOST, free_port
 
 
 class Authority:
@@ -102,15 +100,6 @@
     return certificate.public_bytes(serialization.Encoding.PEM)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the system just gave out."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 class TlsTest(unittest.TestCase):
     def setUp(self) -> None:
         directory = tempfile.TemporaryDirectory()
@@ -198,7 +187,7 @@
 
     def _settings(self, platform: list[int]) -> Settings:
         urls = [f"http://{HOST}:{port}" for port in platform]
-        ports = free_ports(5)
+        ports = [free_port() for _ in range(5)]
         tls = self._authority.instance()
         return Settings.parse(
             f"""
