An outage that is learnt late refuses no new program

Cause: the home asks whether it may begin without the store before each of two waits, but not after the second; at that load it learns of the outage (two calls of its own, two of its peer) within the second. Ruled out: the doubt after an outage, heartbeats (both gateways knew each other alive). The new test failed before.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -317,15 +317,17 @@
         Raises:
             RowStoreAwayError: The store is away and the program may not begin.
         """
-        if await self._go_on_without(program, account, tokens):
-            return
-        try:
-            await self._cover(program, account, needed, timeout_s=FIRST_COVER_S)
-        except RowStoreAwayError:
+        for timeout_s in (FIRST_COVER_S, COVER_TIMEOUT_S - FIRST_COVER_S):
             if await self._go_on_without(program, account, tokens):
                 return
-            left_s = COVER_TIMEOUT_S - FIRST_COVER_S
-            await self._cover(program, account, needed, timeout_s=left_s)
+            try:
+                await self._cover(program, account, needed, timeout_s=timeout_s)
+            except RowStoreAwayError as error:
+                last = error
+            else:
+                return
+        if not await self._go_on_without(program, account, tokens):
+            raise last
 
     async def _go_on_without(self, program: str, account: Account, tokens: int) -> bool:
         """Let a program begin while the store is away, up to a small share.
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -35,9 +35,16 @@
         self.rows: dict[RowKey, tuple[bytes, int]] = {}
         self.version = 0
         self.is_away = False
+        self.is_known_away_from = 0
+        self.calls_in_vain = 0
         self.lose_answers = 0
         self.is_away_after_loss = False
 
+    @property
+    def is_known_away(self) -> bool:
+        """Whether enough calls have failed for its outage to be known."""
+        return self.is_away and self.calls_in_vain >= self.is_known_away_from
+
     async def write(
         self,
         writes: list[RowWrite],
@@ -47,6 +54,7 @@
     ) -> int:
         await asyncio.sleep(0)
         if self.is_away:
+            self.calls_in_vain += 1
             raise RowStoreAwayError("away")
         for key, version in (expected or {}).items():
             value, found = self.rows.get(key, (None, 0))
@@ -83,7 +91,7 @@
             hand_over=self._hand_over,
             pull=lambda program: self._pull(name, program),
             doubt=lambda: StoreDoubt(
-                self.store.is_away, self.may_be_lost, self.may_grant_uncovered
+                self.store.is_known_away, self.may_be_lost, self.may_grant_uncovered
             ),
             log=DecisionLog(logging.getLogger("test")),
         )
@@ -212,6 +220,14 @@
             continue
         self.assertLessEqual(homes.handed, BUDGET)
 
+    async def test_outage_that_is_learnt_late_refuses_no_new_program(self) -> None:
+        # Gateways short of processor time learn of it with the last call's failure.
+        homes = Homes()
+        home = homes.start("a")
+        homes.store.is_away = True
+        homes.store.is_known_away_from = 2
+        self.assertTrue(await homes.turn(home, budget=10 * BUDGET))
+
     async def test_lost_uncovered_grants_are_made_good_by_doubt(self) -> None:
         homes = Homes()
         first = homes.start("a")
