--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .rendezvous import rendezvous_order
+from ..placement import rank
 
 WATCHERS = 8
 """Members that hear each heartbeat: all of the usual seven, few of hundreds."""
@@ -190,8 +190,7 @@
             member.name
             for member in self.watched()
             if self._silent_s(self._live[member.name], now) > DEAD_S
-            and rendezvous_order(member.name, [*alive, self._own.name])[0]
-            == self._own.name
+            and rank(member.name, [*alive, self._own.name])[0] == self._own.name
         ]
 
     def alive(self, now: float) -> list[Member]:
--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -16,9 +16,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..placement import rank
 from .endpoints import Endpoint
 from .health import HealthBook
-from .rendezvous import rendezvous_order
 
 OTHER_DATA_CENTRE_MS = 2.0
 """Added way between data centres and what its bytes cost, as time."""
@@ -89,7 +89,7 @@
         return ""
     near = [item.key for item in endpoints if item.data_centre == need.data_centre]
     keys = near or [item.key for item in endpoints]
-    return next(iter(rendezvous_order(need.affinity, keys)), "")
+    return next(iter(rank(need.affinity, keys)), "")
 
 
 def _plain_ms(endpoint: Endpoint, need: Need, health: HealthBook, now: float) -> float:
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from ..placement import rank
 from .accounts import GivenUp
 from .decisions import DecisionLog
 from .http1 import NotSentError, SendError
 from .http_pool import Pool, fetch
 from .members import Membership
-from .rendezvous import rendezvous_order
 from .rows import RowStoreAwayError
 from .spending import COVER_TIMEOUT_S, SpendingHome
 from .spending_protocol import (
@@ -217,7 +217,7 @@
         own = self._membership.own.name
         if self._is_home():
             names.append(own)
-        return rendezvous_order(program, names)[:HOMES_TRIED] or [own]
+        return rank(program, names)[:HOMES_TRIED] or [own]
 
     def _avoid(self, home: str, reason: str) -> None:
         now = asyncio.get_running_loop().time()
