Address answers keep the platform's limit; long answers are refused; unread fields go

The header timeout is not among the server's: tornado has one clock for silence and slow heads, and the ingress says so. Twins: consume_error and event_number stand once.

--- a/src/carobspur/gateway/events.py
+++ b/src/carobspur/gateway/events.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass
 
 
+def event_number(ident: str) -> int | None:
+    """Return an event's id as a number, where it is one."""
+    return int(ident) if ident.isdigit() else None
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
     """One whole event of a stream.
@@ -22,7 +27,7 @@
     @property
     def number(self) -> int | None:
         """Its id as a number, where it is one."""
-        return int(self.id) if self.id.isdigit() else None
+        return event_number(self.id)
 
 
 class EventSplitter:
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -19,6 +19,7 @@
 
 from ..errors import CarobspurError
 from ..verdict import MAY_HAVE_RUN, NOT_RUN
+from ._futures import consume_error
 
 CONNECT_TIMEOUT_S = 0.3
 """A handshake inside a region takes about 2 ms; a lost packet returns after 1 s."""
@@ -32,7 +33,6 @@
 """Kept connections are retired this long before the server's idle timeout."""
 DEFAULT_IDLE_S = 4.0
 """Idle time where the server names none."""
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class SendError(CarobspurError):
@@ -181,7 +181,7 @@
             self._written = self._stream.write(data)
         except StreamClosedError as error:
             raise NotSentError("the kept connection had ended") from error
-        self._written.add_done_callback(_consume_error)
+        self._written.add_done_callback(consume_error)
 
     async def head(self, is_mine: Callable[[dict[str, str]], bool]) -> _Message:
         """Wait for the head of the answer, passing over answers to others.
@@ -261,7 +261,7 @@
         except StreamClosedError as error:
             read = asyncio.get_running_loop().create_future()
             read.set_exception(error)
-        read.add_done_callback(_consume_error)
+        read.add_done_callback(consume_error)
         return read
 
     def _has_complete_head(self) -> bool:
@@ -270,11 +270,6 @@
         return bool(messages) and messages[0].is_complete
 
 
-def _consume_error(future: asyncio.Future) -> None:
-    if not future.cancelled():
-        future.exception()
-
-
 def _socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/carobspur/gateway/routes.py
+++ b/src/carobspur/gateway/routes.py
@@ -86,11 +86,9 @@
 
     Attributes:
         tokens_per_event: Tokens in one event of a stream.
-        cache_tokens: Memory for running requests and cached prompt parts.
     """
 
     tokens_per_event: int
-    cache_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,24 +97,25 @@
 
     Attributes:
         name: Name of the service.
-        health_path: Path of the health check.
-        max_connections: Connections that one endpoint takes from all callers.
         engine: Traits of model engines; ``None`` for plain services.
     """
 
     name: str
-    health_path: str = ""
-    max_connections: int = 0
     engine: EngineTraits | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What callers may send, and how long they may take."""
+    """What callers may send, and how long they may stay silent.
+
+    Attributes:
+        max_header_bytes: Size of a request's head.
+        max_body_bytes: Size of its body.
+        idle_timeout_s: Silence between requests, and while a head is read.
+    """
 
     max_header_bytes: int = 65536
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 10.0
     idle_timeout_s: float = 60.0
 
 
--- a/src/carobspur/gateway/sender.py
+++ b/src/carobspur/gateway/sender.py
@@ -14,6 +14,9 @@
 from .http_pool import Pool
 from .telemetry import Telemetry
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Longest answer that is held whole in memory: a sixteenth of an instance's 256 MB."""
+
 
 class EndpointWire(Protocol):
     """Writes requests for endpoints and reads the heads of their answers."""
@@ -78,9 +81,16 @@
         """Return the whole body.
 
         Raises:
-            LostAnswerError: The body broke off.
+            LostAnswerError: The body broke off or is longer than an answer may be.
         """
-        return b"".join([piece async for piece in self.pieces()])
+        pieces = []
+        size = 0
+        async for piece in self.pieces():
+            size += len(piece)
+            if size > MAX_ANSWER_BYTES:
+                raise LostAnswerError(f"the answer has over {MAX_ANSWER_BYTES} bytes")
+            pieces.append(piece)
+        return b"".join(pieces)
 
 
 class Sender:
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -8,7 +8,7 @@
 from .calls import Call, Responder
 from .context import GatewayContext
 from .endpoints import Endpoint
-from .events import EventSplitter, StreamEvent
+from .events import EventSplitter, StreamEvent, event_number
 from .http1 import LostAnswerError, NotSentError
 from .outcomes import MAX_SENDS
 from .placement import Need, choose_engine
@@ -162,7 +162,7 @@
         splitter = EventSplitter()
         first_at = last_at = 0.0
         count = 0
-        skip_to = _number(turn.last_event) if turn.reads_from_start else None
+        skip_to = event_number(turn.last_event) if turn.reads_from_start else None
         if turn.reads_from_start:
             turn.passed.clear()
         async for piece in exchange.pieces():
@@ -240,7 +240,3 @@
         return OutOfTimeUnsentError(
             "the time ran out before an engine was asked", retry_after_s=RETRY_AFTER_S
         )
-
-
-def _number(ident: str) -> int | None:
-    return int(ident) if ident.isdigit() else None
--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -48,8 +48,6 @@
     priority: int = 0
     service: str = ""
     traffic_split: list[_Split] = []
-    # Says that requests carry prompts, not that connections are kept.
-    sticky_sessions: bool = False
     resumable: bool = False
     keeps_history: bool = False
     retention_s: float = msgspec.field(default=60.0, name="retentionS")
@@ -58,23 +56,18 @@
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int = 1
-    kv_cache_tokens: int = 0
     # Tokens in each event of a stream.
     stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    health_path: str = ""
-    max_connections: int = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
     max_header_bytes: int = 65536
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
 
 
@@ -106,7 +99,6 @@
         limits=CallerLimits(
             max_header_bytes=wire.limits.max_header_bytes,
             max_body_bytes=wire.limits.max_body_bytes,
-            header_timeout_s=wire.limits.header_timeout_ms / 1000,
             idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
         ),
     )
@@ -134,5 +126,5 @@
 def _service(wire: _Service) -> Service:
     engine = None
     if wire.engine is not None:
-        engine = EngineTraits(wire.engine.stride, wire.engine.kv_cache_tokens)
-    return Service(wire.name, wire.health_path, wire.max_connections, engine)
+        engine = EngineTraits(wire.engine.stride)
+    return Service(wire.name, engine)
--- a/src/carobspur/platform/directory.py
+++ b/src/carobspur/platform/directory.py
@@ -25,9 +25,12 @@
 
 
 class _ResolveHandler(tornado.web.RequestHandler):
-    def initialize(self, membership: Membership, is_ready: Callable[[], bool]) -> None:
+    def initialize(
+        self, membership: Membership, is_ready: Callable[[], bool], ttl_s: float
+    ) -> None:
         self._membership = membership
         self._is_ready = is_ready
+        self._ttl_s = ttl_s
 
     def get(self) -> None:
         """Tell which addresses to use."""
@@ -41,7 +44,7 @@
             self.set_status(503)
         self.set_header("Content-Type", "application/json")
         # Connection addresses for callers, and how many seconds to keep them.
-        self.finish(msgspec.json.encode({"addresses": found, "ttlS": ADDRESS_TTL_S}))
+        self.finish(msgspec.json.encode({"addresses": found, "ttlS": self._ttl_s}))
 
 
 class _ReadyHandler(tornado.web.RequestHandler):
@@ -107,10 +110,17 @@
 
 
 def directory_application(
-    membership: Membership, is_ready: Callable[[], bool]
+    membership: Membership, is_ready: Callable[[], bool], *, max_ttl_s: float
 ) -> tornado.web.Application:
-    """Return the application that tells callers where to connect."""
-    arguments = {"membership": membership, "is_ready": is_ready}
+    """Return the application that tells callers where to connect.
+
+    Args:
+        membership: The gateways.
+        is_ready: Whether this one takes callers.
+        max_ttl_s: Longest time for which an answer may be kept.
+    """
+    ttl_s = min(ADDRESS_TTL_S, max_ttl_s)
+    arguments = {"membership": membership, "is_ready": is_ready, "ttl_s": ttl_s}
     return _application([(r"/carobspur/resolve", _ResolveHandler, arguments)])
 
 
--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -18,6 +18,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from ..gateway._futures import consume_error
 from ..gateway.broker import Broker
 from ..gateway.calls import Call, Headers
 from ..gateway.refusals import CallerLeftError
@@ -75,7 +76,7 @@
         self.has_started = True
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         future = self._connection.write_headers(line, fields, body)
-        future.add_done_callback(_consume_error)
+        future.add_done_callback(consume_error)
 
 
 class _Reader(HTTPMessageDelegate):
@@ -128,7 +129,7 @@
         self._call.body = b"".join(self._chunks)
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._broker.handle(self._call, responder))
-        self._task.add_done_callback(_consume_error)
+        self._task.add_done_callback(consume_error)
         self._connection.set_close_callback(self._task.cancel)
 
     def on_connection_close(self) -> None:
@@ -174,7 +175,11 @@
             await self._server.close_all_connections()
 
     def apply_limits(self) -> None:
-        """Apply the limits in force to connections that come from now on."""
+        """Apply the limits in force to connections that come from now on.
+
+        The server has one timeout for a silent connection and for a slow head, and
+        its clock starts with the silence; the longer limit serves for both.
+        """
         self._server.conn_params.header_timeout = self._limits().idle_timeout_s
 
     def stop_keeping(self) -> None:
@@ -187,8 +192,3 @@
     for name, value in headers:
         fields.add(name, value)
     return fields
-
-
-def _consume_error(future: asyncio.Future) -> None:
-    if not future.cancelled():
-        future.exception()
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -192,7 +192,11 @@
                 ),
                 (ready_application(self._is_ready), listen.ready),
                 (
-                    directory_application(self._membership, self._is_ready),
+                    directory_application(
+                        self._membership,
+                        self._is_ready,
+                        max_ttl_s=self._settings.times.address_ttl_s,
+                    ),
                     listen.directory,
                 ),
                 (metrics_application(self._telemetry.registry), listen.metrics),
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from carobspur.gateway.sender import MAX_ANSWER_BYTES
+
 
 class ReplicaFault(StrEnum):
     """What a replica does with one request instead of answering well."""
@@ -30,6 +32,8 @@
     """Answers well and closes the connection at once."""
     UNFRAMED = "unframed"
     """Answers without a length; the end of the connection ends the answer."""
+    HUGE = "huge"
+    """Answers with more bytes than an answer may have."""
     HANG = "hang"
     """Runs it and never answers."""
 
@@ -188,6 +192,10 @@
                 lines = head.split(b"\r\n")
                 kept = [line for line in lines if not line.startswith(b"Content-Len")]
                 writer.write(b"\r\n".join(kept) + body)
+            case ReplicaFault.HUGE:
+                body = b"x" * (MAX_ANSWER_BYTES + 1)
+                writer.write(self._head(request.headers["request-id"], len(body)))
+                writer.write(body)
             case _:
                 writer.write(head + body)
 
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,40 @@
+"""Callers are told for how long an answer of the directory holds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+import tornado.httpserver
+
+from carobspur.gateway.members import Member, Membership
+from carobspur.platform.directory import directory_application
+
+from .platform_world import call
+from .ports import HOST, free_port
+
+
+class AddressTimeTest(unittest.TestCase):
+    def ttl_s(self, limit_s: float) -> float:
+        """Return the time told where the platform allows so many seconds."""
+
+        async def ask() -> float:
+            own = Member("g1/s", "east", f"{HOST}:1", f"{HOST}:2", f"{HOST}:3")
+            application = directory_application(
+                Membership(own), lambda: True, max_ttl_s=limit_s
+            )
+            server = tornado.httpserver.HTTPServer(application)
+            port = free_port()
+            server.listen(port, HOST)
+            answer = await call(port, "/carobspur/resolve?zone=east")
+            server.stop()
+            return json.loads(answer.body)["ttlS"]
+
+        return asyncio.run(ask())
+
+    def test_shorter_limit_of_the_platform_is_kept(self) -> None:
+        self.assertEqual(0.5, self.ttl_s(0.5))
+
+    def test_answers_are_renewed_each_second_under_a_longer_limit(self) -> None:
+        self.assertEqual(1, self.ttl_s(5.0))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -55,6 +55,14 @@
             answers = [await made.call("/pay/a", body=b"x") for _ in range(10)]
         self.assertEqual([200] * 10, [answer.status for answer in answers])
 
+    async def test_answer_that_does_not_fit_memory_is_refused(self) -> None:
+        async with world() as made:
+            (tool,) = [item for item in made.replicas.values() if not item.events]
+            tool.faults.append(ReplicaFault.HUGE)
+            answer = await made.call("/pay/a", body=b"x")
+            following = await made.call("/pay/b", body=b"x")
+        self.assertEqual((502, 200), (answer.status, following.status))
+
     async def test_answer_without_a_length_ends_with_its_connection(self) -> None:
         async with world() as made:
             (tool,) = [item for item in made.replicas.values() if not item.events]
