Gateways count answers by their route's objective; report on burn

The gateway counts each answer as met, late or missed against the route's times; what the caller decided does not count.

--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -32,6 +32,7 @@
 )
 from .gateway.explanation import LoggedEvent, read_events
 from .gateway.explanation import explain as explain_request
+from .gateway.objectives import KindBurn, burn_of
 from .gateway.settings import GatewaySettings
 from .inventory import Key, Role
 from .inventory_checks import Fault
@@ -53,6 +54,24 @@
 SECRET_BYTES = 32
 
 
+def _texts(paths: tuple[str, ...]) -> Iterator[str]:
+    if not paths:
+        yield sys.stdin.read()
+    for path in paths:
+        try:
+            yield Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise UsageError(f"cannot read {path}: {error}") from error
+
+
+def _burn_text(burns: list[KindBurn]) -> str:
+    rows = [
+        (item.kind, item.answers, item.late, item.missed, f"{item.rate:.2f}")
+        for item in burns
+    ]
+    return table(("kind", "answers", "late", "missed", "burn rate"), rows)
+
+
 def _logged_events(logs: tuple[str, ...]) -> Iterator[LoggedEvent]:
     if not logs:
         yield from read_events(sys.stdin)
@@ -102,11 +121,30 @@
 
 
 class ReportCommands:
-    """Reports on an organisation's programs."""
+    """Reports on an organisation's programs, and on gateways."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
 
+    @command
+    def gateways(self, *pages: str, objective: float = 0.99) -> None:
+        """Show how fast gateways use up what their objectives allow, by kind of route.
+
+        A burn rate of 1 uses up exactly what may be late or fail.
+
+        Example:
+            carobspur report gateways metrics-*.txt --objective=0.99
+
+        Args:
+            pages: Files with what gateways' metrics addresses gave; none for
+                standard input.
+            objective: Share of answers that must meet their route's times.
+        """
+        if not 0.0 <= objective < 1.0:
+            raise UsageError(f"objective: {objective} is not from 0 to below 1")
+        burns = burn_of(_texts(pages), objective_share=objective)
+        self._session.show(burns, _burn_text)
+
     @command
     def burn(self, plot: str = "") -> None:
         """Show how fast each agent uses up its service-level objective.
--- a/src/carobspur/gateway/broker.py
+++ b/src/carobspur/gateway/broker.py
@@ -9,6 +9,7 @@
 from ..verdict import verdict_name
 from .calls import Call, Responder
 from .context import GatewayContext
+from .objectives import Served, objective_of
 from .plain import PlainCalls
 from .refusals import NoConfigurationError, NoRouteError, headers_of
 from .routes import Route, RouteKind
@@ -51,7 +52,7 @@
             route = None
             try:
                 route = self._route(call)
-                status = await self._serve(call, route, responder)
+                served = await self._serve(call, route, responder)
             except CarobspurError as error:
                 self._refuse(call, route, responder, error)
             except asyncio.CancelledError:
@@ -63,7 +64,13 @@
                 self._note(call, route, status=0, cause=f"fault: {error!r}")
                 raise
             else:
-                self._note(call, route, status=status, cause="")
+                self._note(
+                    call,
+                    route,
+                    status=served.status,
+                    cause="",
+                    is_on_time=served.is_on_time,
+                )
 
     @contextmanager
     def _counted(self):
@@ -92,7 +99,7 @@
             )
         raise NoRouteError(f"version {configuration.version} has no such route")
 
-    async def _serve(self, call: Call, route: Route, responder: Responder) -> int:
+    async def _serve(self, call: Call, route: Route, responder: Responder) -> Served:
         deadline = call.arrived + route.timeout_s
         if call.deadline is not None:
             deadline = min(deadline, call.deadline)
@@ -131,7 +138,14 @@
         )
 
     def _note(
-        self, call: Call, route: Route | None, *, status: int, cause: str, **more
+        self,
+        call: Call,
+        route: Route | None,
+        *,
+        status: int,
+        cause: str,
+        is_on_time: bool = False,
+        **more: object,
     ) -> None:
         context = self._context
         now = asyncio.get_running_loop().time()
@@ -139,6 +153,9 @@
         label = cause.partition(":")[0]
         context.telemetry.answers.labels(kind, str(status), label).inc()
         context.telemetry.answer_seconds.labels(kind).observe(now - call.arrived)
+        objective = objective_of(status, is_on_time=is_on_time)
+        if objective is not None:
+            context.telemetry.objectives.labels(kind, objective.value).inc()
         version = context.configuration.version if context.configuration else 0
         program = call.program
         context.log.note(
--- a/src/carobspur/gateway/plain.py
+++ b/src/carobspur/gateway/plain.py
@@ -8,6 +8,7 @@
 from .context import GatewayContext
 from .endpoints import Endpoint
 from .http1 import LostAnswerError, NotSentError
+from .objectives import Served
 from .outcomes import Answered, Lost, NotRunThere, Outcome, may_send_again
 from .placement import Need, choose_plain
 from .refusals import (
@@ -31,8 +32,8 @@
 
     async def serve(
         self, call: Call, route: Route, responder: Responder, *, deadline: float
-    ) -> int:
-        """Answer a call; returns the status.
+    ) -> Served:
+        """Answer a call.
 
         Raises:
             CarobspurError: There is no answer to pass on; its verdict is true.
@@ -56,7 +57,9 @@
             again = may_send_again(outcome, route, runs=runs, sends=len(tried))
             if not again or asyncio.get_running_loop().time() >= deadline:
                 break
-        return self._conclude(outcome, responder, runs=runs)
+        status = self._conclude(outcome, responder, runs=runs)
+        taken_s = asyncio.get_running_loop().time() - call.arrived
+        return Served(status, taken_s <= route.target_latency_s)
 
     def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
         context = self._context
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -10,6 +10,7 @@
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent, event_number
 from .http1 import LostAnswerError, NotSentError
+from .objectives import Served
 from .outcomes import MAX_SENDS
 from .placement import Need, choose_engine
 from .refusals import (
@@ -47,8 +48,8 @@
 
     async def serve(
         self, call: Call, route: Route, responder: Responder, *, deadline: float
-    ) -> int:
-        """Answer a request with a stream; returns the status.
+    ) -> Served:
+        """Answer a request with a stream.
 
         Raises:
             CarobspurError: There is no answer to pass on; its verdict is true.
@@ -60,7 +61,7 @@
             if turn.has_ended:
                 await self._book.keep(turn)
                 responder.finish()
-            return status
+            return Served(status, turn.is_on_time)
         except TimeoutError:
             raise self._out_of_time(turn) from None
         finally:
@@ -169,6 +170,7 @@
             for event in splitter.feed(piece):
                 count += 1
                 last_at = loop.time()
+                turn.note_event(last_at)
                 if count == 1:
                     first_at = last_at
                     self._note_first(turn)
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from .objectives import OBJECTIVES
+
 LATENCY_BUCKETS_S = (
     0.005,
     0.01,
@@ -39,6 +41,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.objectives = Counter(
+            OBJECTIVES,
+            "Answers by route kind and whether they met their route's objective.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
         self.first_event_seconds = Histogram(
             "carobspur_first_event_seconds",
             "Time from a request's head to the first event of its stream.",
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -28,6 +28,9 @@
         may_be_running: Whether a request is at an engine that has not answered.
         refused: Engines that did not run it.
         has_ended: Whether the engine's stream came whole.
+        last_event_at: Loop time of the newest event; 0 before the first.
+        first_event_s: Time from the request's head to the first event.
+        widest_gap_s: Longest pause between two events.
     """
 
     call: Call
@@ -41,6 +44,9 @@
     may_be_running: bool = False
     refused: set[str] = field(default_factory=set)
     has_ended: bool = False
+    last_event_at: float = 0.0
+    first_event_s: float = 0.0
+    widest_gap_s: float = 0.0
 
     @property
     def reads_from_start(self) -> bool:
@@ -51,3 +57,19 @@
     def body(self) -> bytes:
         """What the engine is given."""
         return self.chain.text + self.call.body
+
+    @property
+    def is_on_time(self) -> bool:
+        """Whether the first event and all that followed came within their times."""
+        return (
+            self.first_event_s <= self.route.target_latency_s
+            and self.widest_gap_s <= self.route.max_gap_s
+        )
+
+    def note_event(self, now: float) -> None:
+        """Take note of when an event came."""
+        if self.last_event_at:
+            self.widest_gap_s = max(self.widest_gap_s, now - self.last_event_at)
+        else:
+            self.first_event_s = now - self.call.arrived
+        self.last_event_at = now
