--- a/src/carobspur/gateway/row_sweep.py
+++ b/src/carobspur/gateway/row_sweep.py
@@ -5,15 +5,16 @@
 import asyncio
 import random
 import time
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
 
 from .decisions import DecisionLog
 from .partition import all_parts
 from .rows import RowKey, RowStore, RowStoreError, RowWrite
 
-OWN_SWEEP_S = 5.0
-"""Time between removals of rows that this gateway wrote."""
+OWN_SWEEP_S = 120.0
+"""Time in which the rows that this gateway wrote are gone through, part by part: long
+enough for several rows a call, short beside what the store holds."""
 ORPHAN_SWEEP_S = 20.0
 """Mean time between looks of one gateway at one part of a table: seven gateways see
 all parts of two tables within the hour."""
@@ -43,22 +44,28 @@
         self._store = store
         self._expiries = expiries
         self._log = log
-        self._own: deque[tuple[float, RowKey]] = deque()
+        self._own: defaultdict[str, deque[tuple[float, RowKey]]] = defaultdict(deque)
 
     def note(self, key: RowKey, kept_s: float) -> None:
         """Remove a row that was written now once so many seconds have passed."""
         due = asyncio.get_running_loop().time() + kept_s
-        self._own.append((due, key))
+        self._own[key.part].append((due, key))
 
     async def sweep_own_forever(self) -> None:
         """Remove rows of this gateway when their time is over."""
+        parts = all_parts()
         while True:
-            await asyncio.sleep(OWN_SWEEP_S)
-            now = asyncio.get_running_loop().time()
-            old = []
-            while self._own and self._own[0][0] < now:
-                old.append(self._own.popleft()[1])
-            await self._remove(old)
+            for part in parts:
+                await asyncio.sleep(OWN_SWEEP_S / len(parts))
+                await self._remove(self._take_due(part))
+
+    def _take_due(self, part: str) -> list[RowKey]:
+        now = asyncio.get_running_loop().time()
+        rows = self._own[part]
+        due = []
+        while rows and rows[0][0] < now:
+            due.append(rows.popleft()[1])
+        return due
 
     async def sweep_orphans_forever(self) -> None:
         """Look at one random part of one table now and then."""
--- a/src/carobspur/gateway/rows.py
+++ b/src/carobspur/gateway/rows.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RowKey:
-    """Names a row; a part does its transactions one after another."""
+    """Names a row; transactions change rows of one part only."""
 
     table: str
     part: str
@@ -95,9 +95,7 @@
         expected: dict[RowKey, int] | None = None,
         timeout_s: float,
     ) -> int:
-        """Write rows, all or none; repeats until it is confirmed.
-
-        Rows of several parts take the store twice as long and hold all parts up.
+        """Write rows of one part, all or none; repeats until it is confirmed.
 
         Because of the repeats a conflict may show rows that this call has written.
 
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -159,12 +159,9 @@
         expected: dict[RowKey, int] | None = None,
         timeout_s: float,
     ) -> int:
-        """Write rows; see :class:`RowStore`."""
-        parts = {key.part for key in expected or {}}
-        parts |= {item.key.part for item in writes}
+        """Write rows of one part; see :class:`RowStore`."""
         body = msgspec.json.encode(
             {
-                "across": len(parts) > 1,
                 # Conditions on rows, not a revision of the whole store.
                 "expectedRevision": [
                     {**encode_key(key), "ver": version}
