One write covers a new program while the store is slow

Cause: the home gave up its first write after 0.36 s to see whether the store is away and began another with the 0.34 s left; a store slowed 91 times takes 0.46 s, so neither ended, and the second waited behind the first at their part. The write now goes on while the home looks. test_store_slowed_ninety_times_refuses_no_new_program: three refusals of three before, none after.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -46,6 +46,9 @@
 """Unused accounts are dropped so long after their programs may return."""
 SWEEP_S = 5.0
 MAX_ROWS_A_WRITE = 50
+MAX_PARALLEL_FLUSHES = 10
+"""Writes under way at once when accounts are written at a stop: at 10 ms each the
+store's whole rate is not used up by one gateway."""
 MAX_TRIES = 4
 MAX_RELEASED = 1000
 """Turns given up that are remembered: more than wait at one home during an outage."""
@@ -260,16 +263,17 @@
 
     async def flush(self) -> None:
         """Write what is really spent, so that a successor loses nothing."""
-        unwritten = [
-            (program, account)
-            for program, account in self._accounts.items()
-            if account.spent != account.covered
-        ]
+        writes: dict[str, list[tuple[str, Account]]] = {}
+        for program, account in self._accounts.items():
+            if account.spent != account.covered:
+                writes.setdefault(part_of(program), []).append((program, account))
         batches = [
-            unwritten[start : start + MAX_ROWS_A_WRITE]
-            for start in range(0, len(unwritten), MAX_ROWS_A_WRITE)
+            items[start : start + MAX_ROWS_A_WRITE]
+            for items in writes.values()
+            for start in range(0, len(items), MAX_ROWS_A_WRITE)
         ]
-        await asyncio.gather(*(self._flush_batch(batch) for batch in batches))
+        places = asyncio.Semaphore(MAX_PARALLEL_FLUSHES)
+        await asyncio.gather(*(self._flush_batch(batch, places) for batch in batches))
         self._accounts.clear()
 
     async def cover_uncovered(self) -> None:
@@ -317,17 +321,24 @@
         Raises:
             RowStoreAwayError: The store is away and the program may not begin.
         """
-        for timeout_s in (FIRST_COVER_S, COVER_TIMEOUT_S - FIRST_COVER_S):
-            if await self._go_on_without(program, account, tokens):
-                return
-            try:
-                await self._cover(program, account, needed, timeout_s=timeout_s)
-            except RowStoreAwayError as error:
-                last = error
-            else:
+        if await self._go_on_without(program, account, tokens):
+            return
+        covering = asyncio.create_task(
+            self._cover(program, account, needed, timeout_s=COVER_TIMEOUT_S)
+        )
+        try:
+            # A slow store still answers; one that is away is known by then.
+            await asyncio.wait([covering], timeout=FIRST_COVER_S)
+            if not covering.done() and await self._go_on_without(
+                program, account, tokens
+            ):
                 return
-        if not await self._go_on_without(program, account, tokens):
-            raise last
+            await covering
+        except RowStoreAwayError:
+            if not await self._go_on_without(program, account, tokens):
+                raise
+        finally:
+            covering.cancel()
 
     async def _go_on_without(self, program: str, account: Account, tokens: int) -> bool:
         """Let a program begin while the store is away, up to a small share.
@@ -409,7 +420,9 @@
             return None
         return await self._hand_over(row.holder, program, version, row.serial)
 
-    async def _flush_batch(self, batch: list[tuple[str, Account]]) -> None:
+    async def _flush_batch(
+        self, batch: list[tuple[str, Account]], places: asyncio.Semaphore
+    ) -> None:
         writes, expected = [], {}
         for program, account in batch:
             key = RowKey(TABLE, part_of(program), program)
@@ -417,9 +430,10 @@
             writes.append(RowWrite(key, msgspec.msgpack.encode(row)))
             expected[key] = account.version
         try:
-            await self._store.write(
-                writes, expected=expected, timeout_s=FLUSH_TIMEOUT_S
-            )
+            async with places:
+                await self._store.write(
+                    writes, expected=expected, timeout_s=FLUSH_TIMEOUT_S
+                )
         except (RowConflictError, RowStoreAwayError) as error:
             # The rows then count all that was covered, which is safe.
             self._log.note(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -371,6 +371,41 @@
         self.assertEqual([200] * 3, [answer.status for answer in answers])
         self.assertEqual(200, new.status)
 
+    async def test_store_slowed_ninety_times_refuses_no_new_program(self) -> None:
+        async with world(gateways=2) as made:
+            made.store.faults.tx_s = 0.45
+            answers = [
+                await made.call(
+                    "/walk/a",
+                    body=b"x",
+                    program_id=f"p{number}",
+                    token_budget=2000,
+                    token_usage="10,50",
+                )
+                for number in range(3)
+            ]
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+
+    async def test_slow_store_is_not_taken_for_lost(self) -> None:
+        async with world(gateways=2) as made:
+            made.store.faults.tx_s = 0.4
+            made.store.faults.delay_s = 0.05
+            calls = [
+                made.call(
+                    "/walk/a",
+                    via=number % 2,
+                    body=b"x",
+                    program_id=f"p{number}",
+                    token_budget=2000,
+                    token_usage="10,50",
+                )
+                for number in range(12)
+            ]
+            answers = await asyncio.gather(*calls)
+            lost = [handle.events("store_lost") for handle in made.gateways]
+        self.assertEqual([[], []], lost)
+        self.assertEqual([200] * 12, [answer.status for answer in answers])
+
     async def test_slow_store_does_not_spend_the_budget_of_refused_turns(self) -> None:
         async with world(gateways=2) as made:
             made.store.faults.delay_s = 0.6
