A gateway that starts in an outage learns of the peer that tells it

Ruled out: the wait for readiness (5 s, the outage begins before the row is shown). test_bootstrap holds the case without timing.

--- a/src/carobspur/platform/bootstrap.py
+++ b/src/carobspur/platform/bootstrap.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from ..gateway.feed import TableFeed
 from ..gateway.http1 import SendError
 from ..gateway.http_pool import Pool, fetch
+from ..gateway.members import Member
 from ..gateway.rows import Row, RowKey
 
 SNAPSHOT_PATH = "/snapshot"
@@ -18,6 +19,8 @@
 """Time in which the store usually answers a gateway that has just started."""
 RETRY_S = 0.25
 PEER_TIMEOUT_S = 0.5
+MEMBERS = "members"
+"""Name of the table of gateways in a snapshot."""
 
 
 class _SnapshotRow(msgspec.Struct, frozen=True, array_like=True):
@@ -28,12 +31,50 @@
     version: int
 
 
-def encode_snapshot(feeds: dict[str, TableFeed]) -> bytes:
-    """Return the rows of all followed tables."""
+Snapshot = dict[str, list[_SnapshotRow]]
+"""Rows of the followed tables by name."""
+
+
+def encode_snapshot(feeds: dict[str, TableFeed], *, members: Iterable[Member]) -> bytes:
+    """Return the rows of all followed tables.
+
+    Args:
+        feeds: The tables by name.
+        members: All gateways that are known, this one too; heartbeats tell of some
+            whose rows the store has not shown yet.
+    """
     tables = {name: _rows_of(feed) for name, feed in feeds.items()}
+    shown = {row.key for row in tables[MEMBERS]}
+    tables[MEMBERS] += [
+        _SnapshotRow(member.name, msgspec.json.encode(member), 0)
+        for member in members
+        if member.name not in shown
+    ]
     return msgspec.msgpack.encode(tables)
 
 
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return the rows of a peer's tables by name.
+
+    Raises:
+        msgspec.MsgspecError: The data are damaged.
+    """
+    return msgspec.msgpack.decode(data, type=Snapshot)
+
+
+def load_snapshot(feeds: dict[str, TableFeed], snapshot: Snapshot) -> None:
+    """Give a peer's rows to the tables that the store has not told yet."""
+    for name, rows in snapshot.items():
+        feed = feeds.get(name)
+        if feed is not None:
+            feed.load(
+                [
+                    Row(RowKey(feed.table, "", row.key), row.value, row.version)
+                    for row in rows
+                ]
+            )
+
+
 async def load_from_peers(
     feeds: dict[str, TableFeed],
     peers: Callable[[], list[str]],
@@ -55,13 +96,11 @@
                 answer = await fetch(
                     pool, peer, "GET", SNAPSHOT_PATH, timeout_s=PEER_TIMEOUT_S
                 )
-                tables = msgspec.msgpack.decode(
-                    answer.body, type=dict[str, list[_SnapshotRow]]
-                )
+                tables = decode_snapshot(answer.body)
             except (SendError, msgspec.MsgspecError) as error:
                 log.note("snapshot_failed", peer=peer, reason=str(error))
                 continue
-            _load(feeds, tables)
+            load_snapshot(feeds, tables)
             log.note(
                 "snapshot_loaded",
                 peer=peer,
@@ -73,16 +112,3 @@
 def _rows_of(feed: TableFeed) -> list[_SnapshotRow]:
     rows = feed.rows.items()
     return [_SnapshotRow(key, row.value, row.version) for key, row in rows]
-
-
-def _load(feeds: dict[str, TableFeed], tables: dict[str, list[_SnapshotRow]]) -> None:
-    for name, rows in tables.items():
-        feed = feeds.get(name)
-        if feed is not None:
-            keys = [RowKey(feed.table, "", row.key) for row in rows]
-            feed.load(
-                [
-                    Row(key, row.value, row.version)
-                    for key, row in zip(keys, rows, strict=True)
-                ]
-            )
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -43,7 +43,7 @@
 from ..gateway.turns import TABLE as TURNS_TABLE
 from ..gateway.turns import TurnKeeper, turn_expiry
 from . import configuration as wire_configuration
-from .bootstrap import encode_snapshot, load_from_peers
+from .bootstrap import MEMBERS, encode_snapshot, load_from_peers
 from .directory import (
     directory_application,
     metrics_application,
@@ -129,7 +129,7 @@
             "registry": TableFeed(
                 self._store, REGISTRY_TABLE, self._registry.apply, log
             ),
-            "members": TableFeed(
+            MEMBERS: TableFeed(
                 self._store, MEMBERS_TABLE, self._member_rows.changed, log
             ),
         }
@@ -277,7 +277,8 @@
         )
 
     def _snapshot(self) -> bytes:
-        return encode_snapshot(self._feeds)
+        members = [self._membership.own, *self._membership.others()]
+        return encode_snapshot(self._feeds, members=members)
 
     def _all_peers(self) -> list[str]:
         known = [member.peers for member in self._membership.others()]
--- /dev/null
+++ b/tests/test_bootstrap.py
@@ -0,0 +1,38 @@
+"""A gateway that starts in an outage learns what its peers know."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+
+from carobspur.gateway.decisions import DecisionLog
+from carobspur.gateway.feed import TableFeed
+from carobspur.gateway.member_rows import TABLE, MemberRows
+from carobspur.gateway.members import Member, Membership
+from carobspur.platform.bootstrap import (
+    MEMBERS,
+    decode_snapshot,
+    encode_snapshot,
+    load_snapshot,
+)
+
+LOG = DecisionLog(logging.getLogger("test"))
+
+
+def member(number: int) -> Member:
+    return Member(f"g{number}/s", "a", f"h:{number}", f"p:{number}", f"u:{number}")
+
+
+class SnapshotTest(unittest.TestCase):
+    def test_peer_that_has_not_seen_its_own_row_tells_of_itself(self) -> None:
+        async def learnt() -> set[str]:
+            giver = {MEMBERS: TableFeed(None, TABLE, lambda *_: None, LOG)}
+            data = encode_snapshot(giver, members=[member(1), member(2)])
+            membership = Membership(member(3))
+            rows = MemberRows(membership, None, LOG)
+            taker = {MEMBERS: TableFeed(None, TABLE, rows.changed, LOG)}
+            load_snapshot(taker, decode_snapshot(data))
+            return {item.name for item in membership.others()}
+
+        self.assertEqual({"g1/s", "g2/s"}, asyncio.run(learnt()))
