The end of a turn follows its account to the next home

The gateway told the former home what the turn had generated (0, where it was refused), and that home dropped the message without a word. With budgets of two turns (289 of 500) the program was answered 402 from then on. Ruled out: a release that comes before its reservation (remembered, tested), a cancelled write of the cover (its row is recognised as own), a failed message (would have been logged as not_settled). Now: accounts move with the turns under way by id; a home answers whether it knew the turn; the gateway asks the program's other homes if not; ends that come early or after the account has gone are remembered. Taking back is settling with 0, so one message less.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TypeAlias
 
 AHEAD_SHARE = 0.12
@@ -85,6 +85,11 @@
             return 0
         return self.carried + self.settled + sum(self.open.values())
 
+    @property
+    def unrecorded_turns(self) -> dict[str, int]:
+        """Turns under way that no row counts, with the most tokens of each."""
+        return {} if self.version else dict(self.open)
+
     def grant(self, turn: str, tokens: int) -> Grant:
         """Decide on a turn, and set its tokens aside where they are granted."""
         if turn in self.open:
@@ -99,17 +104,25 @@
         self.open[turn] = tokens
         return Granted(others)
 
-    def settle(self, turn: str, tokens: int) -> None:
-        """End a turn; one that this home did not grant is part of its base."""
-        if turn in self.open:
-            self.settled += min(tokens, self.open.pop(turn))
+    def settle(self, turn: str, tokens: int) -> bool:
+        """End a turn; returns false for one that is not under way here."""
+        if turn not in self.open:
+            return False
+        self.settled += min(tokens, self.open.pop(turn))
+        return True
+
+    def adopt(self, tokens: int, version: int, under_way: dict[str, int]) -> None:
+        """Go on from a row: what it covers counts as spent.
 
-    def adopt(self, tokens: int, version: int) -> None:
-        """Go on from a row: what it covers counts as spent."""
-        self.base = tokens
+        Args:
+            tokens: Tokens spent or set aside.
+            version: Version of the row.
+            under_way: Turns among them that have not ended yet.
+        """
+        self.base = tokens - sum(under_way.values())
         self.settled = 0
         self.carried = 0
-        self.open.clear()
+        self.open = under_way
         self.covered = tokens
         self.version = version
 
@@ -126,6 +139,7 @@
         spent: All tokens spent; what a row counts that this account itself wrote,
             where the answer to its write was lost.
         opened_serial: The home's last write before it opened the account.
+        open: Most tokens of each turn under way, all of them counted above.
     """
 
     recorded: int | None
@@ -133,6 +147,7 @@
     row_version: int = 0
     spent: int = 0
     opened_serial: int = 0
+    open: dict[str, int] = field(default_factory=dict)
 
     def about(self, row_version: int, serial: int) -> GivenUp:
         """Return what holds for the row that was found.
@@ -144,8 +159,23 @@
         if row_version == self.row_version:
             return self
         if serial > self.opened_serial:
-            return GivenUp(self.spent, 0)
-        return GivenUp(None, self.unrecorded)
+            return GivenUp(self.spent, 0, open=self.open)
+        # Turns that this row does not count can't be told apart in it.
+        return GivenUp(None, self.unrecorded, open=self.open if self.unrecorded else {})
+
+    def settled(self, turn: str, tokens: int) -> GivenUp:
+        """Return what holds once a turn that was under way has ended."""
+        under_way = dict(self.open)
+        most = under_way.pop(turn)
+        unused = most - min(tokens, most)
+        in_row = 0 if self.unrecorded else unused
+        return replace(
+            self,
+            recorded=None if self.recorded is None else self.recorded - in_row,
+            unrecorded=self.unrecorded - unused + in_row,
+            spent=self.spent - unused,
+            open=under_way,
+        )
 
     def counted(self, covered: int) -> int:
         """Return what counts as spent where the row covers so many tokens."""
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -55,8 +55,9 @@
 """Writes under way at once when accounts are written at a stop: at 10 ms each the
 store's whole rate is not used up by one gateway."""
 MAX_TRIES = 4
-MAX_RELEASED = 1000
-"""Turns given up that are remembered: more than wait at one home during an outage."""
+MAX_EARLY = 1000
+"""Ends of turns that are remembered before the turns are known: more than wait at one
+home during an outage."""
 
 
 HandOver = Callable[[str, str, int, int], Awaitable[GivenUp | None]]
@@ -86,13 +87,13 @@
     __slots__ = (
         "_accounts",
         "_doubt",
+        "_early",
         "_given_up",
         "_hand_over",
         "_locks",
         "_log",
         "_name",
         "_pull",
-        "_released",
         "_serial",
         "_store",
     )
@@ -115,8 +116,8 @@
         self._log = log
         self._accounts: dict[str, Account] = {}
         self._locks: dict[str, asyncio.Lock] = {}
-        # Turns that were given up before their reservation was made, oldest first.
-        self._released: dict[str, None] = {}
+        # What turns generated that are not under way here, or not yet; oldest first.
+        self._early: dict[str, int] = {}
         # What was told of accounts given up; true until another home writes its row.
         self._given_up: dict[str, GivenUp] = {}
         self._serial = 0
@@ -144,9 +145,8 @@
             account.kept_s = max(account.kept_s, kept_s)
             account.used_at = asyncio.get_running_loop().time()
             others = await self._grant(program, account, turn, tokens)
-            if turn in self._released:
-                del self._released[turn]
-                account.settle(turn, 0)
+            if turn in self._early:
+                account.settle(turn, self._early.pop(turn))
                 raise RowStoreAwayError("the gateway that asked did not wait")
             return others
 
@@ -166,21 +166,31 @@
                     await self._cover_or_go_on(program, account, needed, tokens)
         raise RowStoreAwayError("the account changed hands again and again")
 
-    def settle(self, program: str, turn: str, tokens: int) -> None:
-        """Replace a turn's reservation by what it generated."""
-        account = self._accounts.get(program)
-        if account is not None:
-            account.settle(turn, tokens)
+    def settle(self, program: str, turn: str, tokens: int) -> bool:
+        """Replace a turn's reservation by what it generated.
+
+        An end that comes before its turn, or after the account has moved on, is
+        remembered: it counts as soon as the turn is known here.
 
-    def release(self, program: str, turn: str) -> None:
-        """Take back a reservation that nobody waits for, also one yet to be made."""
+        Returns:
+            Whether the turn was under way here; if not, another home may hold it.
+        """
         account = self._accounts.get(program)
-        if account is not None and turn in account.open:
-            account.settle(turn, 0)
-            return
-        self._released[turn] = None
-        while len(self._released) > MAX_RELEASED:
-            del self._released[next(iter(self._released))]
+        if account is not None and account.settle(turn, tokens):
+            return True
+        told = self._given_up.get(program)
+        if told is not None and turn in told.open:
+            self._given_up[program] = told.settled(turn, tokens)
+        self._early[turn] = tokens
+        while len(self._early) > MAX_EARLY:
+            del self._early[next(iter(self._early))]
+        return False
+
+    def _settle_early(self, account: Account) -> None:
+        """End the turns of a new account whose ends were told before."""
+        for turn in list(account.open):
+            if turn in self._early:
+                account.settle(turn, self._early.pop(turn))
 
     async def give_up(
         self, program: str, row_version: int, serial: int
@@ -197,6 +207,9 @@
                 account = self._accounts.pop(program, None)
             if account is not None:
                 self._note_given_up(program, account)
+        return self._told(program, row_version, serial)
+
+    def _told(self, program: str, row_version: int, serial: int) -> GivenUp | None:
         told = self._given_up.get(program)
         return told.about(row_version, serial) if told else None
 
@@ -204,7 +217,12 @@
         before = self._given_up.get(program, GivenUp(None, 0))
         if account.version:
             told = GivenUp(
-                account.spent, 0, account.version, account.spent, account.opened_serial
+                account.spent,
+                0,
+                account.version,
+                account.spent,
+                account.opened_serial,
+                dict(account.open),
             )
         else:
             told = GivenUp(
@@ -213,6 +231,7 @@
                 before.row_version,
                 account.spent + before.unrecorded,
                 account.opened_serial,
+                dict(account.open),
             )
         self._given_up[program] = told
         self._log.note(
@@ -230,6 +249,7 @@
         account = Account(moved.budget, opened_serial=self._serial)
         account.used_at = asyncio.get_running_loop().time()
         fill_account(account, moved)
+        self._settle_early(account)
         self._accounts[moved.program] = account
         return True
 
@@ -400,6 +420,7 @@
             moved = await self._pull(program)
             if moved is not None:
                 fill_account(account, moved)
+                self._settle_early(account)
                 return True
         uncovered = int(account.budget * UNCOVERED_SHARE)
         if (
@@ -456,7 +477,9 @@
             spent=spent,
             row_version=found.version,
         )
-        account.adopt(spent + account.unrecorded, found.version)
+        under_way = (dict(told.open) if told else {}) | account.unrecorded_turns
+        account.adopt(spent + account.unrecorded, found.version, under_way)
+        self._settle_early(account)
         account.covered = 0
 
     async def _former(
@@ -464,8 +487,7 @@
     ) -> GivenUp | None:
         """Return what the holder of a row says of its account."""
         if row.holder == self._name:
-            told = self._given_up.get(program)
-            return told.about(version, row.serial) if told else None
+            return self._told(program, version, row.serial)
         if not row.holder:
             return None
         return await self._hand_over(row.holder, program, version, row.serial)
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -20,7 +20,6 @@
     SPENDING_PATH,
     HandOverRequest,
     PullRequest,
-    ReleaseRequest,
     ReserveRequest,
     SettleRequest,
     SpendingAnswer,
@@ -125,34 +124,35 @@
 
     def _release_later(self, home: str, program: str, turn: str) -> None:
         """Tell a home that nobody waits for what it may still grant."""
-        self._spawn(self._release(home, ReleaseRequest(program, turn)))
-
-    async def _release(self, home: str, request: ReleaseRequest) -> None:
-        try:
-            await self._ask(home, request, SETTLE_TIMEOUT_S)
-        except SendError as error:
-            # The turn then counts at its most.
-            self._log.note(
-                "not_settled",
-                request=request.turn,
-                program=request.program,
-                home=home,
-                reason=error.message,
-            )
+        self._spawn(self._settle(home, SettleRequest(program, turn, 0)))
 
     async def settle(self, reservation: Reservation, tokens: int) -> None:
         """Tell the home what a turn generated; without an answer it counts whole."""
         request = SettleRequest(reservation.program, reservation.turn, tokens)
-        try:
-            await self._ask(reservation.home, request, SETTLE_TIMEOUT_S)
-        except SendError as error:
-            self._log.note(
-                "not_settled",
-                request=reservation.turn,
-                program=reservation.program,
-                home=reservation.home,
-                reason=error.message,
-            )
+        await self._settle(reservation.home, request)
+
+    async def _settle(self, home: str, request: SettleRequest) -> None:
+        """Tell a home of a turn's end, or the next ones if its account moved on."""
+        reason = ""
+        others = [name for name in self._homes(request.program) if name != home]
+        for name in [home, *others]:
+            try:
+                answer = await self._ask(name, request, SETTLE_TIMEOUT_S)
+            except SendError as error:
+                reason = f"home {name}: {error.message}"
+                continue
+            if answer.outcome == "granted":
+                return
+            reason = reason or "no home knows the turn"
+        # Where it was reserved, it counts at its most.
+        self._log.note(
+            "not_settled",
+            request=request.turn,
+            program=request.program,
+            home=home,
+            tokens=request.tokens,
+            reason=reason,
+        )
 
     async def hand_over(
         self, holder: str, program: str, row_version: int, serial: int
--- a/src/carobspur/gateway/spending_protocol.py
+++ b/src/carobspur/gateway/spending_protocol.py
@@ -23,20 +23,13 @@
 
 
 class SettleRequest(msgspec.Struct, frozen=True, tag="settle"):
-    """Tells a home what a turn generated."""
+    """Tells a home what a turn generated; nothing, if it did not run after all."""
 
     program: str
     turn: str
     tokens: int
 
 
-class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
-    """Takes back a reservation that its asker no longer waits for."""
-
-    program: str
-    turn: str
-
-
 class HandOverRequest(msgspec.Struct, frozen=True, tag="hand_over"):
     """Asks a home to give an account up."""
 
@@ -56,7 +49,7 @@
 
     Attributes:
         outcome: ``granted``, ``spent``, ``away``, ``told`` of an account given up, or
-            ``none`` where an account was not taken.
+            ``none`` where an account was not taken or a turn is not known.
         tokens: What other turns hold.
         given_up: What is told of an account that was given up.
         moved: An account that was asked for; only the asker may use it from now on.
@@ -71,12 +64,7 @@
 
 
 SpendingRequest = (
-    ReserveRequest
-    | SettleRequest
-    | ReleaseRequest
-    | HandOverRequest
-    | PullRequest
-    | MovedAccount
+    ReserveRequest | SettleRequest | HandOverRequest | PullRequest | MovedAccount
 )
 
 
@@ -96,11 +84,8 @@
                 return SpendingAnswer("away", reason=error.message)
             return SpendingAnswer("granted", others)
         case SettleRequest(program, turn, tokens):
-            home.settle(program, turn, tokens)
-            return SpendingAnswer("granted")
-        case ReleaseRequest(program, turn):
-            home.release(program, turn)
-            return SpendingAnswer("granted")
+            is_known = home.settle(program, turn, tokens)
+            return SpendingAnswer("granted" if is_known else "none")
         case HandOverRequest(program, row_version, serial):
             told = await home.give_up(program, row_version, serial)
             return SpendingAnswer("told", given_up=told)
--- a/src/carobspur/gateway/spending_records.py
+++ b/src/carobspur/gateway/spending_records.py
@@ -56,7 +56,18 @@
 
 
 class MovedAccount(msgspec.Struct, frozen=True, tag="moved"):
-    """An account on its way to another home, which alone may use it from now on."""
+    """An account on its way to another home, which alone may use it from now on.
+
+    Attributes:
+        program: The program.
+        budget: Tokens that all its turns may generate.
+        spent: Tokens spent or set aside.
+        unrecorded: Those of them that no row counts.
+        covered: Tokens that the row counts as spent.
+        version: Version of the row; 0 without one.
+        kept_s: How long after its last turn the program may return.
+        open: Most tokens of each turn under way, all of them counted above.
+    """
 
     program: str
     budget: int
@@ -65,6 +76,7 @@
     covered: int
     version: int
     kept_s: float
+    open: dict[str, int]
 
 
 def moved_account(program: str, account: Account) -> MovedAccount:
@@ -77,13 +89,20 @@
         account.covered,
         account.version,
         account.kept_s,
+        dict(account.open),
     )
 
 
 def fill_account(account: Account, moved: MovedAccount) -> None:
     """Go on with what another home has sent."""
+    under_way = sum(moved.open.values())
     account.base = moved.spent - moved.unrecorded
     account.carried = moved.unrecorded
+    if moved.version:
+        account.base -= under_way
+    else:
+        account.carried -= under_way
+    account.open = dict(moved.open)
     account.covered = moved.covered
     account.version = moved.version
     account.kept_s = max(account.kept_s, moved.kept_s)
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -109,6 +109,20 @@
         home.settle("p", turn, TOKENS)
         return True
 
+    async def open_turn(self, home: SpendingHome) -> str | None:
+        """Begin a turn; return its id where it was granted."""
+        turn = f"t{next(self.turns)}"
+        try:
+            await home.reserve("p", turn, TOKENS, BUDGET, kept_s=60)
+        except (BudgetSpentError, RowStoreAwayError):
+            return None
+        return turn
+
+    def end_turn(self, turn: str, tokens: int) -> None:
+        """End a turn wherever its account is by now."""
+        self.handed += tokens
+        any(home.settle("p", turn, tokens) for home in self.homes.values())
+
     async def _pull(self, name: str, program: str) -> MovedAccount | None:
         for other, home in self.homes.items():
             if other != name and (moved := await home.give_away(program)) is not None:
@@ -246,13 +260,55 @@
         homes = Homes()
         home = homes.start("a")
         await home.reserve("p", "given up late", TOKENS, BUDGET, kept_s=60)
-        home.release("p", "given up late")
-        home.release("p", "given up early")
+        self.assertTrue(home.settle("p", "given up late", 0))
+        self.assertFalse(home.settle("p", "given up early", 0))
         with self.assertRaises(RowStoreAwayError):
             await home.reserve("p", "given up early", TOKENS, BUDGET, kept_s=60)
         granted = [await homes.turn(home) for _ in range(11)]
         self.assertEqual(10, sum(granted))
 
+    async def test_turn_under_way_at_a_hand_over_ends_at_the_next_home(self) -> None:
+        # Two turns fit; the first was refused elsewhere while its account moved on.
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        await first.reserve("p", "t", 289, 500, kept_s=60)
+        with self.assertRaises(BudgetSpentError):
+            await second.reserve("p", "u", 289, 500, kept_s=60)
+        self.assertFalse(first.settle("p", "t", 0))
+        self.assertTrue(second.settle("p", "t", 0))
+        self.assertEqual(0, await second.reserve("p", "v", 289, 500, kept_s=60))
+
+    async def test_end_that_overtakes_the_hand_over_counts(self) -> None:
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        await first.reserve("p", "t", 289, 500, kept_s=60)
+        self.assertFalse(second.settle("p", "t", 10))
+        self.assertEqual(10, await second.reserve("p", "u", 289, 500, kept_s=60))
+
+    async def test_end_told_to_a_home_that_gave_up_counts_when_told_again(
+        self,
+    ) -> None:
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        await first.reserve("p", "t", 289, 500, kept_s=60)
+        await first.give_up("p", 1, 1)
+        self.assertFalse(first.settle("p", "t", 10))
+        self.assertEqual(10, await second.reserve("p", "u", 289, 500, kept_s=60))
+
+    async def test_turn_under_way_at_a_planned_stop_ends_at_the_next_home(
+        self,
+    ) -> None:
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        await first.reserve("p", "t", 289, 500, kept_s=60)
+
+        async def move(account: MovedAccount) -> bool:
+            return second.take_over(account)
+
+        await first.move_all(move)
+        self.assertTrue(second.settle("p", "t", 10))
+        self.assertEqual(10, await second.reserve("p", "u", 289, 500, kept_s=60))
+
     async def test_doubt_does_not_refuse_a_program_of_one_turn(self) -> None:
         homes = Homes()
         homes.may_be_lost = True
@@ -292,8 +348,9 @@
             names = (f"h{number}" for number in itertools.count())
             alive = [homes.start(next(names)) for _ in range(3)]
             asleep: list[SpendingHome] = []
+            under_way: list[str] = []
             for _ in range(60):
-                match rng.randrange(10):
+                match rng.randrange(12):
                     case 0:
                         victim = alive.pop(rng.randrange(len(alive)))
                         name = next(n for n, h in homes.homes.items() if h is victim)
@@ -311,7 +368,15 @@
                         await rng.choice(alive + asleep).write_idle(idle_s=0.0)
                     case 3 if asleep:
                         await homes.turn(rng.choice(asleep))
+                    case 5:
+                        turn = await homes.open_turn(rng.choice(alive))
+                        under_way += [turn] if turn else []
+                    case 6 if under_way:
+                        turn = under_way.pop(rng.randrange(len(under_way)))
+                        homes.end_turn(turn, rng.choice((0, 40, TOKENS)))
                     case _:
                         await homes.turn(rng.choice(alive))
+            for turn in under_way:
+                homes.end_turn(turn, TOKENS)
             with self.subTest(seed):
                 self.assertLessEqual(homes.handed, BUDGET + TOKENS)
