A gateway's earlier start no longer takes the place of the one that lives

Whichever row was read last took the address, so live homes were "no member any more" until their next own row came by heartbeat, programs got several homes, hand-overs failed ("not_handed_over ... is no member any more") and covers counted whole: 402 for programs that had not run. A whole read of the table also dropped members that had not written their row yet, which a slow store makes long. Now: a heartbeat of its own settles which start lives; without one the later start by its row; members that are heard survive a whole read. A gateway removes the rows of its own former starts once they need not be known any more; they stayed for ever before.

--- a/src/carobspur/gateway/member_rows.py
+++ b/src/carobspur/gateway/member_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -22,16 +23,33 @@
         membership: Who is known.
         store: The row store.
         log: Decision log.
+        doubt_s: Returns for how many seconds others must be able to see that this
+            gateway died before; they learn it from the row of its former start.
     """
 
-    __slots__ = ("_is_leaving", "_log", "_membership", "_rejoining", "_store")
+    __slots__ = (
+        "_doubt_s",
+        "_former",
+        "_is_leaving",
+        "_log",
+        "_membership",
+        "_rejoining",
+        "_store",
+    )
 
     def __init__(
-        self, membership: Membership, store: RowStore, log: DecisionLog
+        self,
+        membership: Membership,
+        store: RowStore,
+        log: DecisionLog,
+        *,
+        doubt_s: Callable[[], float],
     ) -> None:
         self._membership = membership
         self._store = store
         self._log = log
+        self._doubt_s = doubt_s
+        self._former: dict[str, asyncio.Task] = {}
         self._is_leaving = False
         self._rejoining: asyncio.Task | None = None
 
@@ -60,10 +78,7 @@
         """Take note of changed rows, or of the whole table."""
         now = asyncio.get_running_loop().time()
         if is_whole:
-            present = {row.key.key for row in rows}
-            for member in list(self._membership.others()):
-                if member.name not in present:
-                    self._membership.remove(member.name)
+            self._membership.keep_only({row.key.key for row in rows}, now)
         for row in rows:
             if row.value is None:
                 self._gone(row.key.key)
@@ -73,8 +88,27 @@
             except msgspec.MsgspecError as error:
                 self._log.note("member_damaged", row=row.key.key, reason=str(error))
                 continue
-            if member.name != self._membership.own.name:
-                self._membership.put(member, now)
+            if member.name == self._membership.own.name:
+                continue
+            self._membership.put(member, now)
+            if (
+                self._membership.is_former_self(member)
+                and member.name not in self._former
+            ):
+                self._former[member.name] = asyncio.get_running_loop().create_task(
+                    self._remove_former(member.name)
+                )
+
+    async def _remove_former(self, name: str) -> None:
+        """Remove the row of a former start of this gateway, once nobody needs it."""
+        clock = asyncio.get_running_loop().time
+        seen_at = clock()
+        # The time grows once a configuration is known.
+        while (left_s := seen_at + self._doubt_s() - clock()) > 0:
+            await asyncio.sleep(min(left_s, DEAD_POLL_S))
+        while not await self._write(name, None):
+            continue
+        self._log.note("former_row_removed", row=name)
 
     def _gone(self, name: str) -> None:
         if name == self._membership.own.name and not self._is_leaving:
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -29,6 +29,8 @@
 UNREADY_S = 1.5
 """How long a member that is not watched counts as not ready without saying so again.
 Members tell everyone while they are not ready, and their watchers alone afterwards."""
+MAX_FORMER = 4096
+"""Former starts that are remembered: those of four days of a large deployment."""
 SUSPICION_S = 1.5
 """How long a told suspicion holds without being told again."""
 
@@ -42,6 +44,8 @@
         callers: ``HOST:PORT`` for callers.
         peers: ``HOST:PORT`` for other gateways.
         heartbeats: ``HOST:PORT`` for datagrams.
+        started_at: Unix time in seconds at which its process started, by the clock of
+            its instance.
     """
 
     name: str
@@ -49,6 +53,7 @@
     callers: str
     peers: str
     heartbeats: str
+    started_at: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -90,34 +95,74 @@
             leaving.
     """
 
-    __slots__ = ("_live", "_members", "_own", "died_at")
+    __slots__ = ("_former", "_live", "_members", "_own", "died_at")
 
     def __init__(self, own: Member) -> None:
         self._own = own
         self.died_at = float("-inf")
         self._members: dict[str, Member] = {own.name: own}
         self._live: dict[str, _Liveness] = {}
+        # Names of starts that ended without leaving, oldest first.
+        self._former: dict[str, None] = {}
 
     @property
     def own(self) -> Member:
         """This gateway."""
         return self._own
 
-    def put(self, member: Member, now: float) -> None:
-        """Take note of a member's row."""
+    def put(self, member: Member, now: float, *, is_heard: bool = False) -> None:
+        """Take note of a member's row.
+
+        Args:
+            member: The row.
+            now: Loop time.
+            is_heard: Whether the member itself has just sent it. Otherwise it may be
+                of an earlier start, told by a peer or by the store.
+        """
+        if self.is_former_self(member):
+            self._note_former(member.name, now)
+            return
         for other in list(self._members.values()):
             if other.callers == member.callers and other.name != member.name:
+                if not is_heard and self._is_later(other, member, now):
+                    self._note_former(member.name, now)
+                    return
                 if not self.is_leaving(other.name):
-                    # It started anew without having left.
-                    self.died_at = now
+                    self._note_former(other.name, now)
                 self.remove(other.name)
-        if member.callers == self._own.callers and member.name != self._own.name:
-            # An earlier start of this gateway; its row was never removed.
-            self.died_at = now
-            return
         self._members[member.name] = member
         self._live.setdefault(member.name, _Liveness(now))
 
+    def is_former_self(self, member: Member) -> bool:
+        """Return whether a row is of an earlier start of this gateway."""
+        return member.callers == self._own.callers and member.name != self._own.name
+
+    def _note_former(self, name: str, now: float) -> None:
+        """Take note, once, that a start ended without leaving."""
+        if name in self._former:
+            return
+        self.died_at = now
+        self._former[name] = None
+        while len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
+
+    def _is_later(self, known: Member, told: Member, now: float) -> bool:
+        heard_at = self._live[known.name].heard_at
+        if heard_at and now - heard_at < SILENCE_S:
+            return True
+        return known.started_at > told.started_at
+
+    def keep_only(self, names: set[str], now: float) -> None:
+        """Forget the members that the whole table does not show.
+
+        Those that are heard stay: their rows may not have been written yet.
+        """
+        for member in list(self.others()):
+            heard_at = self._live[member.name].heard_at
+            is_heard = heard_at and now - heard_at < SILENCE_S
+            if member.name not in names and not is_heard:
+                self.remove(member.name)
+
     def remove(self, name: str) -> None:
         """Forget a member; never this gateway itself."""
         if name != self._own.name:
@@ -131,7 +176,7 @@
     def heard(self, beat: Heartbeat, now: float) -> None:
         """Take note of a heartbeat."""
         if beat.name not in self._live and beat.member is not None and beat.is_ready:
-            self.put(beat.member, now)
+            self.put(beat.member, now, is_heard=True)
         live = self._live.get(beat.name)
         if live is not None:
             live.heard_at = now
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 import uuid
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -121,7 +122,9 @@
             on_gone=self._endpoint_gone,
             store_was_away=lambda: self._store.was_away(LAPSE_GRACE_S),
         )
-        self._member_rows = MemberRows(self._membership, self._store, log)
+        self._member_rows = MemberRows(
+            self._membership, self._store, log, doubt_s=self._doubt_s
+        )
         self._feeds = {
             "configuration": TableFeed(
                 self._store, wire_configuration.TABLE, self._configured, log
@@ -250,6 +253,7 @@
             callers=settings.listen.callers,
             peers=settings.listen.peers,
             heartbeats=settings.listen.heartbeats,
+            started_at=time.time(),
         )
 
     def _store_changed(self) -> None:
@@ -270,13 +274,17 @@
         now = asyncio.get_running_loop().time()
         died_at = self._membership.died_at
         away_since = self._store.lost_at
-        died_lately = now - died_at < self._longest_retention_s() + DOUBT_MARGIN_S
+        died_lately = now - died_at < self._doubt_s()
         return StoreDoubt(
             is_away=self._store.is_away,
             may_be_lost=died_lately,
             may_grant_uncovered=away_since is not None and died_at < away_since,
         )
 
+    def _doubt_s(self) -> float:
+        """Return for how long after a death accounts may be missed."""
+        return self._longest_retention_s() + DOUBT_MARGIN_S
+
     def _snapshot(self) -> bytes:
         members = [self._membership.own, *self._membership.others()]
         return encode_snapshot(self._feeds, members=members)
--- /dev/null
+++ b/tests/test_member_rows.py
@@ -0,0 +1,69 @@
+"""Rows by which gateways know each other: those of former starts go."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from unittest import IsolatedAsyncioTestCase
+
+import msgspec
+
+from carobspur.gateway.decisions import DecisionLog
+from carobspur.gateway.member_rows import TABLE, MemberRows
+from carobspur.gateway.members import Member, Membership
+from carobspur.gateway.rows import Row, RowKey, RowStoreAwayError, RowWrite
+
+LOG = DecisionLog(logging.getLogger("test"))
+DOUBT_S = 0.05
+
+
+class _Store:
+    def __init__(self) -> None:
+        self.removed: list[str] = []
+        self.fails = 0
+
+    async def write(self, writes: list[RowWrite], *, timeout_s: float) -> int:
+        await asyncio.sleep(0)
+        if self.fails:
+            self.fails -= 1
+            raise RowStoreAwayError("away")
+        self.removed += [item.key.key for item in writes if item.value is None]
+        return 1
+
+
+def member(start: str, *, number: int = 1, started_at: float = 0.0) -> Member:
+    return Member(
+        f"g{number}/{start}",
+        "a",
+        f"h:{number}",
+        f"p:{number}",
+        f"u:{number}",
+        started_at,
+    )
+
+
+def row(item: Member) -> Row:
+    return Row(RowKey(TABLE, "", item.name), msgspec.json.encode(item), 1)
+
+
+class FormerRowsTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = _Store()
+        self.membership = Membership(member("now", started_at=9.0))
+        self.rows = MemberRows(
+            self.membership, self.store, LOG, doubt_s=lambda: DOUBT_S
+        )
+
+    async def test_row_of_a_former_start_goes_once_its_death_is_past(self) -> None:
+        self.store.fails = 2
+        for _ in range(2):
+            self.rows.changed([row(member("before"))], True)
+        await asyncio.sleep(DOUBT_S / 2)
+        self.assertEqual([], self.store.removed)
+        await asyncio.sleep(DOUBT_S)
+        self.assertEqual(["g1/before"], self.store.removed)
+
+    async def test_rows_of_others_stay(self) -> None:
+        self.rows.changed([row(member("s", number=2))], True)
+        await asyncio.sleep(DOUBT_S * 2)
+        self.assertEqual([], self.store.removed)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -18,9 +18,17 @@
 )
 
 
-def member(number: int, *, start: str = "s", data_centre: str = "a") -> Member:
-    name = f"g{number:03}/{start}"
-    return Member(name, data_centre, f"h:{number}", f"p:{number}", f"u:{number}")
+def member(
+    number: int, *, start: str = "s", data_centre: str = "a", started_at: float = 0.0
+) -> Member:
+    return Member(
+        f"g{number:03}/{start}",
+        data_centre,
+        f"h:{number}",
+        f"p:{number}",
+        f"u:{number}",
+        started_at,
+    )
 
 
 def membership(count: int) -> Membership:
@@ -59,6 +67,39 @@
         self.assertEqual(2.0, made.died_at)
         self.assertEqual(["g001/again"], [item.name for item in made.others()])
 
+    def test_row_of_an_earlier_start_replaces_no_later_one(self) -> None:
+        made = membership(1)
+        made.put(member(1, start="again", started_at=9.0), 10.0)
+        for now in (10.1, 20.0):
+            made.put(member(1, started_at=2.0), now)
+        self.assertEqual(["g001/again"], [item.name for item in made.others()])
+        self.assertEqual(10.1, made.died_at)
+
+    def test_row_replaces_no_member_that_is_heard(self) -> None:
+        # The clock of an instance may be set between two starts.
+        made = membership(2)
+        made.heard(Heartbeat(member(1).name, True), 5.0)
+        made.put(member(1, start="before", started_at=9.0), 5.1)
+        self.assertEqual([member(1).name], [item.name for item in made.others()])
+
+    def test_heartbeat_of_a_new_start_replaces_a_member_that_was_just_heard(
+        self,
+    ) -> None:
+        made = Membership(member(0))
+        made.put(member(1, started_at=9.0), 0.0)
+        made.heard(Heartbeat(member(1).name, True), 5.0)
+        again = member(1, start="again", started_at=2.0)
+        made.heard(Heartbeat(again.name, True, member=again), 5.1)
+        self.assertEqual([again], made.alive(5.2))
+
+    def test_member_that_is_heard_stays_while_the_table_does_not_show_it(
+        self,
+    ) -> None:
+        made = membership(3)
+        made.heard(Heartbeat(member(1).name, True), 5.0)
+        made.keep_only(set(), 5.1)
+        self.assertEqual([member(1).name], [item.name for item in made.others()])
+
     def test_own_earlier_start_is_a_death_and_no_member(self) -> None:
         made = membership(1)
         made.put(member(0, start="before"), 1.0)
