Background work that fails by an unforeseen error is logged and begins again

Errors of tasks that nobody awaits went to standard error as text. A store that refuses a turn's row counts like one that is away.

--- a/src/carobspur/gateway/turn_book.py
+++ b/src/carobspur/gateway/turn_book.py
@@ -7,7 +7,7 @@
 
 from .context import GatewayContext
 from .refusals import EndpointFailedError, StateAwayError
-from .rows import RowKey, RowStore, RowStoreAwayError
+from .rows import RowKey, RowStore, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
 from .turns import TurnKeeper
@@ -144,7 +144,7 @@
         )
         try:
             await self._store.write([write], timeout_s=COMMIT_TIMEOUT_S)
-        except RowStoreAwayError as error:
+        except RowStoreError as error:
             self._context.log.note(
                 "turn_not_kept",
                 request=turn.call.id,
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -11,11 +11,13 @@
 import uuid
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 
 from tornado.httpserver import HTTPServer
 
 from ..errors import SettingsError
 from ..gateway.accounts import GivenUp
+from ..gateway.background import background, log_unseen_errors
 from ..gateway.broker import Broker
 from ..gateway.context import GatewayContext
 from ..gateway.decisions import DecisionLog
@@ -207,18 +209,17 @@
                 if address:
                     await stack.enter_async_context(_served(application, address))
             await stack.enter_async_context(
-                _background(
-                    *(feed.follow() for feed in self._feeds.values()),
-                    self._member_rows.join(),
-                    self._watch_settings(reloading),
-                    self._member_rows.remove_dead_forever(),
-                    self._home.sweep_forever(),
-                    self._home.write_idle_forever(),
-                    self._sweeper.sweep_own_forever(),
-                    self._sweeper.sweep_orphans_forever(),
-                    load_from_peers(
-                        self._feeds, self._all_peers, self._internal_pool, self._log
-                    ),
+                background(
+                    *(feed.follow for feed in self._feeds.values()),
+                    self._member_rows.join,
+                    partial(self._watch_settings, reloading),
+                    self._member_rows.remove_dead_forever,
+                    self._home.sweep_forever,
+                    self._home.write_idle_forever,
+                    self._sweeper.sweep_own_forever,
+                    self._sweeper.sweep_orphans_forever,
+                    self._load_from_peers,
+                    log=self._log,
                 )
             )
             host, port = split_address(listen.callers)
@@ -289,6 +290,11 @@
         members = [self._membership.own, *self._membership.others()]
         return encode_snapshot(self._feeds, members=members)
 
+    async def _load_from_peers(self) -> None:
+        await load_from_peers(
+            self._feeds, self._all_peers, self._internal_pool, self._log
+        )
+
     def _all_peers(self) -> list[str]:
         known = [member.peers for member in self._membership.others()]
         own = self._settings.listen.peers
@@ -385,17 +391,6 @@
         server.stop()
 
 
-@asynccontextmanager
-async def _background(*coroutines) -> AsyncIterator[None]:
-    tasks = [asyncio.ensure_future(item) for item in coroutines]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 async def _serve(
     settings: GatewaySettings, path: str, log: DecisionLog, telemetry: Telemetry
 ) -> None:
@@ -404,6 +399,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reloading.set)
+    log_unseen_errors(loop, log)
     gateway = Gateway(settings, path, log, telemetry)
     # What start-up made stays; collections then look at requests only.
     gc.collect()
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,62 @@
+"""Work beside requests goes on after errors that nobody foresaw."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
+
+from carobspur.gateway.background import background, log_unseen_errors
+from carobspur.gateway.decisions import DecisionLog
+
+LOGGER = "test.background"
+
+
+class BackgroundTest(IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, logging.CRITICAL)
+        self.log = DecisionLog(logging.getLogger(LOGGER))
+        self.begun = 0
+        patcher = patch("carobspur.gateway.background.RESTART_S", 0.01)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    async def _fails_twice(self) -> None:
+        self.begun += 1
+        if self.begun < 3:
+            raise KeyError("unforeseen")
+        await asyncio.Event().wait()
+
+    async def _ends(self) -> None:
+        self.begun += 1
+
+    async def test_failed_work_begins_again_and_is_logged(self) -> None:
+        with self.assertLogs(LOGGER) as logged:
+            async with background(self._fails_twice, log=self.log):
+                await asyncio.sleep(0.1)
+        self.assertEqual(3, self.begun)
+        failures = [r for r in logged.records if r.msg == "background_failed"]
+        self.assertEqual(2, len(failures))
+
+    async def test_finished_work_stays_finished(self) -> None:
+        async with background(self._ends, log=self.log):
+            await asyncio.sleep(0.05)
+        self.assertEqual(1, self.begun)
+
+    async def test_error_of_a_task_that_nobody_awaits_is_logged(self) -> None:
+        loop = asyncio.get_running_loop()
+        log_unseen_errors(loop, self.log)
+        self.addCleanup(loop.set_exception_handler, None)
+
+        async def fails() -> None:
+            raise KeyError("unforeseen")
+
+        with self.assertLogs(LOGGER) as logged:
+            task = loop.create_task(fails())
+            await asyncio.wait([task])
+            del task
+            gc.collect()
+        self.assertIn("unseen_error", [r.msg for r in logged.records])
