--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -60,6 +60,8 @@
         used_at: Loop time of the last use.
         kept_s: How long after its last turn the program may return.
         opened_serial: The home's last write before it opened the account.
+        is_row_unsure: Whether the row may cover more than this account, because the
+            answer to a write is missing.
     """
 
     budget: int
@@ -72,12 +74,19 @@
     used_at: float = 0.0
     kept_s: float = 0.0
     opened_serial: int = 0
+    is_row_unsure: bool = False
 
     @property
     def spent(self) -> int:
         """Tokens spent or set aside."""
         return self.base + self.carried + self.settled + sum(self.open.values())
 
+    @property
+    def is_row_higher(self) -> bool:
+        """Whether the row may count more than is spent."""
+        is_higher = bool(self.version) and self.covered > self.spent
+        return is_higher or self.is_row_unsure
+
     @property
     def unrecorded(self) -> int:
         """Tokens that were granted and that no row counts."""
@@ -125,6 +134,7 @@
         self.open = under_way
         self.covered = tokens
         self.version = version
+        self.is_row_unsure = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -335,16 +335,17 @@
         now = asyncio.get_running_loop().time()
         for program, account in list(self._accounts.items()):
             pauses = not account.open and now - account.used_at >= idle_s
-            if pauses and account.version and not self._doubt().is_away:
+            if pauses and account.is_row_higher and not self._doubt().is_away:
                 await self._write_spent(program, account)
 
     async def _write_spent(self, program: str, account: Account) -> None:
         async with self._locks.setdefault(program, asyncio.Lock()):
             is_current = self._accounts.get(program) is account
-            if not is_current or account.open or account.covered <= account.spent:
+            if not is_current or account.open or not account.is_row_higher:
                 return
             # Nothing more is granted under a row that may be lower from now on.
             account.covered = account.spent
+            account.is_row_unsure = True
             write = self._write_of(program, account, account.spent, self._name)
             try:
                 account.version = await self._store.write(
@@ -352,11 +353,15 @@
                     expected={write.key: account.version},
                     timeout_s=IDLE_WRITE_TIMEOUT_S,
                 )
-            except (RowConflictError, RowStoreAwayError) as error:
-                # The next cover finds out what the row says.
+            except RowConflictError as error:
+                # Another home has it, or an earlier write was done after all.
+                await self._adopt(program, account, error.rows)
+            except RowStoreAwayError as error:
                 self._log.note(
                     "idle_not_written", program=program, reason=error.message
                 )
+            else:
+                account.is_row_unsure = False
 
     async def sweep_forever(self) -> None:
         """Drop accounts that are no longer used, with their rows."""
@@ -437,6 +442,7 @@
     ) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
         write = self._write_of(program, account, tokens, self._name)
+        account.is_row_unsure = True
         try:
             version = await self._store.write(
                 [write], expected={write.key: account.version}, timeout_s=timeout_s
@@ -445,6 +451,7 @@
             await self._adopt(program, account, error.rows)
             return
         account.covered, account.version = tokens, version
+        account.is_row_unsure = False
         self._given_up.pop(program, None)
 
     def _write_of(
@@ -461,11 +468,13 @@
         if found is None:
             # The row was dropped as unused; what is known here stands.
             account.version = 0
+            account.is_row_unsure = False
             return
         row = msgspec.msgpack.decode(found.value, type=SpendingRow)
         if row.holder == self._name and row.serial > account.opened_serial:
             # An earlier write of this account whose answer was lost.
             account.covered, account.version = row.tokens, found.version
+            account.is_row_unsure = False
             return
         told = await self._former(row, program, found.version)
         spent = told.counted(row.tokens) if told else row.tokens
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -341,6 +341,42 @@
         others = await second.reserve("p", "u", 289, 578, kept_s=60)
         self.assertEqual(60, others)
 
+    async def test_program_that_pauses_is_written_once_the_store_answers(self) -> None:
+        for is_done in (False, True):
+            with self.subTest(is_done=is_done):
+                homes = Homes()
+                first = homes.start("a")
+                await first.reserve("p", "t", 289, 578, kept_s=60)
+                first.settle("p", "t", 60)
+                homes.store.is_away = not is_done
+                homes.store.is_known_away_from = 2
+                homes.store.lose_answers = int(is_done)
+                await first.write_idle(idle_s=0.0)
+                homes.store.is_away = False
+                await first.write_idle(idle_s=0.0)
+                await first.write_idle(idle_s=0.0)
+                written = homes.store.version
+                await first.write_idle(idle_s=0.0)
+                self.assertEqual(written, homes.store.version)
+                del homes.homes["a"]
+                second = homes.start("b")
+                others = await second.reserve("p", "u", 289, 578, kept_s=60)
+                self.assertEqual(60, others)
+
+    async def test_cover_whose_answer_was_lost_costs_nothing_after_a_death(
+        self,
+    ) -> None:
+        homes = Homes()
+        first = homes.start("a")
+        homes.store.lose_answers = 1
+        with self.assertRaises(RowStoreAwayError):
+            await first.reserve("p", "t", 289, 500, kept_s=60)
+        for _ in range(2):
+            await first.write_idle(idle_s=0.0)
+        del homes.homes["a"]
+        others = await homes.start("b").reserve("p", "u", 289, 500, kept_s=60)
+        self.assertEqual(0, others)
+
     async def test_random_histories_never_exceed_the_budget(self) -> None:
         for seed in range(600):
             rng = random.Random(seed)
