Idle rows are written side by side and give way to new turns

Cause: the writes of programs that pause went one after the other with 0.3 s each; a store slowed 91 times answers in 0.9 s, so none was confirmed, each was repeated, and only three programs a second had their turn. Now ten at once with the usual time, and a turn that comes cancels its program's write instead of waiting for it. Both new tests fail on the code before (the second by its longer time).

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -44,16 +44,14 @@
 """Time between looks at whether the store turns out to be away meanwhile."""
 IDLE_S = 1.0
 """Time after which a program without a turn pauses: longer than usual tool calls."""
-IDLE_WRITE_TIMEOUT_S = 0.3
-"""Longest wait for a write that nobody waits for; a new turn waits behind it."""
 FLUSH_TIMEOUT_S = 3.0
 IDLE_MARGIN_S = 10.0
 """Unused accounts are dropped so long after their programs may return."""
 SWEEP_S = 5.0
 MAX_ROWS_A_WRITE = 50
-MAX_PARALLEL_FLUSHES = 10
-"""Writes under way at once when accounts are written at a stop: at 10 ms each the
-store's whole rate is not used up by one gateway."""
+MAX_PARALLEL_WRITES = 10
+"""Writes under way at once that no turn waits for: at 10 ms each the store's whole rate
+is not used up by one gateway."""
 MAX_TRIES = 4
 MAX_EARLY = 1000
 """Ends of turns that are remembered before the turns are known: more than wait at one
@@ -90,6 +88,7 @@
         "_early",
         "_given_up",
         "_hand_over",
+        "_idle_writes",
         "_locks",
         "_log",
         "_name",
@@ -120,6 +119,8 @@
         self._early: dict[str, int] = {}
         # What was told of accounts given up; true until another home writes its row.
         self._given_up: dict[str, GivenUp] = {}
+        # Writes of programs that pause, under way; they give way to new turns.
+        self._idle_writes: dict[str, asyncio.Task] = {}
         self._serial = 0
 
     async def reserve(
@@ -138,6 +139,8 @@
             BudgetSpentError: They do not fit.
             RowStoreAwayError: The store must cover them and could not be asked.
         """
+        if program in self._idle_writes:
+            self._idle_writes[program].cancel()
         async with self._locks.setdefault(program, asyncio.Lock()):
             account = self._accounts.get(program)
             if account is None:
@@ -297,7 +300,7 @@
             for items in writes.values()
             for start in range(0, len(items), MAX_ROWS_A_WRITE)
         ]
-        places = asyncio.Semaphore(MAX_PARALLEL_FLUSHES)
+        places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
         await asyncio.gather(*(self._flush_batch(batch, places) for batch in batches))
         self._accounts.clear()
 
@@ -333,10 +336,25 @@
             idle_s: Time since the last turn began from which on a program pauses.
         """
         now = asyncio.get_running_loop().time()
-        for program, account in list(self._accounts.items()):
-            pauses = not account.open and now - account.used_at >= idle_s
-            if pauses and account.is_row_higher and not self._doubt().is_away:
-                await self._write_spent(program, account)
+        places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
+        async with asyncio.TaskGroup() as group:
+            for program, account in self._accounts.items():
+                pauses = not account.open and now - account.used_at >= idle_s
+                if pauses and account.is_row_higher:
+                    writing = group.create_task(
+                        self._write_idle_account(program, account, places)
+                    )
+                    self._idle_writes[program] = writing
+
+    async def _write_idle_account(
+        self, program: str, account: Account, places: asyncio.Semaphore
+    ) -> None:
+        try:
+            async with places:
+                if not self._doubt().is_away:
+                    await self._write_spent(program, account)
+        finally:
+            self._idle_writes.pop(program, None)
 
     async def _write_spent(self, program: str, account: Account) -> None:
         async with self._locks.setdefault(program, asyncio.Lock()):
@@ -351,7 +369,7 @@
                 account.version = await self._store.write(
                     [write],
                     expected={write.key: account.version},
-                    timeout_s=IDLE_WRITE_TIMEOUT_S,
+                    timeout_s=COVER_TIMEOUT_S,
                 )
             except RowConflictError as error:
                 # Another home has it, or an earlier write was done after all.
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -39,6 +39,7 @@
         self.calls_in_vain = 0
         self.lose_answers = 0
         self.is_away_after_loss = False
+        self.answer_s = 0.0
 
     @property
     def is_known_away(self) -> bool:
@@ -52,7 +53,7 @@
         expected: dict[RowKey, int] | None = None,
         timeout_s: float,
     ) -> int:
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.answer_s)
         if self.is_away:
             self.calls_in_vain += 1
             raise RowStoreAwayError("away")
@@ -363,6 +364,29 @@
                 others = await second.reserve("p", "u", 289, 578, kept_s=60)
                 self.assertEqual(60, others)
 
+    async def test_slow_store_is_written_for_many_programs_at_once(self) -> None:
+        homes = Homes()
+        home = homes.start("a")
+        for number in range(20):
+            await home.reserve(f"p{number}", f"t{number}", 289, 578, kept_s=60)
+            home.settle(f"p{number}", f"t{number}", 60)
+        homes.store.answer_s = 0.4
+        async with asyncio.timeout(1.2):
+            await home.write_idle(idle_s=0.0)
+        self.assertEqual(40, homes.store.version)
+
+    async def test_turn_does_not_wait_for_the_write_of_its_pause(self) -> None:
+        homes = Homes()
+        home = homes.start("a")
+        await home.reserve("p", "t", 289, 1000, kept_s=60)
+        home.settle("p", "t", 60)
+        homes.store.answer_s = 0.4
+        writing = asyncio.ensure_future(home.write_idle(idle_s=0.0))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(0.6):
+            await home.reserve("p", "u", 289, 1000, kept_s=60)
+        await writing
+
     async def test_cover_whose_answer_was_lost_costs_nothing_after_a_death(
         self,
     ) -> None:
