Members stay in order between changes; a turn's end looks for other homes only if needed

Cause: Membership.watched and alive sorted all members at every reservation and report, and the end of a turn ranked all homes beforehand.

--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -95,12 +95,14 @@
             leaving.
     """
 
-    __slots__ = ("_former", "_live", "_members", "_own", "died_at")
+    __slots__ = ("_former", "_live", "_members", "_own", "_ring", "died_at")
 
     def __init__(self, own: Member) -> None:
         self._own = own
         self.died_at = float("-inf")
         self._members: dict[str, Member] = {own.name: own}
+        # The other members in the order of their names, from this gateway's on.
+        self._ring: list[Member] = []
         self._live: dict[str, _Liveness] = {}
         # Names of starts that ended without leaving, oldest first.
         self._former: dict[str, None] = {}
@@ -132,6 +134,13 @@
                 self.remove(other.name)
         self._members[member.name] = member
         self._live.setdefault(member.name, _Liveness(now))
+        self._order()
+
+    def _order(self) -> None:
+        names = sorted(self._members)
+        start = names.index(self._own.name)
+        ring = names[start + 1 :] + names[:start]
+        self._ring = [self._members[name] for name in ring]
 
     def is_former_self(self, member: Member) -> bool:
         """Return whether a row is of an earlier start of this gateway."""
@@ -168,6 +177,7 @@
         if name != self._own.name:
             self._members.pop(name, None)
             self._live.pop(name, None)
+            self._order()
 
     def get(self, name: str) -> Member | None:
         """Return a member by its name."""
@@ -198,10 +208,7 @@
 
     def targets(self) -> list[Member]:
         """Return the members that should hear this gateway's heartbeats."""
-        names = sorted(self._members)
-        start = names.index(self._own.name)
-        ring = names[start + 1 :] + names[:start]
-        return [self._members[name] for name in ring[:WATCHERS]]
+        return self._ring[:WATCHERS]
 
     def has_unheard(self) -> bool:
         """Return whether a member was never heard; it may not know this gateway."""
@@ -209,10 +216,7 @@
 
     def watched(self) -> list[Member]:
         """Return the members whose heartbeats this gateway should hear."""
-        names = sorted(self._members)
-        start = names.index(self._own.name)
-        ring = names[start + 1 :] + names[:start]
-        return [self._members[name] for name in ring[-WATCHERS:]]
+        return self._ring[-WATCHERS:]
 
     def is_leaving(self, name: str) -> bool:
         """Return whether a member has said that it leaves, or has left."""
@@ -243,12 +247,13 @@
 
     def alive(self, now: float) -> list[Member]:
         """Return the other members that are believed alive and ready."""
-        watched = {member.name for member in self.watched()}
+        first_watched = len(self._ring) - WATCHERS
         return [
             member
-            for name, member in sorted(self._members.items())
-            if name != self._own.name
-            and self._is_alive(self._live[name], now, is_watched=name in watched)
+            for place, member in enumerate(self._ring)
+            if self._is_alive(
+                self._live[member.name], now, is_watched=place >= first_watched
+            )
         ]
 
     def with_store(self, now: float) -> list[Member]:
@@ -261,7 +266,7 @@
 
     def others(self) -> Iterable[Member]:
         """Return all other members, alive or not."""
-        return [item for name, item in self._members.items() if name != self._own.name]
+        return list(self._ring)
 
     def _silent_s(self, live: _Liveness, now: float) -> float:
         return now - max(live.heard_at, live.known_since)
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..placement import rank
+from ..placement import first_of
 from .accounts import GivenUp
 from .decisions import DecisionLog
 from .http1 import NotSentError, SendError
@@ -133,17 +133,12 @@
 
     async def _settle(self, home: str, request: SettleRequest) -> None:
         """Tell a home of a turn's end, or the next ones if its account moved on."""
-        reason = ""
-        others = [name for name in self._homes(request.program) if name != home]
-        for name in [home, *others]:
-            try:
-                answer = await self._ask(name, request, SETTLE_TIMEOUT_S)
-            except SendError as error:
-                reason = f"home {name}: {error.message}"
-                continue
-            if answer.outcome == "granted":
+        reason = await self._settle_at(home, request)
+        if not reason:
+            return
+        for other in self._homes(request.program):
+            if other != home and not await self._settle_at(other, request):
                 return
-            reason = reason or "no home knows the turn"
         # Where it was reserved, it counts at its most.
         self._log.note(
             "not_settled",
@@ -154,6 +149,14 @@
             reason=reason,
         )
 
+    async def _settle_at(self, home: str, request: SettleRequest) -> str:
+        """Tell one home of a turn's end; returns why it did not take it, or nothing."""
+        try:
+            answer = await self._ask(home, request, SETTLE_TIMEOUT_S)
+        except SendError as error:
+            return f"home {home}: {error.message}"
+        return "" if answer.outcome == "granted" else "no home knows the turn"
+
     async def hand_over(
         self, holder: str, program: str, row_version: int, serial: int
     ) -> GivenUp | None:
@@ -217,7 +220,7 @@
         own = self._membership.own.name
         if self._is_home():
             names.append(own)
-        return rank(program, names)[:HOMES_TRIED] or [own]
+        return first_of(program, names, HOMES_TRIED) or [own]
 
     def _avoid(self, home: str, reason: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/carobspur/placement.py
+++ b/src/carobspur/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 import xxhash
@@ -27,6 +28,11 @@
     return sorted(names, key=lambda name: _score(key, name), reverse=True)
 
 
+def first_of(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return the first so many names of the rendezvous order."""
+    return heapq.nlargest(count, names, key=lambda name: _score(key, name))
+
+
 def first(key: str, names: Iterable[str]) -> str | None:
     """Return the first name of the rendezvous order, or ``None`` without names."""
     best = None
