One supervisor for the work of all processes; no import circle left

Cause: the daemons' background() hid every error of a loop until the process ended, as the gateway's did; and callers and entry imported each other for type hints. Now one module supervises the loops of all processes (gateway, control, scheduler, entry), and what an entry's requests share has a module of its own.

--- /dev/null
+++ b/src/carobspur/background.py
@@ -0,0 +1,58 @@
+"""Work that a process does beside requests, for as long as it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+RESTART_S = 0.5
+"""Pause before work that failed begins again: soon enough for feeds, whose changes
+must be in force after 2 s, and no busy loop."""
+
+Work = Callable[[], Coroutine[Any, Any, None]]
+
+NoteError = Callable[[str, Exception], None]
+"""Logs the error that ended a work, whose name comes first."""
+
+_logger = logging.getLogger(__name__)
+
+
+def log_error(work: str, error: Exception) -> None:
+    """Log the error that ended a work by the standard library's logging."""
+    _logger.error("%s failed and begins again", work, exc_info=error)
+
+
+@asynccontextmanager
+async def background(
+    *works: Work, note_error: NoteError = log_error
+) -> AsyncIterator[None]:
+    """Run works side by side until the context ends.
+
+    A work that returns is done. One that fails by an error that nobody foresaw begins
+    again: a process without its feeds or heartbeats would serve from old beliefs.
+
+    Args:
+        works: Each is called for a coroutine whenever it begins.
+        note_error: Logs the errors.
+    """
+    tasks = [asyncio.ensure_future(_keep_running(work, note_error)) for work in works]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _keep_running(work: Work, note_error: NoteError) -> None:
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            note_error(getattr(work, "__qualname__", repr(work)), error)
+            await asyncio.sleep(RESTART_S)
+        else:
+            return
--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
@@ -15,6 +15,7 @@
     StartDocument,
     is_program_id,
 )
+from .entry_parts import Entry
 from .errors import (
     BodyTooLargeError,
     CarobspurError,
@@ -39,9 +40,6 @@
 from .stream_writer import StreamWriter
 from .verdict import MAY_HAVE_RUN, NOT_RUN
 
-if TYPE_CHECKING:
-    from .entry import Entry
-
 MAX_KEY_LENGTH = 200
 MAX_USER_LENGTH = 200
 MAX_CALL_NUMBER = 1_000_000
--- a/src/carobspur/control.py
+++ b/src/carobspur/control.py
@@ -7,11 +7,12 @@
 
 import tornado.web
 
+from .background import background
 from .burn_recorder import BurnRecorder
 from .clock import LoopClock
 from .control_parts import Control
 from .control_peers import ControlPeers
-from .daemon import background, daemon_main, http_server
+from .daemon import daemon_main, http_server
 from .errors import StoreError
 from .health import health_routes
 from .http import CurlClient
@@ -64,7 +65,7 @@
             default_handler_class=NoSuchPathHandler,
         )
         async with (
-            background(*control.loops(), recorder.run()),
+            background(*control.loops(), recorder.run),
             http_server(
                 app,
                 host,
--- a/src/carobspur/control_parts.py
+++ b/src/carobspur/control_parts.py
@@ -5,9 +5,10 @@
 import logging
 import random
 import secrets
-from collections.abc import Coroutine, Mapping
+from collections.abc import Mapping
 from typing import Any
 
+from .background import Work
 from .clock import Clock
 from .configuration import HEAD_KEY, Configuration
 from .control_view import ControlView
@@ -173,9 +174,9 @@
         row = own_row(self._settings, leaving=leaving)
         await write_instance(self._table, row)
 
-    def loops(self) -> list[Coroutine[Any, Any, None]]:
+    def loops(self) -> list[Work]:
         """Return everything that runs until it is cancelled."""
-        return [self.run(), self.run_gossip(), self.run_load(), self.run_sweep()]
+        return [self.run, self.run_gossip, self.run_load, self.run_sweep]
 
     async def run(self) -> None:
         """Follow the table, where it is this process's turn, until cancelled."""
--- a/src/carobspur/daemon.py
+++ b/src/carobspur/daemon.py
@@ -96,15 +96,3 @@
     finally:
         server.stop()
         await server.close_all_connections()
-
-
-@asynccontextmanager
-async def background(*coroutines: Awaitable[None]) -> AsyncIterator[None]:
-    """Run coroutines beside the body and cancel them at its end."""
-    tasks = [asyncio.ensure_future(item) for item in coroutines]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/carobspur/entry.py
+++ b/src/carobspur/entry.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import logging
-import random
-import time
-from typing import Any
 
 import tornado.web
 
-from .addresses import Rotation
+from .background import background
 from .callers import caller_routes
 from .clock import LoopClock
-from .daemon import background, daemon_main, http_server
+from .daemon import daemon_main, http_server
+from .entry_parts import Entry
 from .forward import Forwarder, takeover_limit_s
 from .health import health_routes
 from .peer_client import peer_client
@@ -22,102 +19,10 @@
 from .tls import peer_client_context, public_server_context
 from .view import ViewClient
 
-STOP_LIMIT_S = 60.0
-QUIET_S = 2.0
 # A body over the limit is read up to this multiple, so that its sender gets a problem
 # document; beyond it the connection is closed.
 BODY_READ_FACTOR = 2
 
-_logger = logging.getLogger(__name__)
-
-
-class Entry:
-    """What the caller-facing handlers share.
-
-    Args:
-        settings: The instance's settings.
-        view: Copy of control's view.
-        forwarder: Sends requests to the schedulers that own programs.
-    """
-
-    def __init__(
-        self, settings: Settings, view: ViewClient, forwarder: Forwarder
-    ) -> None:
-        self._settings = settings
-        self._view = view
-        self._forwarder = forwarder
-        self._open_requests = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
-        self.is_leaving = False
-        self.rotation = Rotation(random.Random(settings.instance.id))
-        self._last_request_s = float("-inf")
-
-    @property
-    def usable_instances(self) -> list[Any]:
-        """Instances to answer with; not this one once it is leaving."""
-        own = self._settings.instance.id if self.is_leaving else ""
-        return [item for item in self._view.instances if item.id != own]
-
-    @property
-    def view(self) -> ViewClient:
-        """Copy of control's view."""
-        return self._view
-
-    @property
-    def forwarder(self) -> Forwarder:
-        """Sends requests to schedulers."""
-        return self._forwarder
-
-    @property
-    def keep_addresses_s(self) -> int:
-        """Seconds for which callers may keep an answer about addresses."""
-        return self._settings.entry.keep_addresses_s
-
-    @property
-    def max_body_bytes(self) -> int:
-        """Most bytes that a request's body may have."""
-        return self._settings.entry.max_body_bytes
-
-    @property
-    def call_timeout_s(self) -> float:
-        """Seconds a call may take."""
-        return self._settings.entry.call_timeout_s
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether callers should use this instance."""
-        return self._view.is_ready and not self.is_leaving
-
-    def request_began(self) -> None:
-        """Count a request that is under way."""
-        self._open_requests += 1
-        self._last_request_s = time.monotonic()
-        self._idle.clear()
-
-    def request_ended(self) -> None:
-        """Count a request that ended."""
-        self._open_requests -= 1
-        if not self._open_requests:
-            self._idle.set()
-
-    async def finish_requests(self) -> None:
-        """Serve on until callers have gone elsewhere, up to a limit.
-
-        Callers keep addresses for a while, so new requests are served until none has
-        come for a short time or until no caller can have a kept address any more.
-        """
-        started_s = time.monotonic()
-        keep_s = self.keep_addresses_s + QUIET_S
-        while time.monotonic() - started_s < keep_s:
-            if time.monotonic() - max(self._last_request_s, started_s) > QUIET_S:
-                break
-            await asyncio.sleep(QUIET_S / 10)
-        try:
-            await asyncio.wait_for(self._idle.wait(), STOP_LIMIT_S)
-        except TimeoutError:
-            _logger.warning("%d requests were cut", self._open_requests)
-
 
 async def serve(settings: Settings, stopping: asyncio.Event) -> None:
     """Run the entry process until it is told to stop."""
@@ -139,7 +44,7 @@
             default_handler_class=NoSuchPathHandler,
         )
         async with (
-            background(view.run()),
+            background(view.run),
             http_server(
                 app,
                 settings.instance.host,
--- a/src/carobspur/gateway/decisions.py
+++ b/src/carobspur/gateway/decisions.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -141,6 +142,21 @@
             return
         self._logger.info(event, extra=fields)
 
+    def note_unseen_error(
+        self, loop: asyncio.AbstractEventLoop, details: dict[str, Any]
+    ) -> None:
+        """Log an error of a task or callback that nobody waits for.
+
+        Args:
+            loop: The loop whose exception handler this is.
+            details: What the loop tells of it.
+        """
+        self.note(
+            "unseen_error",
+            what=str(details.get("message", "")),
+            reason=repr(details.get("exception", "")),
+        )
+
     def _report_dropped(self) -> None:
         if self._dropped:
             dropped, self._dropped = self._dropped, {}
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -15,9 +15,9 @@
 
 from tornado.httpserver import HTTPServer
 
+from ..background import background
 from ..errors import SettingsError
 from ..gateway.accounts import GivenUp
-from ..gateway.background import background, log_unseen_errors
 from ..gateway.broker import Broker
 from ..gateway.context import GatewayContext
 from ..gateway.decisions import DecisionLog
@@ -219,7 +219,7 @@
                     self._sweeper.sweep_own_forever,
                     self._sweeper.sweep_orphans_forever,
                     self._load_from_peers,
-                    log=self._log,
+                    note_error=self._note_background_error,
                 )
             )
             host, port = split_address(listen.callers)
@@ -290,6 +290,9 @@
         members = [self._membership.own, *self._membership.others()]
         return encode_snapshot(self._feeds, members=members)
 
+    def _note_background_error(self, work: str, error: Exception) -> None:
+        self._log.note("background_failed", work=work, reason=repr(error))
+
     async def _load_from_peers(self) -> None:
         await load_from_peers(
             self._feeds, self._all_peers, self._internal_pool, self._log
@@ -399,7 +402,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reloading.set)
-    log_unseen_errors(loop, log)
+    loop.set_exception_handler(log.note_unseen_error)
     gateway = Gateway(settings, path, log, telemetry)
     # What start-up made stays; collections then look at requests only.
     gc.collect()
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+from functools import partial
 
 import tornado.web
 
+from .background import background
 from .clock import Clock, LoopClock
-from .daemon import background, daemon_main, http_server
+from .daemon import daemon_main, http_server
 from .errors import SessionLostError
 from .health import health_routes
 from .http import CurlClient
@@ -56,12 +58,12 @@
         await _open(scheduler, settings.scheduler.port, clock, stopping)
         if stopping.is_set():
             return
-        view_loop = _follow_view(view, scheduler)
+        follow_view = partial(_follow_view, view, scheduler)
         app = tornado.web.Application(
             health_routes(lambda: bool(scheduler.keeper.owned))
         )
         async with (
-            background(view_loop, scheduler.keeper.run(), scheduler.run()),
+            background(follow_view, scheduler.keeper.run, scheduler.run),
             http_server(app, host, settings.scheduler.metrics_port),
         ):
             await _until_stop(scheduler, stopping)
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -8,7 +8,7 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
-from carobspur.gateway.background import background, log_unseen_errors
+from carobspur.background import background
 from carobspur.gateway.decisions import DecisionLog
 
 LOGGER = "test.background"
@@ -20,10 +20,15 @@
         self.addCleanup(logging.disable, logging.CRITICAL)
         self.log = DecisionLog(logging.getLogger(LOGGER))
         self.begun = 0
-        patcher = patch("carobspur.gateway.background.RESTART_S", 0.01)
+        self.errors: list[str] = []
+        patcher = patch("carobspur.background.RESTART_S", 0.01)
         patcher.start()
         self.addCleanup(patcher.stop)
 
+    def _note(self, work: str, error: Exception) -> None:
+        self.assertIn("_fails_twice", work)
+        self.errors.append(repr(error))
+
     async def _fails_twice(self) -> None:
         self.begun += 1
         if self.begun < 3:
@@ -34,21 +39,19 @@
         self.begun += 1
 
     async def test_failed_work_begins_again_and_is_logged(self) -> None:
-        with self.assertLogs(LOGGER) as logged:
-            async with background(self._fails_twice, log=self.log):
-                await asyncio.sleep(0.1)
+        async with background(self._fails_twice, note_error=self._note):
+            await asyncio.sleep(0.1)
         self.assertEqual(3, self.begun)
-        failures = [r for r in logged.records if r.msg == "background_failed"]
-        self.assertEqual(2, len(failures))
+        self.assertEqual(["KeyError('unforeseen')"] * 2, self.errors)
 
     async def test_finished_work_stays_finished(self) -> None:
-        async with background(self._ends, log=self.log):
+        async with background(self._ends, note_error=self._note):
             await asyncio.sleep(0.05)
         self.assertEqual(1, self.begun)
 
     async def test_error_of_a_task_that_nobody_awaits_is_logged(self) -> None:
         loop = asyncio.get_running_loop()
-        log_unseen_errors(loop, self.log)
+        loop.set_exception_handler(self.log.note_unseen_error)
         self.addCleanup(loop.set_exception_handler, None)
 
         async def fails() -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,10 +17,11 @@
     ResponseStartLine,
 )
 
+from carobspur.callers import caller_routes
 from carobspur.clock import LoopClock
 from carobspur.control_parts import Control
 from carobspur.control_peers import ControlPeers
-from carobspur.entry import Entry, caller_routes
+from carobspur.entry_parts import Entry
 from carobspur.errors import PeerDisconnectedError, PeerUnreachableError
 from carobspur.forward import Forwarder, takeover_limit_s
 from carobspur.http import HttpError, HttpRequest, HttpResponse
