A row that would refuse the next turn after a death is written as soon as a turn ends

Now the end of such a turn writes the row at once; others wait for the pause as before. One test fails before; one holds the writes.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -62,6 +62,7 @@
         opened_serial: The home's last write before it opened the account.
         is_row_unsure: Whether the row may cover more than this account, because the
             answer to a write is missing.
+        turn_tokens: Most tokens of the newest turn.
     """
 
     budget: int
@@ -75,6 +76,7 @@
     kept_s: float = 0.0
     opened_serial: int = 0
     is_row_unsure: bool = False
+    turn_tokens: int = 0
 
     @property
     def spent(self) -> int:
@@ -87,6 +89,15 @@
         is_higher = bool(self.version) and self.covered > self.spent
         return is_higher or self.is_row_unsure
 
+    @property
+    def row_refuses_next_turn(self) -> bool:
+        """Whether a turn like the newest fits, but not beside all that the row counts.
+
+        After the death of this home the program would be refused for nothing.
+        """
+        fits = self.spent + self.turn_tokens <= self.budget
+        return fits and self.covered + self.turn_tokens > self.budget
+
     @property
     def unrecorded(self) -> int:
         """Tokens that were granted and that no row counts."""
@@ -103,6 +114,7 @@
         """Decide on a turn, and set its tokens aside where they are granted."""
         if turn in self.open:
             return Granted(self.spent - self.open[turn])
+        self.turn_tokens = tokens
         others = self.spent
         needed = others + tokens
         if needed > self.budget:
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -95,6 +95,7 @@
         "_pull",
         "_serial",
         "_store",
+        "_write_places",
     )
 
     def __init__(
@@ -121,6 +122,7 @@
         self._given_up: dict[str, GivenUp] = {}
         # Writes of programs that pause, under way; they give way to new turns.
         self._idle_writes: dict[str, asyncio.Task] = {}
+        self._write_places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
         self._serial = 0
 
     async def reserve(
@@ -180,6 +182,8 @@
         """
         account = self._accounts.get(program)
         if account is not None and account.settle(turn, tokens):
+            if account.row_refuses_next_turn and account.is_row_higher:
+                self._begin_writing(program, account)
             return True
         told = self._given_up.get(program)
         if told is not None and turn in told.open:
@@ -336,30 +340,37 @@
             idle_s: Time since the last turn began from which on a program pauses.
         """
         now = asyncio.get_running_loop().time()
-        places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
-        async with asyncio.TaskGroup() as group:
-            for program, account in self._accounts.items():
-                pauses = not account.open and now - account.used_at >= idle_s
-                if pauses and account.is_row_higher:
-                    writing = group.create_task(
-                        self._write_idle_account(program, account, places)
-                    )
-                    self._idle_writes[program] = writing
+        begun = [
+            self._begin_writing(program, account)
+            for program, account in self._accounts.items()
+            if not account.open
+            and now - account.used_at >= idle_s
+            and account.is_row_higher
+        ]
+        if begun:
+            await asyncio.wait(begun)
+
+    def _begin_writing(self, program: str, account: Account) -> asyncio.Task:
+        """Write beside the requests what is really spent."""
+        writing = self._idle_writes.get(program)
+        if writing is None:
+            writing = asyncio.get_running_loop().create_task(
+                self._write_beside(program, account)
+            )
+            self._idle_writes[program] = writing
+            # Also where it is cancelled before it has begun.
+            writing.add_done_callback(lambda _: self._idle_writes.pop(program, None))
+        return writing
 
-    async def _write_idle_account(
-        self, program: str, account: Account, places: asyncio.Semaphore
-    ) -> None:
-        try:
-            async with places:
-                if not self._doubt().is_away:
-                    await self._write_spent(program, account)
-        finally:
-            self._idle_writes.pop(program, None)
+    async def _write_beside(self, program: str, account: Account) -> None:
+        async with self._write_places:
+            if not self._doubt().is_away:
+                await self._write_spent(program, account)
 
     async def _write_spent(self, program: str, account: Account) -> None:
         async with self._locks.setdefault(program, asyncio.Lock()):
             is_current = self._accounts.get(program) is account
-            if not is_current or account.open or not account.is_row_higher:
+            if not is_current or not account.is_row_higher:
                 return
             # Nothing more is granted under a row that may be lower from now on.
             account.covered = account.spent
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -342,6 +342,24 @@
         others = await second.reserve("p", "u", 289, 578, kept_s=60)
         self.assertEqual(60, others)
 
+    async def test_row_that_would_refuse_the_next_turn_is_written_at_once(self) -> None:
+        homes = Homes()
+        first = homes.start("a")
+        await first.reserve("p", "t", 289, 578, kept_s=60)
+        first.settle("p", "t", 60)
+        await asyncio.sleep(0.01)
+        del homes.homes["a"]
+        others = await homes.start("b").reserve("p", "u", 289, 578, kept_s=60)
+        self.assertEqual(60, others)
+
+    async def test_row_that_refuses_in_any_case_is_not_written_again(self) -> None:
+        homes = Homes()
+        home = homes.start("a")
+        await home.reserve("p", "t", 289, 500, kept_s=60)
+        home.settle("p", "t", 280)
+        await asyncio.sleep(0.01)
+        self.assertEqual(1, homes.store.version)
+
     async def test_program_that_pauses_is_written_once_the_store_answers(self) -> None:
         for is_done in (False, True):
             with self.subTest(is_done=is_done):
