The home's rows, early ends and accounts given up have modules of their own

Rows of accounts (account_rows), ends of turns that come early (early_ends) and what is told of accounts given up (given_up) stand alone now, with tests.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
+from weakref import WeakValueDictionary
 
 import msgspec
 
+from .account_rows import AccountRows
 from .accounts import (
     DOUBT_SHARE,
     UNCOVERED_SHARE,
@@ -18,15 +19,9 @@
     Spent,
 )
 from .decisions import DecisionLog
-from .partition import part_of
-from .rows import (
-    Row,
-    RowConflictError,
-    RowKey,
-    RowStore,
-    RowStoreAwayError,
-    RowWrite,
-)
+from .early_ends import EarlyEnds
+from .given_up import GivenUpAccounts
+from .rows import Row, RowConflictError, RowStore, RowStoreAwayError
 from .spending_records import (
     BudgetSpentError,
     MovedAccount,
@@ -36,26 +31,14 @@
     moved_account,
 )
 
-TABLE = "spending"
-COVER_TIMEOUT_S = 1.0
-"""Longest wait for the store inside one reservation: a store slowed 91 times answers a
-write within 0.9 s."""
 LOOK_S = 0.05
 """Time between looks at whether the store turns out to be away meanwhile."""
 IDLE_S = 1.0
 """Time after which a program without a turn pauses: longer than usual tool calls."""
-FLUSH_TIMEOUT_S = 3.0
 IDLE_MARGIN_S = 10.0
 """Unused accounts are dropped so long after their programs may return."""
 SWEEP_S = 5.0
-MAX_ROWS_A_WRITE = 50
-MAX_PARALLEL_WRITES = 10
-"""Writes under way at once that no turn waits for: at 10 ms each the store's whole rate
-is not used up by one gateway."""
 MAX_TRIES = 4
-MAX_EARLY = 1000
-"""Ends of turns that are remembered before the turns are known: more than wait at one
-home during an outage."""
 
 
 HandOver = Callable[[str, str, int, int], Awaitable[GivenUp | None]]
@@ -93,9 +76,7 @@
         "_log",
         "_name",
         "_pull",
-        "_serial",
-        "_store",
-        "_write_places",
+        "_rows",
     )
 
     def __init__(
@@ -109,21 +90,18 @@
         log: DecisionLog,
     ) -> None:
         self._name = name
-        self._store = store
+        self._rows = AccountRows(name, store, log)
         self._hand_over = hand_over
         self._pull = pull
         self._doubt = doubt
         self._log = log
         self._accounts: dict[str, Account] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
-        # What turns generated that are not under way here, or not yet; oldest first.
-        self._early: dict[str, int] = {}
-        # What was told of accounts given up; true until another home writes its row.
-        self._given_up: dict[str, GivenUp] = {}
+        # Gone once nobody holds or awaits them.
+        self._locks: WeakValueDictionary[str, asyncio.Lock] = WeakValueDictionary()
+        self._early = EarlyEnds()
+        self._given_up = GivenUpAccounts()
         # Writes of programs that pause, under way; they give way to new turns.
         self._idle_writes: dict[str, asyncio.Task] = {}
-        self._write_places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
-        self._serial = 0
 
     async def reserve(
         self, program: str, turn: str, tokens: int, budget: int, *, kept_s: float
@@ -141,20 +119,23 @@
             BudgetSpentError: They do not fit.
             RowStoreAwayError: The store must cover them and could not be asked.
         """
-        if program in self._idle_writes:
-            self._idle_writes[program].cancel()
-        async with self._locks.setdefault(program, asyncio.Lock()):
+        async with self._alone(program):
             account = self._accounts.get(program)
             if account is None:
                 account = self._open(program, budget, tokens)
             account.kept_s = max(account.kept_s, kept_s)
             account.used_at = asyncio.get_running_loop().time()
             others = await self._grant(program, account, turn, tokens)
-            if turn in self._early:
-                account.settle(turn, self._early.pop(turn))
+            if turn in self._early.settle(account):
                 raise RowStoreAwayError("the gateway that asked did not wait")
             return others
 
+    def _alone(self, program: str) -> asyncio.Lock:
+        """Return the lock of a program; the write of its pause gives way."""
+        if program in self._idle_writes:
+            self._idle_writes[program].cancel()
+        return self._locks.setdefault(program, asyncio.Lock())
+
     async def _grant(
         self, program: str, account: Account, turn: str, tokens: int
     ) -> int:
@@ -185,20 +166,10 @@
             if account.row_refuses_next_turn and account.is_row_higher:
                 self._begin_writing(program, account)
             return True
-        told = self._given_up.get(program)
-        if told is not None and turn in told.open:
-            self._given_up[program] = told.settled(turn, tokens)
-        self._early[turn] = tokens
-        while len(self._early) > MAX_EARLY:
-            del self._early[next(iter(self._early))]
+        self._given_up.settle(program, turn, tokens)
+        self._early.note(turn, tokens)
         return False
 
-    def _settle_early(self, account: Account) -> None:
-        """End the turns of a new account whose ends were told before."""
-        for turn in list(account.open):
-            if turn in self._early:
-                account.settle(turn, self._early.pop(turn))
-
     async def give_up(
         self, program: str, row_version: int, serial: int
     ) -> GivenUp | None:
@@ -210,37 +181,17 @@
             serial: This home's number of its write.
         """
         if program in self._accounts:
-            async with self._locks.setdefault(program, asyncio.Lock()):
+            async with self._alone(program):
                 account = self._accounts.pop(program, None)
             if account is not None:
                 self._note_given_up(program, account)
-        return self._told(program, row_version, serial)
-
-    def _told(self, program: str, row_version: int, serial: int) -> GivenUp | None:
-        told = self._given_up.get(program)
-        return told.about(row_version, serial) if told else None
+        return self._given_up.about(program, row_version, serial)
 
     def _note_given_up(self, program: str, account: Account) -> None:
-        before = self._given_up.get(program, GivenUp(None, 0))
-        if account.version:
-            told = GivenUp(
-                account.spent,
-                0,
-                account.version,
-                account.spent,
-                account.opened_serial,
-                dict(account.open),
-            )
-        else:
-            told = GivenUp(
-                before.recorded,
-                before.unrecorded + account.unrecorded,
-                before.row_version,
-                account.spent + before.unrecorded,
-                account.opened_serial,
-                dict(account.open),
-            )
-        self._given_up[program] = told
+        now = asyncio.get_running_loop().time()
+        told = self._given_up.note(
+            program, account, forget_at=now + account.kept_s + IDLE_MARGIN_S
+        )
         self._log.note(
             "account_given_up",
             program=program,
@@ -253,10 +204,10 @@
         """Go on with an account that its home has given up; false if one is open."""
         if moved.program in self._accounts:
             return False
-        account = Account(moved.budget, opened_serial=self._serial)
+        account = Account(moved.budget, opened_serial=self._rows.serial)
         account.used_at = asyncio.get_running_loop().time()
         fill_account(account, moved)
-        self._settle_early(account)
+        self._early.settle(account)
         self._accounts[moved.program] = account
         return True
 
@@ -271,7 +222,7 @@
         if account is None:
             return None
         # From now on another home spends under the same row.
-        self._given_up.pop(program, None)
+        self._given_up.forget(program)
         return moved_account(program, account)
 
     async def move_all(self, move: Move) -> None:
@@ -281,31 +232,21 @@
         await self.flush()
 
     async def _move(self, program: str, move: Move) -> None:
-        async with self._locks.setdefault(program, asyncio.Lock()):
+        async with self._alone(program):
             account = self._accounts.pop(program, None)
         if account is None or not account.spent:
             return
         moved = moved_account(program, account)
         if await move(moved):
             # What it carried has gone with it; the row is spoken for there.
-            self._given_up.pop(program, None)
+            self._given_up.forget(program)
         else:
             # Back again, to be written with what is really spent.
             self._accounts[program] = account
 
     async def flush(self) -> None:
         """Write what is really spent, so that a successor loses nothing."""
-        writes: dict[str, list[tuple[str, Account]]] = {}
-        for program, account in self._accounts.items():
-            if account.spent != account.covered:
-                writes.setdefault(part_of(program), []).append((program, account))
-        batches = [
-            items[start : start + MAX_ROWS_A_WRITE]
-            for items in writes.values()
-            for start in range(0, len(items), MAX_ROWS_A_WRITE)
-        ]
-        places = asyncio.Semaphore(MAX_PARALLEL_WRITES)
-        await asyncio.gather(*(self._flush_batch(batch, places) for batch in batches))
+        await self._rows.flush(self._accounts)
         self._accounts.clear()
 
     async def cover_uncovered(self) -> None:
@@ -317,9 +258,7 @@
                 if account.version:
                     continue
                 try:
-                    await self._cover(
-                        program, account, account.spent, timeout_s=COVER_TIMEOUT_S
-                    )
+                    await self._cover(program, account, account.spent)
                 except RowStoreAwayError as error:
                     self._log.note("not_covered", program=program, reason=error.message)
                     return
@@ -363,7 +302,7 @@
         return writing
 
     async def _write_beside(self, program: str, account: Account) -> None:
-        async with self._write_places:
+        async with self._rows.places:
             if not self._doubt().is_away:
                 await self._write_spent(program, account)
 
@@ -374,14 +313,8 @@
                 return
             # Nothing more is granted under a row that may be lower from now on.
             account.covered = account.spent
-            account.is_row_unsure = True
-            write = self._write_of(program, account, account.spent, self._name)
             try:
-                account.version = await self._store.write(
-                    [write],
-                    expected={write.key: account.version},
-                    timeout_s=COVER_TIMEOUT_S,
-                )
+                await self._rows.cover(program, account, account.spent)
             except RowConflictError as error:
                 # Another home has it, or an earlier write was done after all.
                 await self._adopt(program, account, error.rows)
@@ -389,8 +322,6 @@
                 self._log.note(
                     "idle_not_written", program=program, reason=error.message
                 )
-            else:
-                account.is_row_unsure = False
 
     async def sweep_forever(self) -> None:
         """Drop accounts that are no longer used, with their rows."""
@@ -399,7 +330,10 @@
             now = asyncio.get_running_loop().time()
             for program, account in list(self._accounts.items()):
                 if now - account.used_at > account.kept_s + IDLE_MARGIN_S:
-                    await self._drop(program, account)
+                    self._accounts.pop(program, None)
+                    self._given_up.forget(program)
+                    await self._rows.drop(program, account)
+            self._given_up.sweep(now)
 
     def _open(self, program: str, budget: int, tokens: int) -> Account:
         """Create an account; a row that exists is found when it is covered.
@@ -407,7 +341,7 @@
         Where homes may have died with uncovered grants, as much counts as spent; but
         not for a program too small to have been granted a turn that way.
         """
-        account = Account(budget, opened_serial=self._serial)
+        account = Account(budget, opened_serial=self._rows.serial)
         if self._doubt().may_be_lost and tokens <= int(budget * UNCOVERED_SHARE):
             account.base = int(budget * DOUBT_SHARE)
         self._accounts[program] = account
@@ -423,9 +357,7 @@
         """
         if await self._go_on_without(program, account, tokens):
             return
-        covering = asyncio.create_task(
-            self._cover(program, account, needed, timeout_s=COVER_TIMEOUT_S)
-        )
+        covering = asyncio.create_task(self._cover(program, account, needed))
         has_looked = False
         try:
             # A slow store still answers; whether it is away is known meanwhile.
@@ -454,7 +386,7 @@
             moved = await self._pull(program)
             if moved is not None:
                 fill_account(account, moved)
-                self._settle_early(account)
+                self._early.settle(account)
                 return True
         uncovered = int(account.budget * UNCOVERED_SHARE)
         if (
@@ -466,31 +398,14 @@
         self._log.note("account_uncovered", program=program, tokens=uncovered)
         return True
 
-    async def _cover(
-        self, program: str, account: Account, tokens: int, *, timeout_s: float
-    ) -> None:
+    async def _cover(self, program: str, account: Account, tokens: int) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
-        write = self._write_of(program, account, tokens, self._name)
-        account.is_row_unsure = True
         try:
-            version = await self._store.write(
-                [write], expected={write.key: account.version}, timeout_s=timeout_s
-            )
+            await self._rows.cover(program, account, tokens)
         except RowConflictError as error:
             await self._adopt(program, account, error.rows)
             return
-        account.covered, account.version = tokens, version
-        account.is_row_unsure = False
-        self._given_up.pop(program, None)
-
-    def _write_of(
-        self, program: str, account: Account, tokens: int, holder: str
-    ) -> RowWrite:
-        """Return the write by which a program's row counts so many tokens."""
-        self._serial += 1
-        kept_until = time.time() + account.kept_s
-        row = SpendingRow(tokens, holder, self._serial, kept_until)
-        return RowWrite(_key(program), msgspec.msgpack.encode(row))
+        self._given_up.forget(program)
 
     async def _adopt(self, program: str, account: Account, rows: list[Row]) -> None:
         found = next((item for item in rows if item.value is not None), None)
@@ -517,7 +432,7 @@
         )
         under_way = (dict(told.open) if told else {}) | account.unrecorded_turns
         account.adopt(spent + account.unrecorded, found.version, under_way)
-        self._settle_early(account)
+        self._early.settle(account)
         account.covered = 0
 
     async def _former(
@@ -525,46 +440,7 @@
     ) -> GivenUp | None:
         """Return what the holder of a row says of its account."""
         if row.holder == self._name:
-            return self._told(program, version, row.serial)
+            return self._given_up.about(program, version, row.serial)
         if not row.holder:
             return None
         return await self._hand_over(row.holder, program, version, row.serial)
-
-    async def _flush_batch(
-        self, batch: list[tuple[str, Account]], places: asyncio.Semaphore
-    ) -> None:
-        writes, expected = [], {}
-        for program, account in batch:
-            write = self._write_of(program, account, account.spent, "")
-            writes.append(write)
-            expected[write.key] = account.version
-        try:
-            async with places:
-                await self._store.write(
-                    writes, expected=expected, timeout_s=FLUSH_TIMEOUT_S
-                )
-        except (RowConflictError, RowStoreAwayError) as error:
-            # The rows then count all that was covered, which is safe.
-            self._log.note(
-                "accounts_not_flushed", accounts=len(batch), reason=error.message
-            )
-
-    async def _drop(self, program: str, account: Account) -> None:
-        self._accounts.pop(program, None)
-        self._locks.pop(program, None)
-        self._given_up.pop(program, None)
-        if not account.version:
-            return
-        key = _key(program)
-        try:
-            await self._store.write(
-                [RowWrite(key, None)],
-                expected={key: account.version},
-                timeout_s=COVER_TIMEOUT_S,
-            )
-        except (RowConflictError, RowStoreAwayError) as error:
-            self._log.note("row_not_dropped", row=program, reason=error.message)
-
-
-def _key(program: str) -> RowKey:
-    return RowKey(TABLE, part_of(program), program)
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -9,13 +9,14 @@
 import msgspec
 
 from ..placement import first_of
+from .account_rows import COVER_TIMEOUT_S
 from .accounts import GivenUp
 from .decisions import DecisionLog
 from .http1 import NotSentError, SendError
 from .http_pool import Pool, fetch
 from .members import Membership
 from .rows import RowStoreAwayError
-from .spending import COVER_TIMEOUT_S, SpendingHome
+from .spending import SpendingHome
 from .spending_protocol import (
     SPENDING_PATH,
     HandOverRequest,
--- a/src/carobspur/platform/main.py
+++ b/src/carobspur/platform/main.py
@@ -17,6 +17,7 @@
 
 from ..background import background
 from ..errors import SettingsError
+from ..gateway.account_rows import TABLE as SPENDING_TABLE
 from ..gateway.accounts import GivenUp
 from ..gateway.broker import Broker
 from ..gateway.context import GatewayContext
@@ -36,7 +37,6 @@
 from ..gateway.rows import Row
 from ..gateway.sender import Sender
 from ..gateway.settings import GatewaySettings, split_address
-from ..gateway.spending import TABLE as SPENDING_TABLE
 from ..gateway.spending import SpendingHome
 from ..gateway.spending_client import SpendingClient
 from ..gateway.spending_records import MovedAccount, StoreDoubt, spending_expiry
