--- /dev/null
+++ b/src/carobspur/platform/gateway.py
@@ -0,0 +1,390 @@
+"""One gateway on the platform: its parts, and how it runs, reloads and stops."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+
+from tornado.httpserver import HTTPServer
+
+from ..background import background
+from ..errors import SettingsError
+from ..gateway.account_rows import TABLE as SPENDING_TABLE
+from ..gateway.accounts import GivenUp
+from ..gateway.broker import Broker
+from ..gateway.context import GatewayContext
+from ..gateway.decisions import DecisionLog
+from ..gateway.endpoints import EndpointBook
+from ..gateway.feed import TableFeed
+from ..gateway.health import HealthBook
+from ..gateway.heartbeats_udp import HeartbeatSender
+from ..gateway.http_pool import Pool
+from ..gateway.load_sharing import LoadReporter
+from ..gateway.member_rows import TABLE as MEMBERS_TABLE
+from ..gateway.member_rows import MemberRows
+from ..gateway.members import Member, Membership
+from ..gateway.plain import PlainCalls
+from ..gateway.routes import CallerLimits
+from ..gateway.row_sweep import RowSweeper
+from ..gateway.rows import Row
+from ..gateway.sender import Sender
+from ..gateway.settings import GatewaySettings, split_address
+from ..gateway.spending import SpendingHome
+from ..gateway.spending_client import SpendingClient
+from ..gateway.spending_records import MovedAccount, StoreDoubt, spending_expiry
+from ..gateway.streams import StreamCalls
+from ..gateway.telemetry import Telemetry
+from ..gateway.turn_book import TurnBook
+from ..gateway.turns import TABLE as TURNS_TABLE
+from ..gateway.turns import TurnKeeper, turn_expiry
+from ..kernel import PluginKind, plugin
+from . import configuration as wire_configuration
+from .bootstrap import MEMBERS, encode_snapshot, load_from_peers
+from .directory import (
+    directory_application,
+    metrics_application,
+    peer_application,
+    ready_application,
+)
+from .headers import PlatformWire
+from .ingress import Ingress
+from .registry import LAPSE_GRACE_S, Registry
+from .registry import TABLE as REGISTRY_TABLE
+from .store import PlatformRowStore
+
+BACKLOG_CONNECTIONS = 512
+CURRENT_S = 5.0
+"""Age up to which the configuration in force counts as the newest: longer than a
+feed's wait and one retry."""
+LEAVE_NOTICE_S = 3.2
+"""Time between leaving the address answers and refusing connections: callers keep an
+answer for up to three times its life."""
+STOP_MARGIN_S = 0.8
+"""Time kept back before the platform kills the process."""
+STOP_POLL_S = 0.05
+DOUBT_MARGIN_S = 10.0
+"""Accounts may be missed so long after the programs of a dead gateway may return."""
+SETTINGS_POLL_S = 1.0
+
+
+class Gateway:
+    """One gateway with all its parts.
+
+    Args:
+        settings: Its settings.
+        settings_path: Where they were read, for reloading.
+        log: Decision log.
+        telemetry: Metrics.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        settings_path: str,
+        log: DecisionLog,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._log = log
+        self._telemetry = telemetry
+        self._pool = Pool(on_open=lambda _: self._telemetry.connections.inc())
+        self._internal_pool = Pool()
+        self._membership = Membership(self._member())
+        self._store = PlatformRowStore(
+            lambda: self._settings.store.address,
+            self._relays,
+            self._internal_pool,
+            log,
+            self._telemetry,
+            on_change=self._store_changed,
+        )
+        health = HealthBook()
+        book = EndpointBook()
+        self._context = GatewayContext(
+            data_centre=settings.instance.data_centre,
+            sender=Sender(PlatformWire(), self._pool, health, self._telemetry),
+            endpoints=book,
+            health=health,
+            placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
+            log=log,
+            telemetry=self._telemetry,
+        )
+        self._registry = Registry(
+            book,
+            log,
+            on_gone=self._endpoint_gone,
+            store_was_away=lambda: self._store.was_away(LAPSE_GRACE_S),
+        )
+        self._member_rows = MemberRows(
+            self._membership, self._store, log, doubt_s=self._doubt_s
+        )
+        self._feeds = {
+            "configuration": TableFeed(
+                self._store, wire_configuration.TABLE, self._configured, log
+            ),
+            "registry": TableFeed(
+                self._store, REGISTRY_TABLE, self._registry.apply, log
+            ),
+            MEMBERS: TableFeed(
+                self._store, MEMBERS_TABLE, self._member_rows.changed, log
+            ),
+        }
+        self._sweeper = RowSweeper(
+            self._store,
+            {TURNS_TABLE: turn_expiry, SPENDING_TABLE: spending_expiry},
+            log,
+        )
+        turns = TurnKeeper(self._store, row_bytes=settings.store.row_bytes)
+        self._home = SpendingHome(
+            self._membership.own.name,
+            self._store,
+            hand_over=self._hand_over,
+            pull=self._pull,
+            doubt=self._doubt,
+            log=log,
+        )
+        self._spending = SpendingClient(
+            self._membership,
+            self._home,
+            self._internal_pool,
+            is_home=lambda: not self._context.is_leaving,
+            spawn=self._context.spawn,
+            log=log,
+        )
+        book = TurnBook(
+            self._context,
+            turns,
+            self._spending,
+            self._store,
+            store_is_away=lambda: self._store.is_away,
+            on_kept=self._sweeper.note,
+        )
+        self._broker = Broker(
+            self._context,
+            PlainCalls(self._context),
+            StreamCalls(self._context, book),
+            is_current=self._is_current,
+        )
+        self._ingress = Ingress(self._broker, self._limits)
+        self._heartbeats = HeartbeatSender(
+            self._membership, health.peers, self._state, log
+        )
+        reporter = LoadReporter(
+            self._heartbeats.send_load, health.counts, name=self._membership.own.name
+        )
+        health.on_change = reporter.changed
+
+    async def run(self, stopping: asyncio.Event, reloading: asyncio.Event) -> None:
+        """Serve until asked to stop, then stop without cutting a request."""
+        listen = self._settings.listen
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(
+                self._heartbeats.running(*split_address(listen.heartbeats))
+            )
+            for application, address in (
+                (
+                    peer_application(self._store, self._home, self._snapshot),
+                    listen.peers,
+                ),
+                (ready_application(self._is_ready), listen.ready),
+                (
+                    directory_application(
+                        self._membership,
+                        self._is_ready,
+                        max_ttl_s=self._settings.times.address_ttl_s,
+                    ),
+                    listen.directory,
+                ),
+                (metrics_application(self._telemetry.registry), listen.metrics),
+            ):
+                if address:
+                    await stack.enter_async_context(_served(application, address))
+            await stack.enter_async_context(
+                background(
+                    *(feed.follow for feed in self._feeds.values()),
+                    self._member_rows.join,
+                    partial(self._watch_settings, reloading),
+                    self._member_rows.remove_dead_forever,
+                    self._home.sweep_forever,
+                    self._home.write_idle_forever,
+                    self._sweeper.sweep_own_forever,
+                    self._sweeper.sweep_orphans_forever,
+                    self._load_from_peers,
+                    note_error=self._note_background_error,
+                )
+            )
+            host, port = split_address(listen.callers)
+            await stack.enter_async_context(
+                self._ingress.listening(host, port, backlog=BACKLOG_CONNECTIONS)
+            )
+            self._log.note("started", data_centre=self._context.data_centre)
+            await stopping.wait()
+            await self._stop()
+
+    async def _stop(self) -> None:
+        """Leave the answers at once, serve on, and end before the platform kills."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._settings.times.stop_s - STOP_MARGIN_S
+        refuse_at = loop.time() + LEAVE_NOTICE_S
+        self._context.is_leaving = True
+        self._log.note("stopping", in_flight=self._broker.in_flight)
+        self._heartbeats.send()
+        self._ingress.stop_keeping()
+        self._context.spawn(self._home.move_all(self._spending.move))
+        self._context.spawn(self._member_rows.leave())
+        while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
+            await asyncio.sleep(STOP_POLL_S)
+        await self._context.finish_tasks(max(0.0, end - loop.time()))
+        self._log.note("stopped", in_flight=self._broker.in_flight)
+
+    def _member(self) -> Member:
+        settings = self._settings
+        return Member(
+            name=f"{settings.instance.name}/{uuid.uuid4().hex[:8]}",
+            data_centre=settings.instance.data_centre,
+            callers=settings.listen.callers,
+            peers=settings.listen.peers,
+            heartbeats=settings.listen.heartbeats,
+            started_at=time.time(),
+        )
+
+    def _store_changed(self) -> None:
+        for feed in self._feeds.values():
+            feed.refresh()
+        if self._store.is_reached:
+            self._context.spawn(self._home.cover_uncovered())
+
+    async def _hand_over(
+        self, holder: str, program: str, row_version: int, serial: int
+    ) -> GivenUp | None:
+        return await self._spending.hand_over(holder, program, row_version, serial)
+
+    async def _pull(self, program: str) -> MovedAccount | None:
+        return await self._spending.pull(program)
+
+    def _doubt(self) -> StoreDoubt:
+        now = asyncio.get_running_loop().time()
+        died_at = self._membership.died_at
+        away_since = self._store.lost_at
+        died_lately = now - died_at < self._doubt_s()
+        return StoreDoubt(
+            is_away=self._store.is_away,
+            may_be_lost=died_lately,
+            may_grant_uncovered=away_since is not None and died_at < away_since,
+        )
+
+    def _doubt_s(self) -> float:
+        """Return for how long after a death accounts may be missed."""
+        return self._longest_retention_s() + DOUBT_MARGIN_S
+
+    def _snapshot(self) -> bytes:
+        members = [self._membership.own, *self._membership.others()]
+        return encode_snapshot(self._feeds, members=members)
+
+    def _note_background_error(self, work: str, error: Exception) -> None:
+        self._log.note("background_failed", work=work, reason=repr(error))
+
+    async def _load_from_peers(self) -> None:
+        await load_from_peers(
+            self._feeds, self._all_peers, self._internal_pool, self._log
+        )
+
+    def _all_peers(self) -> list[str]:
+        known = [member.peers for member in self._membership.others()]
+        own = self._settings.listen.peers
+        seeds = self._settings.store.seed_addresses
+        return known or [address for address in seeds if address != own]
+
+    def _longest_retention_s(self) -> float:
+        configuration = self._context.configuration
+        routes = configuration.routes if configuration else ()
+        return max((route.retention_s for route in routes), default=0.0)
+
+    def _relays(self) -> list[str]:
+        now = asyncio.get_running_loop().time()
+        if any(True for _ in self._membership.others()):
+            return [item.peers for item in self._membership.with_store(now)]
+        own = self._settings.listen.peers
+        seeds = self._settings.store.seed_addresses
+        return [address for address in seeds if address != own]
+
+    def _limits(self) -> CallerLimits:
+        configuration = self._context.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _is_ready(self) -> bool:
+        return not self._context.is_leaving and self._context.configuration is not None
+
+    def _state(self) -> tuple[bool, bool]:
+        return self._is_ready(), self._store.is_reached
+
+    def _is_current(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self._feeds["configuration"].confirmed_at < CURRENT_S
+
+    def _configured(self, rows: list[Row], is_whole: bool) -> None:
+        for row in rows:
+            if row.key.key != wire_configuration.KEY or row.value is None:
+                continue
+            try:
+                new = wire_configuration.decode_configuration(row.value)
+            except wire_configuration.ConfigurationError as error:
+                self._log.note("configuration_refused", reason=error.message)
+                continue
+            known = self._context.configuration
+            if known is not None and new.version <= known.version:
+                continue
+            self._context.configuration = new
+            self._ingress.apply_limits()
+            self._log.note(
+                "configuration", version=new.version, row_version=row.version
+            )
+
+    def _endpoint_gone(self, key: str) -> None:
+        self._pool.drop(key)
+        self._context.health.forget(key)
+
+    async def _watch_settings(self, reloading: asyncio.Event) -> None:
+        known = _read_text(self._settings_path)
+        while True:
+            try:
+                await asyncio.wait_for(reloading.wait(), SETTINGS_POLL_S)
+            except TimeoutError:
+                if _read_text(self._settings_path) == known:
+                    continue
+            reloading.clear()
+            known = _read_text(self._settings_path)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            self._settings = GatewaySettings.read(self._settings_path)
+        except SettingsError as error:
+            self._log.note("reload_refused", reason=error.message)
+            return
+        self._log.note("reloaded")
+
+
+def _read_text(path: str) -> str:
+    try:
+        with open(path, encoding="utf-8") as file:
+            return file.read()
+    except OSError:
+        # The file is being replaced; the next poll sees it.
+        return ""
+
+
+@asynccontextmanager
+async def _served(application, address: str) -> AsyncIterator[None]:
+    host, port = split_address(address)
+    server = HTTPServer(application)
+    server.listen(port, host, backlog=BACKLOG_CONNECTIONS)
+    try:
+        yield
+    finally:
+        server.stop()
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -15,7 +15,7 @@
 from carobspur.gateway.decisions import DecisionLog
 from carobspur.gateway.settings import GatewaySettings
 from carobspur.gateway.telemetry import Telemetry
-from carobspur.platform.main import Gateway
+from carobspur.platform.gateway import Gateway
 from carobspur_standins.platform_replica import ReplicaStandin
 from carobspur_standins.platform_store import RowStoreStandin
 
