--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -6,8 +6,9 @@
 import secrets
 import sys
 from collections.abc import Iterator
+from itertools import chain
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import fire
 import msgspec
@@ -30,8 +31,8 @@
     InventoryConflictError,
     InventoryError,
 )
-from .gateway.explanation import LoggedEvent, read_events
 from .gateway.explanation import explain as explain_request
+from .gateway.explanation import read_events
 from .gateway.objectives import KindBurn, burn_of
 from .gateway.settings import GatewaySettings
 from .inventory import Key, Role
@@ -54,12 +55,14 @@
 SECRET_BYTES = 32
 
 
-def _texts(paths: tuple[str, ...]) -> Iterator[str]:
+def _files(paths: tuple[str, ...]) -> Iterator[TextIO]:
+    """Yield open files one after the other; standard input where none is named."""
     if not paths:
-        yield sys.stdin.read()
+        yield sys.stdin
     for path in paths:
         try:
-            yield Path(path).read_text(encoding="utf-8", errors="replace")
+            with Path(path).open(encoding="utf-8", errors="replace") as file:
+                yield file
         except OSError as error:
             raise UsageError(f"cannot read {path}: {error}") from error
 
@@ -72,17 +75,6 @@
     return table(("kind", "answers", "late", "missed", "burn rate"), rows)
 
 
-def _logged_events(logs: tuple[str, ...]) -> Iterator[LoggedEvent]:
-    if not logs:
-        yield from read_events(sys.stdin)
-    for path in logs:
-        try:
-            with Path(path).open(encoding="utf-8", errors="replace") as file:
-                yield from read_events(file)
-        except OSError as error:
-            raise UsageError(f"cannot read {path}: {error}") from error
-
-
 class ProgramCommands:
     """Shows and stops programs of an organisation."""
 
@@ -142,7 +134,8 @@
         """
         if not 0.0 <= objective < 1.0:
             raise UsageError(f"objective: {objective} is not from 0 to below 1")
-        burns = burn_of(_texts(pages), objective_share=objective)
+        texts = (file.read() for file in _files(pages))
+        burns = burn_of(texts, objective_share=objective)
         self._session.show(burns, _burn_text)
 
     @command
@@ -276,7 +269,8 @@
             request: The request's id.
             logs: Decision logs of any gateways; none for standard input.
         """
-        found = explain_request(str(request), _logged_events(logs))
+        events = chain.from_iterable(map(read_events, _files(logs)))
+        found = explain_request(str(request), events)
         self._session.show(found.as_dict(), lambda _: found.text())
 
     @command
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .decisions import DecisionLog
+from .host_port import split_address
 from .load_sharing import LoadReport, PeerLoads
 from .members import HEARTBEAT_S, MEMBER_EVERY, Heartbeat, Member, Membership
 
@@ -110,8 +111,7 @@
 
     def _send_to(self, members: Iterable[Member], data: bytes) -> None:
         for member in members:
-            host, _, port = member.heartbeats.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+            self._transport.sendto(data, split_address(member.heartbeats))
 
     def _note_changes(self, now: float) -> None:
         alive = {member.name for member in self._membership.alive(now)}
--- a/src/carobspur/gateway/http_pool.py
+++ b/src/carobspur/gateway/http_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .host_port import split_address
 from .http1 import CONNECT_TIMEOUT_S, Connection, LostAnswerError
 
 
@@ -90,10 +91,10 @@
         NotSentError: Nothing was sent.
         LostAnswerError: There was no whole answer in time.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     fields = [("Host", address), *(headers or [])]
     data = encode_request(method, target, fields, body)
-    connection = await pool.take(address, host, int(port))
+    connection = await pool.take(address, host, port)
     is_kept = False
     try:
         async with asyncio.timeout(timeout_s):
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -9,8 +9,7 @@
 
 from ..errors import SettingsError
 from ..kernel import PluginKind, load_plugins, plugin_names
-
-MAX_PORT = 65535
+from .host_port import split_address
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,19 +159,6 @@
         return cls(**values)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``HOST:PORT``.
-
-    Raises:
-        ValueError: The text is no address.
-    """
-    host, _, port = address.rpartition(":")
-    number = int(port)
-    if not host or not 0 <= number <= MAX_PORT:
-        raise ValueError(address)
-    return host, number
-
-
 def _section(
     kind: type, section: str, parser: configparser.ConfigParser, faults: list[str]
 ) -> Any:
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -22,6 +22,7 @@
 from ..gateway.feed import TableFeed
 from ..gateway.health import HealthBook
 from ..gateway.heartbeats_udp import HeartbeatSender
+from ..gateway.host_port import split_address
 from ..gateway.http_pool import Pool
 from ..gateway.load_sharing import LoadReporter
 from ..gateway.member_rows import TABLE as MEMBERS_TABLE
@@ -32,7 +33,7 @@
 from ..gateway.row_sweep import RowSweeper
 from ..gateway.rows import Row
 from ..gateway.sender import Sender
-from ..gateway.settings import GatewaySettings, split_address
+from ..gateway.settings import GatewaySettings
 from ..gateway.spending import SpendingHome
 from ..gateway.spending_client import SpendingClient
 from ..gateway.spending_records import MovedAccount, StoreDoubt, spending_expiry
--- a/src/carobspur/platform/registry.py
+++ b/src/carobspur/platform/registry.py
@@ -10,8 +10,8 @@
 
 from ..gateway.decisions import DecisionLog
 from ..gateway.endpoints import Endpoint, EndpointBook
+from ..gateway.host_port import split_address
 from ..gateway.rows import Row
-from ..gateway.settings import split_address
 
 TABLE = "servers"
 LAPSE_GRACE_S = 2.2
