Answers about addresses leave no gateway of many out

Cause (found in reading): an answer names at most 64 gateways, always the first by address, so others of one data centre never got callers. Each gateway now answers with its own rendezvous choice; a test with 200 gateways fails on the code before.

--- a/src/carobspur/gateway/addresses.py
+++ b/src/carobspur/gateway/addresses.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from ..placement import first_of
 from .members import Membership
 
 MAX_ADDRESSES = 64
+"""Most addresses in an answer, which the platform fixes."""
 ENOUGH_NEAR = 2
 """Gateways in the caller's data centre that make those elsewhere unnecessary."""
 
@@ -28,4 +30,8 @@
         members.append(membership.own)
     near = [item for item in members if item.data_centre == data_centre]
     chosen = near if len(near) >= ENOUGH_NEAR else members
-    return sorted(item.callers for item in chosen)[:MAX_ADDRESSES]
+    # Each gateway answers with others of many, so that none is left out by all.
+    told = first_of(
+        membership.own.name, (item.callers for item in chosen), MAX_ADDRESSES
+    )
+    return sorted(told)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from carobspur.gateway.addresses import addresses_for
+from carobspur.gateway.addresses import MAX_ADDRESSES, addresses_for
 from carobspur.gateway.members import (
     DEAD_S,
     NEW_MEMBER_S,
@@ -191,3 +191,15 @@
         made = self._made("aab")
         found = addresses_for(made, data_centre="a", is_ready=False, now=0.1)
         self.assertNotIn("h:0", found)
+
+    def test_no_gateway_of_many_is_left_out_by_all_answers(self) -> None:
+        told = set()
+        for own in range(30):
+            made = Membership(member(own))
+            for number in range(200):
+                if number != own:
+                    made.put(member(number), 0.0)
+            answer = addresses_for(made, data_centre="a", is_ready=True, now=0.1)
+            self.assertEqual(MAX_ADDRESSES, len(answer))
+            told.update(answer)
+        self.assertEqual(200, len(told))
