A request is placed among 64 endpoints at most; the book is kept sorted

Cause (CAPACITY): the choice was linear in the endpoints of a service, and each entry of the registry sorted all endpoints anew.

--- a/src/carobspur/gateway/endpoints.py
+++ b/src/carobspur/gateway/endpoints.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import xxhash
+
+MAX_COMPARED = 64
+"""Most endpoints that one request is placed among: such a choice takes 0.6 ms, one among
+3,100 took 30 ms."""
+NEAR_COMPARED = 48
+"""How many of them come from the gateway's own data centre, if it has so many."""
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -36,6 +46,45 @@
         return f"{self.id}@{self.born_ms}"
 
 
+class _Sorted:
+    """Endpoints in the order of a hash of their ids, so that a run is a fair sample."""
+
+    __slots__ = ("_endpoints", "_scores")
+
+    def __init__(self) -> None:
+        self._scores: list[tuple[int, str]] = []
+        self._endpoints: list[Endpoint] = []
+
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Add an endpoint, or replace the one with its id."""
+        score = _score(endpoint.id)
+        place = bisect_left(self._scores, score)
+        if self._scores[place : place + 1] == [score]:
+            self._endpoints[place] = endpoint
+        else:
+            self._scores.insert(place, score)
+            self._endpoints.insert(place, endpoint)
+
+    def remove(self, endpoint_id: str) -> None:
+        """Remove an endpoint, if it is there."""
+        score = _score(endpoint_id)
+        place = bisect_left(self._scores, score)
+        if self._scores[place : place + 1] == [score]:
+            del self._scores[place]
+            del self._endpoints[place]
+
+    def run(self, affinity: str, count: int) -> list[Endpoint]:
+        """Return so many endpoints from the place of a key on, round the end."""
+        if len(self._endpoints) <= count:
+            return list(self._endpoints)
+        start = bisect_left(self._scores, _score(affinity))
+        found = self._endpoints[start : start + count]
+        return found + self._endpoints[: count - len(found)]
+
+
 class EndpointBook:
     """Endpoints by service.
 
@@ -43,11 +92,13 @@
     them again; all others go at once.
     """
 
-    __slots__ = ("_by_id", "_by_service", "_lapsed", "version")
+    __slots__ = ("_by_id", "_lapsed", "_near", "_services", "version")
 
     def __init__(self) -> None:
         self._by_id: dict[str, Endpoint] = {}
-        self._by_service: dict[str, list[Endpoint]] = {}
+        # Those that take new work, by service, and by service and data centre.
+        self._services: defaultdict[str, _Sorted] = defaultdict(_Sorted)
+        self._near: defaultdict[tuple[str, str], _Sorted] = defaultdict(_Sorted)
         self._lapsed: set[str] = set()
         self.version = 0
 
@@ -57,14 +108,28 @@
     def put(self, endpoint: Endpoint) -> None:
         """Add an endpoint or replace what was known of it."""
         self._lapsed.discard(endpoint.id)
+        self._take_out(endpoint.id)
         self._by_id[endpoint.id] = endpoint
-        self._index()
+        if not endpoint.is_draining:
+            self._services[endpoint.service].put(endpoint)
+            self._near[endpoint.service, endpoint.data_centre].put(endpoint)
 
     def remove(self, endpoint_id: str) -> None:
         """Forget an endpoint."""
         self._lapsed.discard(endpoint_id)
-        if self._by_id.pop(endpoint_id, None) is not None:
-            self._index()
+        self._take_out(endpoint_id)
+
+    def _take_out(self, endpoint_id: str) -> None:
+        known = self._by_id.pop(endpoint_id, None)
+        if known is None:
+            return
+        for table, key in (
+            (self._services, known.service),
+            (self._near, (known.service, known.data_centre)),
+        ):
+            table[key].remove(endpoint_id)
+            if not table[key]:
+                del table[key]
 
     def lapse(self, endpoint_id: str) -> None:
         """Mark an endpoint whose entry ran out while the registry was away."""
@@ -83,12 +148,31 @@
         """Return one endpoint, if it is known."""
         return self._by_id.get(endpoint_id)
 
-    def usable(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that take new work."""
-        return self._by_service.get(service, [])
-
-    def _index(self) -> None:
-        self._by_service = {}
-        for endpoint in sorted(self._by_id.values(), key=lambda item: item.id):
-            if not endpoint.is_draining:
-                self._by_service.setdefault(endpoint.service, []).append(endpoint)
+    def usable(
+        self, service: str, *, affinity: str = "", data_centre: str = ""
+    ) -> list[Endpoint]:
+        """Return endpoints of a service that take new work, to choose among.
+
+        All of a service with few; of one with many, a sample that stays the same for
+        a key while they stay, most of it from one data centre.
+
+        Args:
+            service: The service.
+            affinity: What is placed.
+            data_centre: Where the sample should come from.
+        """
+        everywhere = self._services.get(service)
+        if everywhere is None:
+            return []
+        if len(everywhere) <= MAX_COMPARED:
+            return everywhere.run("", MAX_COMPARED)
+        near = self._near.get((service, data_centre))
+        sample = near.run(affinity, NEAR_COMPARED) if near else []
+        known = {item.id for item in sample}
+        rest = everywhere.run(affinity, MAX_COMPARED)
+        sample += [item for item in rest if item.id not in known]
+        return sample[:MAX_COMPARED]
+
+
+def _score(text: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(text), text
--- a/src/carobspur/gateway/plain.py
+++ b/src/carobspur/gateway/plain.py
@@ -43,7 +43,7 @@
         service = route.service_for(call.id)
         outcome: Outcome = NotRunThere("no endpoint is registered")
         while True:
-            endpoint = self._choose(service, tried)
+            endpoint = self._choose(call.id, service, tried)
             if endpoint is None:
                 break
             tried.add(endpoint.key)
@@ -61,9 +61,11 @@
         taken_s = asyncio.get_running_loop().time() - call.arrived
         return Served(status, taken_s <= route.target_latency_s)
 
-    def _choose(self, service: str, tried: set[str]) -> Endpoint | None:
+    def _choose(self, call: str, service: str, tried: set[str]) -> Endpoint | None:
         context = self._context
-        usable = context.endpoints.usable(service)
+        usable = context.endpoints.usable(
+            service, affinity=call, data_centre=context.data_centre
+        )
         fresh = [item for item in usable if item.key not in tried]
         now = asyncio.get_running_loop().time()
         need = Need(context.data_centre)
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -114,7 +114,11 @@
         if turn.runs and turn.runs >= turn.route.max_attempts and again_at is None:
             return None
         affinity = program.id if program else call.id
-        usable = context.endpoints.usable(turn.route.service_for(affinity))
+        usable = context.endpoints.usable(
+            turn.route.service_for(affinity),
+            affinity=affinity,
+            data_centre=context.data_centre,
+        )
         fresh = [item for item in usable if item.key not in turn.refused]
         need = Need(context.data_centre, affinity, call.prompt_tokens)
         now = asyncio.get_running_loop().time()
