What peers have under way is summed when it is told, not when it is asked for

Cause (found in reading): each choice of an endpoint went through the reports of all gateways for every endpoint, so it grew with gateways times endpoints.

--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -9,6 +9,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from functools import lru_cache
 
 import msgspec
 
@@ -17,6 +18,8 @@
 INTERVAL_PER_MEMBER_S = 0.005
 """Added for each member, so that reports cost the same at any size."""
 MAX_INTERVAL_S = 1.0
+MAX_SHORT_FORMS = 8192
+"""Names whose short forms are kept: more than endpoints and gateways there are."""
 REPORT_LIFE_S = 1.0
 """How long a report counts; a gateway that died has nothing under way."""
 
@@ -34,6 +37,7 @@
     counts: dict[int, int]
 
 
+@lru_cache(maxsize=MAX_SHORT_FORMS)
 def short_form(name: str) -> int:
     """Return four bytes that stand for a name in datagrams.
 
@@ -43,33 +47,47 @@
 
 
 class PeerLoads:
-    """What other gateways have under way."""
+    """What other gateways have under way.
 
-    __slots__ = ("_reports",)
+    Sums are kept up to date, so that asking for one costs the same at any number of
+    gateways; placement asks for many.
+    """
+
+    __slots__ = ("_reports", "_sums")
 
     def __init__(self) -> None:
+        # By sender, oldest report first.
         self._reports: dict[int, tuple[float, dict[int, int]]] = {}
+        self._sums: dict[int, int] = {}
 
     def note(self, report: LoadReport, now: float) -> None:
         """Take note of a report; the newest of each gateway counts."""
+        self._take_out(report.sender)
         self._reports[report.sender] = (now, report.counts)
+        for short, count in report.counts.items():
+            self._sums[short] = self._sums.get(short, 0) + count
 
     def total(self, key: str, now: float) -> int:
         """Return the requests of all other gateways at an endpoint."""
-        short = short_form(key)
-        return sum(
-            counts.get(short, 0)
-            for at, counts in self._reports.values()
-            if now - at < REPORT_LIFE_S
-        )
+        self.forget_old(now)
+        return self._sums.get(short_form(key), 0)
 
     def forget_old(self, now: float) -> None:
         """Drop reports that no longer count."""
-        self._reports = {
-            sender: report
-            for sender, report in self._reports.items()
-            if now - report[0] < REPORT_LIFE_S
-        }
+        while self._reports:
+            sender, (at, _) = next(iter(self._reports.items()))
+            if now - at < REPORT_LIFE_S:
+                return
+            self._take_out(sender)
+
+    def _take_out(self, sender: int) -> None:
+        _, counts = self._reports.pop(sender, (0.0, {}))
+        for short, count in counts.items():
+            left = self._sums.get(short, 0) - count
+            if left:
+                self._sums[short] = left
+            else:
+                self._sums.pop(short, None)
 
 
 class LoadReporter:
