Many gateways report their load within their data centre only

Among 360 gateways reports to all came to 29 kB/s a gateway, over the 23 kB/s that control may use (CAPACITY). Above 64 gateways they go to the own data centre: 59 datagrams a second, 5 kB/s.

--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -104,8 +104,8 @@
         self._note_changes(now)
 
     def send_load(self, report: LoadReport) -> int:
-        """Send a load report to all peers alive; returns how many there are."""
-        peers = self._membership.alive(asyncio.get_running_loop().time())
+        """Send a load report to the peers that need it; returns how many there are."""
+        peers = self._membership.load_peers(asyncio.get_running_loop().time())
         self._send_to(peers, msgspec.msgpack.encode(report))
         return len(peers)
 
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -28,6 +28,9 @@
 UNREADY_S = 1.5
 """How long a member that is not watched counts as not ready without saying so again.
 Members tell everyone while they are not ready, and their watchers alone afterwards."""
+MAX_LOAD_PEERS = 64
+"""Up to so many gateways tell each other all what they have under way: with a report a
+second of 80 bytes that stays far below the 23 kB/s that control may use."""
 MAX_FORMER = 4096
 """Former starts that are remembered: those of four days of a large deployment."""
 SUSPICION_S = 1.5
@@ -255,6 +258,17 @@
             )
         ]
 
+    def load_peers(self, now: float) -> list[Member]:
+        """Return the members that are told what is under way here.
+
+        All of few; of many, those of the own data centre, whose endpoints it prefers.
+        """
+        alive = self.alive(now)
+        if len(alive) <= MAX_LOAD_PEERS:
+            return alive
+        own = self._own.data_centre
+        return [member for member in alive if member.data_centre == own]
+
     def with_store(self, now: float) -> list[Member]:
         """Return the members alive that say they reach the row store."""
         return [
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -151,6 +151,22 @@
         self.assertIn(far.name, later)
 
 
+class LoadPeersTest(unittest.TestCase):
+    def _made(self, count: int) -> Membership:
+        places = "abcdef"
+        made = Membership(member(0, data_centre="a"))
+        for number in range(1, count):
+            made.put(member(number, data_centre=places[number % 6]), 0.0)
+        return made
+
+    def test_few_gateways_all_report_to_each_other(self) -> None:
+        self.assertEqual(36, len(self._made(37).load_peers(0.1)))
+
+    def test_many_gateways_report_within_their_data_centre(self) -> None:
+        peers = self._made(360).load_peers(0.1)
+        self.assertEqual((59, {"a"}), (len(peers), {p.data_centre for p in peers}))
+
+
 class DeadMembersTest(unittest.TestCase):
     def test_one_of_those_alive_removes_a_dead_member(self) -> None:
         removers = []
