An account that has moved on is not covered by its former home

Cause (found in reading): covering the accounts of an outage looked at a list made before its writes; an account given away meanwhile was written as the former home's, and its next home counted its tokens twice (200 of 100). Both loops over accounts now check that the account is still the one. The new test fails on the code before.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -255,7 +255,7 @@
             if account.version or not account.spent:
                 continue
             async with self._locks.setdefault(program, asyncio.Lock()):
-                if account.version:
+                if account.version or self._accounts.get(program) is not account:
                     continue
                 try:
                     await self._cover(program, account, account.spent)
@@ -330,8 +330,9 @@
             await asyncio.sleep(SWEEP_S)
             now = asyncio.get_running_loop().time()
             for program, account in list(self._accounts.items()):
-                if now - account.used_at > account.kept_s + IDLE_MARGIN_S:
-                    self._accounts.pop(program, None)
+                is_over = now - account.used_at > account.kept_s + IDLE_MARGIN_S
+                if is_over and self._accounts.get(program) is account:
+                    del self._accounts[program]
                     self._given_up.forget(program)
                     await self._rows.drop(program, account)
             self._given_up.sweep(now)
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -351,6 +351,23 @@
         self.assertTrue(await homes.turn(home, budget=10 * BUDGET))
         self.assertEqual(written, homes.store.version)
 
+    async def test_account_that_moves_while_others_are_covered_counts_once(
+        self,
+    ) -> None:
+        homes = Homes()
+        first, second = homes.start("a"), homes.start("b")
+        homes.store.is_away = True
+        for program in ("o", "p"):
+            await first.reserve(program, f"t-{program}", TOKENS, BUDGET, kept_s=60)
+        homes.store.is_away = False
+        homes.store.answer_s = 0.05
+        covering = asyncio.ensure_future(first.cover_uncovered())
+        await asyncio.sleep(0.01)
+        self.assertTrue(second.take_over(await first.give_away("p")))
+        await covering
+        others = await second.reserve("p", "u", TOKENS, BUDGET, kept_s=60)
+        self.assertEqual(TOKENS, others)
+
     async def test_death_in_a_pause_costs_one_turn_at_most(self) -> None:
         homes = Homes()
         first = homes.start("a")
