--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -128,8 +128,9 @@
             return
         for other in list(self._members.values()):
             if other.callers == member.callers and other.name != member.name:
-                if not is_heard and self._is_later(other, member, now):
-                    self._note_former(member.name, now)
+                if not is_heard and self._stays(other, member, now):
+                    if other.started_at > member.started_at:
+                        self._note_former(member.name, now)
                     return
                 if not self.is_leaving(other.name):
                     self._note_former(other.name, now)
@@ -157,9 +158,10 @@
         while len(self._former) > MAX_FORMER:
             del self._former[next(iter(self._former))]
 
-    def _is_later(self, known: Member, told: Member, now: float) -> bool:
-        heard_at = self._live[known.name].heard_at
-        if heard_at and now - heard_at < SILENCE_S:
+    def _stays(self, known: Member, told: Member, now: float) -> bool:
+        """Return whether a member stays although another start of it is told of."""
+        live = self._live[known.name]
+        if live.is_ready and live.heard_at and now - live.heard_at < SILENCE_S:
             return True
         return known.started_at > told.started_at
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -82,6 +82,22 @@
         made.put(member(1, start="before", started_at=9.0), 5.1)
         self.assertEqual([member(1).name], [item.name for item in made.others()])
 
+    def test_row_of_a_later_start_is_no_death_of_it(self) -> None:
+        made = Membership(member(0))
+        made.put(member(1, started_at=2.0), 0.0)
+        made.heard(Heartbeat(member(1).name, True), 5.0)
+        made.put(member(1, start="again", started_at=9.0), 5.1)
+        self.assertEqual(float("-inf"), made.died_at)
+
+    def test_restart_right_after_leaving_is_no_death(self) -> None:
+        made = Membership(member(0))
+        made.put(member(1, started_at=2.0), 0.0)
+        made.heard(Heartbeat(member(1).name, False), 5.0)
+        again = member(1, start="again", started_at=9.0)
+        made.put(again, 5.1)
+        self.assertEqual([again], made.alive(5.2))
+        self.assertEqual(float("-inf"), made.died_at)
+
     def test_heartbeat_of_a_new_start_replaces_a_member_that_was_just_heard(
         self,
     ) -> None:
