A stopping gateway really refuses requests after 3.2 s, and waits for all it has read

Callers that knew no other address in the outage kept coming; the gateway stopped only once it saw a moment without a request, so it served on to the last 0.8 s of its time and then cut what was under way. Now it closes the socket and idle connections after 3.2 s and ends when every request whose head it has read is answered and flushed. The test with eight callers that keep coming fails before (still running 4.2 s after the stop), and showed a second gap on the way: a request between its head and its handling was not counted as under way.

--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -232,14 +232,16 @@
         """Leave the answers at once, serve on, and end before the platform kills."""
         loop = asyncio.get_running_loop()
         end = loop.time() + self._settings.times.stop_s - STOP_MARGIN_S
-        refuse_at = loop.time() + LEAVE_NOTICE_S
         self._context.is_leaving = True
         self._log.note("stopping", in_flight=self._broker.in_flight)
         self._heartbeats.send()
         self._ingress.stop_keeping()
         self._context.spawn(self._home.move_all(self._spending.move))
         self._context.spawn(self._member_rows.leave())
-        while loop.time() < end and (self._broker.in_flight or loop.time() < refuse_at):
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        # Callers that know no other address would otherwise come until the very end.
+        self._ingress.refuse()
+        while self._ingress.is_busy and loop.time() < end:
             await asyncio.sleep(STOP_POLL_S)
         await self._context.finish_tasks(max(0.0, end - loop.time()))
         self._log.note("stopped", in_flight=self._broker.in_flight)
--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -29,6 +29,9 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Bounds of the server itself; the configuration's limits lie below."""
 
+FLUSH_POLL_S = 0.05
+"""Time between looks at whether an answer has left: as fine as a stop is polled."""
+
 _BAD_REQUEST = 400
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
@@ -79,15 +82,36 @@
         future.add_done_callback(consume_error)
 
 
+class _Readers:
+    """Readers by what their connections do.
+
+    Attributes:
+        idle: Those that wait for a request.
+        busy: Those with a request whose head has come and that is not answered.
+    """
+
+    __slots__ = ("busy", "idle")
+
+    def __init__(self) -> None:
+        self.idle: set[_Reader] = set()
+        self.busy: set[_Reader] = set()
+
+
 class _Reader(HTTPMessageDelegate):
     """Reads one request and runs it."""
 
     def __init__(
-        self, connection: HTTP1Connection, broker: Broker, limits: CallerLimits
+        self,
+        connection: HTTP1Connection,
+        broker: Broker,
+        limits: CallerLimits,
+        readers: _Readers,
     ) -> None:
         self._connection = connection
         self._broker = broker
         self._limits = limits
+        self._readers = readers
+        readers.idle.add(self)
         self._call: Call | None = None
         self._chunks: list[bytes] = []
         self._size = 0
@@ -98,6 +122,8 @@
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Decode the head."""
+        self._readers.idle.discard(self)
+        self._readers.busy.add(self)
         fields = list(headers.get_all())
         size = sum(len(name) + len(value) + 4 for name, value in fields)
         self._call = decode_call(
@@ -124,18 +150,39 @@
         """Run the request."""
         responder = _Responder(self._connection, self._call.method)
         if self._refusal:
+            self._readers.busy.discard(self)
             responder.reply(self._refusal, [], b"")
             return
         self._call.body = b"".join(self._chunks)
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._broker.handle(self._call, responder))
-        self._task.add_done_callback(consume_error)
+        self._task.add_done_callback(self._done)
         self._connection.set_close_callback(self._task.cancel)
 
     def on_connection_close(self) -> None:
         """Stop the work of a request whose caller has left."""
+        self._readers.idle.discard(self)
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._readers.busy.discard(self)
+
+    def _done(self, task: asyncio.Task) -> None:
+        consume_error(task)
+        self._note_flushed()
+
+    def _note_flushed(self) -> None:
+        """Count the request as answered once all bytes are with the system."""
+        stream = self._connection.stream
+        if stream is not None and not stream.closed() and stream.writing():
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_POLL_S, self._note_flushed)
+            return
+        self._readers.busy.discard(self)
+
+    def close_idle(self) -> None:
+        """End a connection on which no request has come."""
+        self._connection.close()
 
 
 class Ingress(HTTPServerConnectionDelegate):
@@ -149,6 +196,8 @@
     def __init__(self, broker: Broker, limits: Callable[[], CallerLimits]) -> None:
         self._broker = broker
         self._limits = limits
+        self._readers = _Readers()
+        self._is_refusing = False
         self._server = HTTPServer(
             self,
             idle_connection_timeout=limits().idle_timeout_s,
@@ -160,7 +209,10 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of a new request."""
-        return _Reader(request_conn, self._broker, self._limits())
+        if self._is_refusing:
+            # Taken by the server before it stopped, or kept after an answer.
+            request_conn.close()
+        return _Reader(request_conn, self._broker, self._limits(), self._readers)
 
     @asynccontextmanager
     async def listening(
@@ -182,6 +234,18 @@
         """
         self._server.conn_params.header_timeout = self._limits().idle_timeout_s
 
+    def refuse(self) -> None:
+        """Take no more requests: no new connections, and an end to idle ones."""
+        self._is_refusing = True
+        self._server.stop()
+        for reader in list(self._readers.idle):
+            reader.close_idle()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has come that is not answered yet."""
+        return bool(self._readers.busy)
+
     def stop_keeping(self) -> None:
         """Let every connection end with its next answer."""
         self._server.conn_params.no_keep_alive = True
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -96,12 +96,21 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerAnswer:
-    """What a caller got; ``is_whole`` is false where the answer broke off."""
+    """What a caller got.
+
+    Attributes:
+        status: Of the answer; 0 for none.
+        headers: By lower-case names.
+        body: As far as it came.
+        is_whole: False where the answer broke off.
+        is_refused: Whether there was no connection.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
     is_whole: bool
+    is_refused: bool = False
 
 
 @dataclass(slots=True)
@@ -252,7 +261,7 @@
     try:
         reader, writer = await asyncio.open_connection(HOST, port)
     except OSError:
-        return CallerAnswer(0, {}, b"", False)
+        return CallerAnswer(0, {}, b"", False, is_refused=True)
     method = method or ("POST" if body else "GET")
     fields = dict(headers or {"Host": "x"})
     if body:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,10 +6,12 @@
 import json
 from unittest import IsolatedAsyncioTestCase
 
+from carobspur.platform.gateway import LEAVE_NOTICE_S
 from carobspur.platform.registry import LAPSE_GRACE_S
 from carobspur_standins.platform_replica import ReplicaFault
 
 from .platform_world import ENGINES, TOOLS, call, configuration, route, world
+from .ports import HOST
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
 
@@ -554,3 +556,38 @@
         self.assertEqual(200, answer.status)
         self.assertEqual(200, late.status)
         self.assertEqual("close", late.headers.get("connection", "").lower())
+
+    async def test_callers_that_keep_coming_do_not_hold_up_a_stop(self) -> None:
+        # In an outage callers may learn of no other address.
+        answers = []
+        async with world(gateways=1) as made:
+            leaving = made.gateways[0]
+            tool = next(r for r in made.replicas.values() if r.service == TOOLS)
+            tool.work_s = 0.1
+
+            async def keep_coming() -> None:
+                while not leaving.task.done():
+                    answers.append(await made.call("/read/a"))
+                    if answers[-1].is_refused:
+                        await asyncio.sleep(0.02)
+
+            callers = [asyncio.ensure_future(keep_coming()) for _ in range(8)]
+            await asyncio.sleep(0.2)
+            leaving.stopping.set()
+            async with asyncio.timeout(LEAVE_NOTICE_S + 1.0):
+                await asyncio.wait([leaving.task])
+            await asyncio.gather(*callers)
+        served = sum(answer.status == 200 and answer.is_whole for answer in answers)
+        self.assertEqual(len(tool.ran), served)
+        self.assertTrue(answers[-1].is_refused)
+
+    async def test_idle_connections_end_when_requests_are_refused(self) -> None:
+        async with world(gateways=1) as made:
+            leaving = made.gateways[0]
+            reader, writer = await asyncio.open_connection(
+                HOST, leaving.ports["callers"]
+            )
+            leaving.stopping.set()
+            async with asyncio.timeout(LEAVE_NOTICE_S + 1.0):
+                self.assertEqual(b"", await reader.read())
+            writer.close()
