A request read as its connection is closed as idle does not run

The server reads a head and hands it on one step of the loop later; a stop in between closed the connection as idle, and the request still ran without a way back. A reader whose connection was ended drops its request, so the caller's connection ends without anything run.

--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -117,13 +117,15 @@
         self._size = 0
         self._refusal = 0
         self._task: asyncio.Task | None = None
+        self._is_ended = False
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Decode the head."""
         self._readers.idle.discard(self)
-        self._readers.busy.add(self)
+        if not self._is_ended:
+            self._readers.busy.add(self)
         fields = list(headers.get_all())
         size = sum(len(name) + len(value) + 4 for name, value in fields)
         self._call = decode_call(
@@ -148,6 +150,9 @@
 
     def finish(self) -> None:
         """Run the request."""
+        if self._is_ended:
+            # Its head was read just before its connection was closed as idle.
+            return
         responder = _Responder(self._connection, self._call.method)
         if self._refusal:
             self._readers.busy.discard(self)
@@ -182,6 +187,7 @@
 
     def close_idle(self) -> None:
         """End a connection on which no request has come."""
+        self._is_ended = True
         self._connection.close()
 
 
@@ -209,10 +215,11 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of a new request."""
+        reader = _Reader(request_conn, self._broker, self._limits(), self._readers)
         if self._is_refusing:
             # Taken by the server before it stopped, or kept after an answer.
-            request_conn.close()
-        return _Reader(request_conn, self._broker, self._limits(), self._readers)
+            reader.close_idle()
+        return reader
 
     @asynccontextmanager
     async def listening(
