What the last reading found written twice stands once

Behaviour as before. Cause, by place: - The gateway worked out its seeds twice, and looked whether a list was empty through a generator: one _seeds(). - Membership asked in three places whether a member was heard within the silence that ends it: one _was_heard(). - _Sorted.put could replace an endpoint, which EndpointBook always takes out first: the branch was dead. - Each heartbeat dropped old load reports, which asking for a sum does already: the call goes, and the method is private. Looked at and left: the pairs in entry_parts and scheduler_parts or control_parts (only constructors and properties of one shape), in objectives and inventory (enums), the fake store in test_spending (it has the real one's signature), tests of one pattern.

--- a/src/carobspur/gateway/endpoints.py
+++ b/src/carobspur/gateway/endpoints.py
@@ -59,14 +59,11 @@
         return len(self._endpoints)
 
     def put(self, endpoint: Endpoint) -> None:
-        """Add an endpoint, or replace the one with its id."""
+        """Add an endpoint whose id is not there."""
         score = _score(endpoint.id)
         place = bisect_left(self._scores, score)
-        if self._scores[place : place + 1] == [score]:
-            self._endpoints[place] = endpoint
-        else:
-            self._scores.insert(place, score)
-            self._endpoints.insert(place, endpoint)
+        self._scores.insert(place, score)
+        self._endpoints.insert(place, endpoint)
 
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint, if it is there."""
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -100,7 +100,6 @@
         everyone = suspects or not is_ready
         targets = self._membership.others() if everyone else self._membership.targets()
         self._send_to(targets, data)
-        self._loads.forget_old(now)
         self._note_changes(now)
 
     def send_load(self, report: LoadReport) -> int:
--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -69,11 +69,10 @@
 
     def total(self, key: str, now: float) -> int:
         """Return the requests of all other gateways at an endpoint."""
-        self.forget_old(now)
+        self._forget_old(now)
         return self._sums.get(short_form(key), 0)
 
-    def forget_old(self, now: float) -> None:
-        """Drop reports that no longer count."""
+    def _forget_old(self, now: float) -> None:
         while self._reports:
             sender, (at, _) = next(iter(self._reports.items()))
             if now - at < REPORT_LIFE_S:
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -161,7 +161,7 @@
     def _stays(self, known: Member, told: Member, now: float) -> bool:
         """Return whether a member stays although another start of it is told of."""
         live = self._live[known.name]
-        if live.is_ready and live.heard_at and now - live.heard_at < SILENCE_S:
+        if live.is_ready and self._was_heard(live, now):
             return True
         return known.started_at > told.started_at
 
@@ -171,8 +171,7 @@
         Those that are heard stay: their rows may not have been written yet.
         """
         for member in list(self.others()):
-            heard_at = self._live[member.name].heard_at
-            is_heard = heard_at and now - heard_at < SILENCE_S
+            is_heard = self._was_heard(self._live[member.name], now)
             if member.name not in names and not is_heard:
                 self.remove(member.name)
 
@@ -288,9 +287,12 @@
 
     def _is_heard(self, live: _Liveness, now: float) -> bool:
         if live.heard_at:
-            return now - live.heard_at < SILENCE_S
+            return self._was_heard(live, now)
         return now - live.known_since < NEW_MEMBER_S
 
+    def _was_heard(self, live: _Liveness, now: float) -> bool:
+        return bool(live.heard_at) and now - live.heard_at < SILENCE_S
+
     def _is_alive(self, live: _Liveness, now: float, *, is_watched: bool) -> bool:
         if is_watched:
             return live.is_ready and self._is_heard(live, now)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -300,9 +300,7 @@
 
     def _all_peers(self) -> list[str]:
         known = [member.peers for member in self._membership.others()]
-        own = self._settings.listen.peers
-        seeds = self._settings.store.seed_addresses
-        return known or [address for address in seeds if address != own]
+        return known or self._seeds()
 
     def _longest_retention_s(self) -> float:
         configuration = self._context.configuration
@@ -311,8 +309,11 @@
 
     def _relays(self) -> list[str]:
         now = asyncio.get_running_loop().time()
-        if any(True for _ in self._membership.others()):
-            return [item.peers for item in self._membership.with_store(now)]
+        if not self._membership.others():
+            return self._seeds()
+        return [item.peers for item in self._membership.with_store(now)]
+
+    def _seeds(self) -> list[str]:
         own = self._settings.listen.peers
         seeds = self._settings.store.seed_addresses
         return [address for address in seeds if address != own]
