Answers without end are closed at a bound

Cause: nothing bounded the head, a field, a trailer, stray answers or an event of an endpoint's answer, and bytes that came as fast as they were taken left the loop no turn.

Ruled out: a bound on the length of a stream. Sound ones may be long; only what is kept as a turn is bounded, by its row.

Now each bound is a setting under [answers]. Over one, the connection is closed, the call has its verdict, the endpoint counts as failed and the reason is logged. Where all answers held at once take too much, those above an equal share end, and small ones beside them don't.

Eleven kinds of flood, over plain calls and streams: each ended within 2 s, under 40 MB and 50 ms of the loop's time; 20 endless bodies at once within twice the bound for all; drips end with the deadline.

--- a/src/carobspur/gateway/context.py
+++ b/src/carobspur/gateway/context.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
+from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 from .decisions import DecisionLog
 from .endpoints import EndpointBook
 from .health import HealthBook
@@ -28,6 +29,7 @@
         log: Decision log.
         telemetry: Metrics.
         configuration: What is in force; ``None`` until one was read.
+        answer_limits: What endpoints' answers may have.
         is_leaving: Whether the process was asked to stop.
     """
 
@@ -39,6 +41,7 @@
     log: DecisionLog
     telemetry: Telemetry
     configuration: Configuration | None = None
+    answer_limits: AnswerLimits = DEFAULT_LIMITS
     is_leaving: bool = False
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -20,10 +20,13 @@
 from ..errors import CarobspurError
 from ..verdict import MAY_HAVE_RUN, NOT_RUN
 from ._futures import consume_error
+from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 
 CONNECT_TIMEOUT_S = 0.3
 """A handshake inside a region takes about 2 ms; a lost packet returns after 1 s."""
-READ_CHUNK_BYTES = 65536
+READ_CHUNK_BYTES = 16384
+"""Most bytes that are parsed without a turn for other requests: about 10 ms of the
+smallest messages."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -56,6 +59,12 @@
     default_verdict = MAY_HAVE_RUN
 
 
+class EndlessAnswerError(LostAnswerError):
+    """An answer has more bytes than any sound one."""
+
+    cause = "endless_answer"
+
+
 @dataclass(slots=True)
 class _Message:
     """One answer as it is parsed."""
@@ -77,18 +86,47 @@
 
 
 class _Parser:
-    """Collects messages from bytes; callbacks are named by ``httptools``."""
+    """Collects messages from bytes; callbacks are named by ``httptools``.
 
-    __slots__ = ("_parser", "messages")
+    Args:
+        limits: What a message may have.
+    """
+
+    __slots__ = ("_has_advanced", "_limits", "_parser", "_pending_bytes", "messages")
 
-    def __init__(self) -> None:
+    def __init__(self, limits: AnswerLimits) -> None:
         self.messages: deque[_Message] = deque()
         self._parser = httptools.HttpResponseParser(self)
+        self._limits = limits
+        # Bytes fed since the parser last came to the end of anything. It keeps an
+        # unfinished field itself, and takes longer over it with every piece.
+        self._pending_bytes = 0
+        self._has_advanced = False
 
     def feed(self, data: bytes) -> None:
+        """Parse a piece.
+
+        Raises:
+            EndlessAnswerError: A head or trailer is larger than it may be.
+            HttpParserError: This is not HTTP.
+        """
+        self._has_advanced = False
         self._parser.feed_data(data)
+        if self.messages and len(self.messages[-1].raw_headers) > self._most_fields:
+            raise EndlessAnswerError(f"a head has over {self._most_fields} fields")
+        unfinished = 0 if self._has_advanced else self._pending_bytes + len(data)
+        self._pending_bytes = unfinished
+        if self._pending_bytes > self._limits.head_bytes:
+            raise EndlessAnswerError(
+                f"a head or trailer has over {self._limits.head_bytes} bytes"
+            )
+
+    @property
+    def _most_fields(self) -> int:
+        return self._limits.head_fields
 
     def on_message_begin(self) -> None:
+        self._has_advanced = True
         self.messages.append(_Message())
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -98,15 +136,18 @@
         message.headers[name.decode("latin-1").lower()] = text
 
     def on_headers_complete(self) -> None:
+        self._has_advanced = True
         message = self.messages[-1]
         message.status = self._parser.get_status_code()
         message.keeps_alive = self._parser.should_keep_alive()
         message.has_head = True
 
     def on_body(self, data: bytes) -> None:
+        self._has_advanced = True
         self.messages[-1].chunks.append(data)
 
     def on_message_complete(self) -> None:
+        self._has_advanced = True
         self.messages[-1].is_complete = True
 
 
@@ -114,12 +155,17 @@
     """One connection; serves one request at a time.
 
     Exactly one read is always under way, so that stray bytes and a close are seen
-    while the connection is idle.
+    while the connection is idle. No more is read than is taken.
+
+    Args:
+        stream: The open connection.
+        limits: What an answer may have.
     """
 
     __slots__ = (
         "_error",
         "_idle_s",
+        "_limits",
         "_parser",
         "_read",
         "_stream",
@@ -127,9 +173,12 @@
         "idle_since",
     )
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(
+        self, stream: IOStream, *, limits: AnswerLimits = DEFAULT_LIMITS
+    ) -> None:
         self._stream = stream
-        self._parser = _Parser()
+        self._limits = limits
+        self._parser = _Parser(limits)
         self._read = self._begin_read()
         self._written: asyncio.Future | None = None
         self._idle_s = DEFAULT_IDLE_S
@@ -137,7 +186,14 @@
         self.idle_since = 0.0
 
     @classmethod
-    async def open(cls, host: str, port: int, *, timeout_s: float) -> Connection:
+    async def open(
+        cls,
+        host: str,
+        port: int,
+        *,
+        timeout_s: float,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> Connection:
         """Connect.
 
         Raises:
@@ -154,7 +210,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return cls(stream)
+        return cls(stream, limits=limits)
 
     @property
     def is_usable(self) -> bool:
@@ -187,14 +243,25 @@
         """Wait for the head of the answer, passing over answers to others.
 
         Raises:
-            LostAnswerError: The connection ended or carried no HTTP.
+            LostAnswerError: The connection ended, carried no HTTP or too much.
         """
+        strays = stray_bytes = 0
         while True:
             message = await self._next_message()
-            if message.status < 200 or not is_mine(message.headers):
-                await self._discard(message)
-            else:
+            if message.status >= 200 and is_mine(message.headers):
                 return message
+            async for piece in self.body(message):
+                stray_bytes += len(piece)
+                if stray_bytes > self._limits.stray_bytes:
+                    raise EndlessAnswerError(
+                        f"over {self._limits.stray_bytes} bytes came before the answer"
+                    )
+            strays += 1
+            if strays > self._limits.stray_answers:
+                raise EndlessAnswerError(
+                    f"over {self._limits.stray_answers} others came before the answer"
+                )
+            self._parser.messages.popleft()
 
     async def body(self, message: _Message) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; ends normally only if it came whole.
@@ -223,11 +290,6 @@
         self.idle_since = time.monotonic()
         return not self._stream.closed()
 
-    async def _discard(self, message: _Message) -> None:
-        async for _ in self.body(message):
-            pass
-        self._parser.messages.popleft()
-
     async def _next_message(self) -> _Message:
         messages = self._parser.messages
         while not messages or not messages[0].has_head:
@@ -236,6 +298,9 @@
 
     async def _receive(self, *, may_end: bool = False) -> bool:
         """Feed what arrives to the parser; return whether there may be more."""
+        if self._read.done():
+            # Bytes that come as fast as they are taken would hold the loop.
+            await asyncio.sleep(0)
         try:
             data = await asyncio.shield(self._read)
         except StreamClosedError as error:
--- a/src/carobspur/gateway/http_pool.py
+++ b/src/carobspur/gateway/http_pool.py
@@ -6,8 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 from .host_port import split_address
-from .http1 import CONNECT_TIMEOUT_S, Connection, LostAnswerError
+from .http1 import (
+    CONNECT_TIMEOUT_S,
+    Connection,
+    EndlessAnswerError,
+    LostAnswerError,
+)
 
 
 class Pool:
@@ -15,13 +21,20 @@
 
     Args:
         on_open: Called with the key for each new connection.
+        limits: What an answer may have.
     """
 
-    __slots__ = ("_idle", "_on_open")
+    __slots__ = ("_idle", "_on_open", "limits")
 
-    def __init__(self, *, on_open: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        *,
+        on_open: Callable[[str], None] = lambda _: None,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> None:
         self._idle: dict[str, list[Connection]] = {}
         self._on_open = on_open
+        self.limits = limits
 
     async def take(
         self, key: str, host: str, port: int, *, timeout_s: float = CONNECT_TIMEOUT_S
@@ -38,7 +51,9 @@
                 return connection
             connection.close()
         self._on_open(key)
-        return await Connection.open(host, port, timeout_s=timeout_s)
+        return await Connection.open(
+            host, port, timeout_s=timeout_s, limits=self.limits
+        )
 
     def give_back(self, key: str, connection: Connection) -> None:
         """Keep a connection whose answer was read whole."""
@@ -100,7 +115,13 @@
         async with asyncio.timeout(timeout_s):
             connection.send(data)
             message = await connection.head(lambda _: True)
-            content = b"".join([item async for item in connection.body(message)])
+            content = bytearray()
+            async for piece in connection.body(message):
+                content += piece
+                if len(content) > pool.limits.answer_bytes:
+                    raise EndlessAnswerError(
+                        f"the answer has over {pool.limits.answer_bytes} bytes"
+                    )
         is_kept = connection.settle(message)
     except TimeoutError as error:
         raise LostAnswerError(f"no answer in {timeout_s:.2f} s") from error
@@ -109,4 +130,4 @@
             pool.give_back(address, connection)
         else:
             connection.close()
-    return SimpleAnswer(message.status, message.headers, content)
+    return SimpleAnswer(message.status, message.headers, bytes(content))
--- a/src/carobspur/gateway/sender.py
+++ b/src/carobspur/gateway/sender.py
@@ -7,16 +7,19 @@
 from contextlib import asynccontextmanager
 from typing import Protocol
 
+from .answer_limits import AnswerMemory
 from .calls import AnswerHead, Call
 from .endpoints import Endpoint
 from .health import HealthBook
-from .http1 import Connection, LostAnswerError, NotSentError
+from .http1 import (
+    Connection,
+    EndlessAnswerError,
+    LostAnswerError,
+    NotSentError,
+)
 from .http_pool import Pool
 from .telemetry import Telemetry
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Longest answer that is held whole in memory: a sixteenth of an instance's 256 MB."""
-
 
 class EndpointWire(Protocol):
     """Writes requests for endpoints and reads the heads of their answers."""
@@ -56,15 +59,21 @@
         is_whole: Whether the body came whole.
     """
 
-    __slots__ = ("_connection", "_message", "endpoint", "head", "is_whole")
+    __slots__ = ("_connection", "_memory", "_message", "endpoint", "head", "is_whole")
 
     def __init__(
-        self, endpoint: Endpoint, connection: Connection, message, head: AnswerHead
+        self,
+        endpoint: Endpoint,
+        connection: Connection,
+        message,
+        head: AnswerHead,
+        memory: AnswerMemory,
     ) -> None:
         self.endpoint = endpoint
         self.head = head
         self.is_whole = False
         self._connection = connection
+        self._memory = memory
         self._message = message
 
     async def pieces(self) -> AsyncIterator[bytes]:
@@ -83,14 +92,16 @@
         Raises:
             LostAnswerError: The body broke off or is longer than an answer may be.
         """
-        pieces = []
-        size = 0
-        async for piece in self.pieces():
-            size += len(piece)
-            if size > MAX_ANSWER_BYTES:
-                raise LostAnswerError(f"the answer has over {MAX_ANSWER_BYTES} bytes")
-            pieces.append(piece)
-        return b"".join(pieces)
+        content = bytearray()
+        self._memory.begin(self)
+        try:
+            async for piece in self.pieces():
+                content += piece
+                if reason := self._memory.hold(self, len(content)):
+                    raise EndlessAnswerError(reason)
+        finally:
+            self._memory.end(self)
+        return bytes(content)
 
 
 class Sender:
@@ -104,7 +115,14 @@
         on_leaving: Called with an endpoint whose answer says that it leaves.
     """
 
-    __slots__ = ("_health", "_on_leaving", "_pool", "_telemetry", "_wire")
+    __slots__ = (
+        "_health",
+        "_memory",
+        "_on_leaving",
+        "_pool",
+        "_telemetry",
+        "_wire",
+    )
 
     def __init__(
         self,
@@ -118,6 +136,7 @@
         self._on_leaving = on_leaving
         self._wire = wire
         self._pool = pool
+        self._memory = AnswerMemory(pool.limits)
         self._health = health
         self._telemetry = telemetry
 
@@ -169,7 +188,7 @@
             self._health.note_load(endpoint.key, head.load, loop.time())
             if head.is_leaving:
                 self._on_leaving(endpoint)
-            exchange = Exchange(endpoint, connection, message, head)
+            exchange = Exchange(endpoint, connection, message, head, self._memory)
             outcome = "answered"
             yield exchange
             if exchange.is_whole:
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -9,6 +9,7 @@
 
 from ..errors import SettingsError
 from ..kernel import PluginKind, load_plugins, plugin_names
+from .answer_limits import AnswerLimits
 from .host_port import split_address
 
 
@@ -103,6 +104,7 @@
     store: StoreSettings
     times: TimeSettings
     placement: PlacementSettings
+    answers: AnswerLimits
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -142,6 +144,7 @@
             "store": StoreSettings,
             "times": TimeSettings,
             "placement": PlacementSettings,
+            "answers": AnswerLimits,
         }
         values = {
             section: _section(kind, section, parser, faults)
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -9,7 +9,7 @@
 from .context import GatewayContext
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent, event_number
-from .http1 import LostAnswerError, NotSentError
+from .http1 import EndlessAnswerError, LostAnswerError, NotSentError
 from .objectives import Served
 from .outcomes import MAX_SENDS
 from .placement import Need
@@ -28,6 +28,8 @@
 """When to come back after a refusal: about one turn."""
 GAP_KIND = "event_gap"
 """What is measured of engines: the pause between two events of a stream."""
+EVENTS_A_TURN = 32
+"""Events that are passed on without a turn of the loop for other requests."""
 MAX_RESUMES = 2
 """How often one call's stream is resumed: a third loss is the engine's own fault."""
 
@@ -164,21 +166,24 @@
         self, turn: TurnState, exchange: Exchange, responder: Responder
     ) -> None:
         loop = asyncio.get_running_loop()
-        splitter = EventSplitter()
+        limits = self._context.answer_limits
+        splitter = EventSplitter(max_bytes=limits.event_bytes)
         first_at = last_at = 0.0
         count = 0
         skip_to = event_number(turn.last_event) if turn.reads_from_start else None
-        if turn.reads_from_start:
-            turn.passed.clear()
+        turn.begin_reading()
         async for piece in exchange.pieces():
             for event in splitter.feed(piece):
                 count += 1
+                if count % EVENTS_A_TURN == 0:
+                    await asyncio.sleep(0)
                 last_at = loop.time()
-                turn.note_event(last_at)
+                turn.note_event(event, last_at)
+                if turn.passed_bytes > self._book.most_kept_bytes:
+                    raise EndlessAnswerError("the turn is longer than can be kept")
                 if count == 1:
                     first_at = last_at
                     self._note_first(turn)
-                turn.passed.append(event)
                 if skip_to is not None and (event.number or 0) <= skip_to:
                     continue
                 await self._write_event(turn, event, exchange, responder)
@@ -235,7 +240,7 @@
             in_flight=state.in_flight,
             pace=round(state.pace, 2),
             runs=turn.runs,
-            events=len(turn.passed),
+            events=turn.events,
             outcome=outcome,
             reason=reason,
         )
--- a/src/carobspur/gateway/turn_book.py
+++ b/src/carobspur/gateway/turn_book.py
@@ -63,6 +63,11 @@
         self._away_s = away_s
         self._on_kept = on_kept
 
+    @property
+    def most_kept_bytes(self) -> int:
+        """Most bytes of a turn's output that can be kept."""
+        return self._turns.most_bytes
+
     async def prepare(self, turn: TurnState) -> None:
         """Reserve the turn's tokens and read its chain, both at once."""
         call, program = turn.call, turn.call.program
@@ -157,7 +162,7 @@
         )
         if service is None or service.engine is None:
             return turn.reservation.tokens
-        return len(turn.passed) * service.engine.tokens_per_event
+        return turn.events * service.engine.tokens_per_event
 
     def settle(self, turn: TurnState) -> None:
         """Tell the home what a turn generated, beside the request."""
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -21,8 +21,10 @@
         deadline: Loop time of the last useful answer.
         chain: What comes before the new input.
         reservation: Tokens set aside, for programs with a budget.
-        passed: Whole events that were passed on or, before the caller's last event,
-            read again.
+        passed: Whole events of a turn that is kept: those that were passed on or,
+            before the caller's last event, read again.
+        passed_bytes: Their size.
+        events: How many events came.
         last_event: Id of the newest event that the caller has.
         runs: Engines that may have run it.
         may_be_running: Whether a request is at an engine that has not answered.
@@ -41,6 +43,8 @@
     passed: list[StreamEvent] = field(default_factory=list)
     last_event: str = ""
     runs: int = 0
+    passed_bytes: int = 0
+    events: int = 0
     may_be_running: bool = False
     refused: set[str] = field(default_factory=set)
     has_ended: bool = False
@@ -66,8 +70,19 @@
             and self.widest_gap_s <= self.route.max_gap_s
         )
 
-    def note_event(self, now: float) -> None:
-        """Take note of when an event came."""
+    def begin_reading(self) -> None:
+        """Forget what an engine made that was lost, where the next makes it anew."""
+        if self.reads_from_start:
+            self.passed.clear()
+            self.passed_bytes = 0
+            self.events = 0
+
+    def note_event(self, event: StreamEvent, now: float) -> None:
+        """Take note of an event and of when it came."""
+        self.events += 1
+        if self.route.keeps_history:
+            self.passed.append(event)
+            self.passed_bytes += len(event.raw)
         if self.last_event_at:
             self.widest_gap_s = max(self.widest_gap_s, now - self.last_event_at)
         else:
--- a/src/carobspur/gateway/turns.py
+++ b/src/carobspur/gateway/turns.py
@@ -81,6 +81,11 @@
         self._cache: OrderedDict[str, Chain] = OrderedDict()
         self._cached_bytes = 0
 
+    @property
+    def most_bytes(self) -> int:
+        """Most bytes of a turn: its row holds no more."""
+        return self._max_text
+
     async def chain(self, turn: str, *, timeout_s: float) -> Chain:
         """Return the chain that ends with a turn.
 
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -94,8 +94,11 @@
         self._settings_path = settings_path
         self._log = log
         self._telemetry = telemetry
-        self._pool = Pool(on_open=lambda _: self._telemetry.connections.inc())
-        self._internal_pool = Pool()
+        self._pool = Pool(
+            on_open=lambda _: self._telemetry.connections.inc(),
+            limits=settings.answers,
+        )
+        self._internal_pool = Pool(limits=settings.answers)
         self._membership = Membership(self._member())
         self._store = PlatformRowStore(
             lambda: self._settings.store.address,
@@ -121,6 +124,7 @@
             placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
             log=log,
             telemetry=self._telemetry,
+            answer_limits=settings.answers,
         )
         self._registry = Registry(
             book,
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from carobspur.gateway.sender import MAX_ANSWER_BYTES
+from carobspur.gateway.answer_limits import AnswerLimits
 
 TRICKLE_S = 0.05
 """Pause between the bytes of a stalled stream: far below any limit on silence."""
@@ -202,7 +202,7 @@
                 kept = [line for line in lines if not line.startswith(b"Content-Len")]
                 writer.write(b"\r\n".join(kept) + body)
             case ReplicaFault.HUGE:
-                body = b"x" * (MAX_ANSWER_BYTES + 1)
+                body = b"x" * (AnswerLimits().answer_bytes + 1)
                 writer.write(self._head(request.headers["request-id"], len(body)))
                 writer.write(body)
             case _:
--- /dev/null
+++ b/tests/floods.py
@@ -0,0 +1,189 @@
+"""Builders of endpoints that send bytes without end, and of what is measured there."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+import tracemalloc
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .ports import HOST
+
+PIECE_BYTES = 65536
+TICK_S = 0.002
+
+
+class Flood(StrEnum):
+    """Where an answer has no end."""
+
+    HEAD = "fields of a head"
+    VALUE = "the value of a field"
+    LENGTH = "a body with a length"
+    CHUNKS = "a body in chunks"
+    EXTENSION = "what follows the size of a chunk"
+    TRAILERS = "fields after a body"
+    TRAILER = "the value of a field after a body"
+    STRAY = "an answer to somebody else"
+    HEADS = "answers to somebody else"
+    EVENT = "an event"
+    EVENTS = "events"
+
+
+_START = "HTTP/1.1 200 OK\r\n"
+_CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+
+
+def _prefix(flood: Flood, ident: str) -> str:
+    own = f"{_START}Request-Id: {ident}\r\nResponse-Signature: f.1\r\n"
+    match flood:
+        case Flood.HEAD:
+            return own
+        case Flood.VALUE:
+            return own + "X-Filler: "
+        case Flood.LENGTH:
+            return f"{own}Content-Length: {1 << 40}\r\n\r\n"
+        case Flood.CHUNKS | Flood.EVENT | Flood.EVENTS:
+            return own + _CHUNKED
+        case Flood.EXTENSION:
+            return own + _CHUNKED + "4;x="
+        case Flood.TRAILERS:
+            return own + _CHUNKED + "0\r\n"
+        case Flood.TRAILER:
+            return own + _CHUNKED + "0\r\nX-Filler: "
+        case Flood.STRAY:
+            return f"{_START}Request-Id: other\r\nContent-Length: {1 << 40}\r\n\r\n"
+        case Flood.HEADS:
+            return ""
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _filler(flood: Flood) -> bytes:
+    match flood:
+        case Flood.HEAD | Flood.TRAILERS:
+            return b"X-Filler: 0123456789abcdef\r\n" * (PIECE_BYTES // 28)
+        case Flood.CHUNKS:
+            return _chunk(b"x" * PIECE_BYTES)
+        case Flood.EVENT:
+            return _chunk(b"data: x" * (PIECE_BYTES // 7))
+        case Flood.EVENTS:
+            return _chunk(b"id: 1\ndata: abc\n\n" * (PIECE_BYTES // 17))
+        case Flood.HEADS:
+            head = f"{_START}Request-Id: other\r\nContent-Length: 0\r\n\r\n".encode()
+            return head * (PIECE_BYTES // len(head))
+        case _:
+            return b"x" * PIECE_BYTES
+
+
+@dataclass(slots=True)
+class FloodingEndpoint:
+    """An endpoint in a thread of its own.
+
+    Attributes:
+        port: Where it listens.
+        pause_s: Time between pieces; 0 for full speed.
+        sent: Bytes that it could send.
+        requests: Requests that it has read.
+        closed: Connections that the gateway has closed.
+    """
+
+    port: int
+    pause_s: float = 0.0
+    sent: int = 0
+    requests: int = 0
+    closed: int = 0
+
+    def serve(self, listener: socket.socket, flood: Flood) -> None:
+        """Take connections until the listener is closed."""
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            worker = threading.Thread(
+                target=self._flood, args=(connection, flood), daemon=True
+            )
+            worker.start()
+
+    def _flood(self, connection: socket.socket, flood: Flood) -> None:
+        filler = _filler(flood)
+        with connection:
+            try:
+                head = b""
+                while b"\r\n\r\n" not in head:
+                    head += connection.recv(PIECE_BYTES)
+                self.requests += 1
+                connection.sendall(_prefix(flood, _request_id(head)).encode())
+                while True:
+                    connection.sendall(filler)
+                    self.sent += len(filler)
+                    time.sleep(self.pause_s)
+            except OSError:
+                self.closed += 1
+
+
+def _request_id(head: bytes) -> str:
+    for line in head.decode("latin-1").split("\r\n"):
+        name, _, value = line.partition(": ")
+        if name.lower() == "request-id":
+            return value
+    return ""
+
+
+@contextmanager
+def flooding_endpoint(
+    flood: Flood, *, pause_s: float = 0.0
+) -> Iterator[FloodingEndpoint]:
+    """Run an endpoint whose answers have no end."""
+    with socket.create_server((HOST, 0)) as listener:
+        endpoint = FloodingEndpoint(listener.getsockname()[1], pause_s)
+        thread = threading.Thread(
+            target=endpoint.serve, args=(listener, flood), daemon=True
+        )
+        thread.start()
+        yield endpoint
+        listener.shutdown(socket.SHUT_RDWR)
+
+
+@dataclass(slots=True)
+class Strain:
+    """What a loop went through.
+
+    Attributes:
+        peak_bytes: Most memory beyond that at the start.
+        longest_pause_s: Most processor time between two turns of the loop.
+    """
+
+    peak_bytes: int = 0
+    longest_pause_s: float = 0.0
+
+
+@asynccontextmanager
+async def measured() -> AsyncIterator[Strain]:
+    """Measure the memory of this process and the pauses of its loop."""
+    strain = Strain()
+    tracemalloc.start()
+    first, _ = tracemalloc.get_traced_memory()
+    ticking = asyncio.ensure_future(_tick(strain))
+    try:
+        yield strain
+    finally:
+        ticking.cancel()
+        strain.peak_bytes = tracemalloc.get_traced_memory()[1] - first
+        tracemalloc.stop()
+
+
+async def _tick(strain: Strain) -> None:
+    while True:
+        # Processor time of this thread: other processes do not count.
+        started = time.thread_time()
+        await asyncio.sleep(TICK_S)
+        pause_s = time.thread_time() - started
+        strain.longest_pause_s = max(strain.longest_pause_s, pause_s)
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,192 @@
+"""Endpoints that send without end: closed in time, and nobody else notices."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carobspur.gateway.answer_limits import AnswerLimits, AnswerMemory
+from carobspur.gateway.events import EventSplitter, EventTooLongError
+from carobspur_standins.platform_replica import ReplicaStandin
+
+from .floods import Flood, FloodingEndpoint, flooding_endpoint, measured
+from .platform_world import ENGINES, TOOLS, World, call, request_headers, world
+
+MIB = 1024 * 1024
+MOST_MEMORY = 40 * MIB
+"""A gateway has 205 MB at least, 25 MB of them its own; several may flood at once."""
+LONGEST_PAUSE_S = 0.05
+"""A twentieth of the time after which peers take a silent gateway for dead."""
+DEADLINE_MS = 3000
+IN_TIME_S = 2.0
+"""Well before the deadline: the flood itself must have ended the request."""
+PLAIN_FLOODS = [item for item in Flood if item not in (Flood.EVENT, Flood.EVENTS)]
+STREAM_FLOODS = [item for item in Flood if item not in (Flood.LENGTH, Flood.CHUNKS)]
+
+
+def add(made: World, endpoint: FloodingEndpoint, service: str) -> ReplicaStandin:
+    """Register a flooding endpoint."""
+    replica = ReplicaStandin(f"i-flood-{endpoint.port}", service)
+    made.replica_ports[replica.id] = endpoint.port
+    made.register(replica)
+    return replica
+
+
+async def only_floods(made: World, endpoint: FloodingEndpoint, service: str) -> None:
+    """Make a flooding endpoint the only one of its service."""
+    for replica in made.replicas.values():
+        if replica.service == service:
+            made.unregister(replica)
+    add(made, endpoint, service)
+    await asyncio.sleep(0.1)
+
+
+class FloodsTest(IsolatedAsyncioTestCase):
+    async def test_call_that_may_run_once_ends_with_its_verdict(self) -> None:
+        for flood in PLAIN_FLOODS:
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                await self._check_ends(endpoint, TOOLS, "/pay/a")
+
+    async def test_stream_ends(self) -> None:
+        for flood in STREAM_FLOODS:
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                await self._check_ends(endpoint, ENGINES, "/chat/a")
+
+    async def _check_ends(
+        self, endpoint: FloodingEndpoint, service: str, path: str
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        async with world() as made:
+            await only_floods(made, endpoint, service)
+            async with measured() as strain:
+                started = loop.time()
+                answer = await made.call(
+                    path, body=b"x", program_id="p", deadline_ms=DEADLINE_MS
+                )
+                taken_s = loop.time() - started
+            failed = made.gateways[0].events("failed")
+            reasons = [line["reason"] for line in failed]
+        # A stream that has begun is cut; it must not look whole.
+        self.assertTrue(answer.status == 502 or not answer.is_whole, answer.status)
+        self.assertLess(taken_s, IN_TIME_S)
+        self.assertLess(strain.peak_bytes, MOST_MEMORY)
+        self.assertLess(strain.longest_pause_s, LONGEST_PAUSE_S)
+        self.assertEqual(1, len(reasons))
+
+    async def test_repeatable_call_is_served_elsewhere(self) -> None:
+        for flood in PLAIN_FLOODS:
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                async with world() as made:
+                    add(made, endpoint, TOOLS)
+                    await asyncio.sleep(0.1)
+                    answers = [
+                        await made.call(f"/read/{number}", deadline_ms=DEADLINE_MS)
+                        for number in range(12)
+                    ]
+                self.assertEqual([200] * 12, [item.status for item in answers])
+                self.assertGreater(endpoint.requests, 0)
+
+    async def test_sound_requests_beside_a_flood_are_served_in_time(self) -> None:
+        loop = asyncio.get_running_loop()
+
+        async def taken_s(made: World) -> float:
+            started = loop.time()
+            answer = await made.call("/walk/a", body=b"x", deadline_ms=DEADLINE_MS)
+            self.assertEqual((200, True), (answer.status, answer.is_whole))
+            return loop.time() - started
+
+        for flood in (Flood.VALUE, Flood.CHUNKS, Flood.STRAY):
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                async with world() as made:
+                    await only_floods(made, endpoint, TOOLS)
+                    floods = [
+                        asyncio.ensure_future(made.call("/pay/a", body=b"x"))
+                        for _ in range(3)
+                    ]
+                    times = await asyncio.gather(*(taken_s(made) for _ in range(20)))
+                    await asyncio.gather(*floods)
+                self.assertLess(max(times), IN_TIME_S)
+
+    async def test_drips_end_with_the_deadline(self) -> None:
+        with flooding_endpoint(Flood.VALUE, pause_s=0.3) as endpoint:
+            async with world() as made:
+                await only_floods(made, endpoint, TOOLS)
+                started = asyncio.get_running_loop().time()
+                answer = await made.call("/pay/a", body=b"x", deadline_ms=500)
+                taken_s = asyncio.get_running_loop().time() - started
+        self.assertIn(answer.status, (502, 504))
+        self.assertLess(taken_s, IN_TIME_S)
+
+    async def test_twenty_endless_bodies_at_once_stay_within_memory(self) -> None:
+        limits = AnswerLimits()
+        with ExitStack() as stack:
+            endpoint = stack.enter_context(flooding_endpoint(Flood.LENGTH))
+            async with world() as made:
+                await only_floods(made, endpoint, TOOLS)
+                port = made.gateways[0].ports["callers"]
+                async with measured() as strain:
+                    answers = await asyncio.gather(
+                        *(
+                            call(
+                                port,
+                                f"/pay/{number}",
+                                body=b"x",
+                                headers=request_headers(deadline_ms=DEADLINE_MS),
+                            )
+                            for number in range(20)
+                        )
+                    )
+        self.assertEqual({502}, {answer.status for answer in answers})
+        # Each also has a piece under way, and a buffer that grows.
+        self.assertLess(strain.peak_bytes, 2 * limits.answers_bytes)
+
+
+class AnswerMemoryTest(TestCase):
+    def test_small_answers_beside_endless_ones_are_held(self) -> None:
+        memory = AnswerMemory(AnswerLimits(answer_bytes=60, answers_bytes=100))
+        for answer in ("endless", "large", "small"):
+            memory.begin(answer)
+        self.assertEqual("", memory.hold("endless", 50))
+        self.assertEqual("", memory.hold("large", 45))
+        self.assertEqual("", memory.hold("small", 10))
+        self.assertIn("all answers", memory.hold("large", 46))
+        self.assertEqual("", memory.hold("small", 30))
+
+    def test_one_answer_has_its_own_bound(self) -> None:
+        memory = AnswerMemory(AnswerLimits(answer_bytes=60, answers_bytes=100))
+        memory.begin("endless")
+        self.assertEqual("", memory.hold("endless", 60))
+        self.assertIn("over 60 bytes", memory.hold("endless", 61))
+        memory.end("endless")
+        self.assertEqual(0, memory.held)
+
+
+class SplitterTest(TestCase):
+    @given(st.binary(max_size=200), st.lists(st.integers(0, 200), max_size=8))
+    def test_any_cut_gives_the_same_events(self, data: bytes, cuts: list[int]) -> None:
+        data = data.replace(b"\x00", b"\n\n")
+        whole = EventSplitter()
+        expected = list(whole.feed(data))
+        splitter = EventSplitter()
+        found = []
+        edges = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        for first, end in zip(edges, edges[1:], strict=False):
+            found += splitter.feed(data[first:end])
+        self.assertEqual(expected, found)
+        self.assertEqual(whole.rest, splitter.rest)
+
+    @given(st.lists(st.binary(min_size=1, max_size=40), max_size=30))
+    def test_no_input_makes_it_hold_more_than_an_event(
+        self, pieces: list[bytes]
+    ) -> None:
+        splitter = EventSplitter(max_bytes=64)
+        for piece in pieces:
+            try:
+                list(splitter.feed(piece))
+            except EventTooLongError:
+                return
+            self.assertLessEqual(len(splitter.rest), 64)
