Later attempts of a turn are held across an outage

Cause, by logs: a turn has three sendings of two attempts, and each was refused at once with a third of its time left.

Now the first attempt is refused at once, and a later one, known by the time its caller has left against what callers of the route usually have, is held until the store is back or the time left holds no turn. What holds none is refused at once. Held turns are bounded in number, wait on one event, go on spread over 0.3 s with the shortest of time first, and are answered at a stop. Each time that tokens are asked for has its own name, as the release of an earlier one may still be under way.

What is still lost began in the last seconds before the outage and ends inside it.

--- a/src/carobspur/gateway/outages.py
+++ b/src/carobspur/gateway/outages.py
@@ -1,15 +1,25 @@
 """How turns meet an outage of the row store; pure decisions.
 
 The load they answer: the whole store is away for seconds, no gateway reaches it, and
-every turn that must be kept or whose tokens no row covers comes in vain. Callers come
-back once within their deadline and then anew, so each refusal should reach as far as
-they allow; and turns that are under way wait for their commit as long as callers do.
+every turn that must be kept or whose tokens no row covers comes in vain. Callers
+come back once within their deadline and then anew, a few times; to refuse all of it at
+once spends their chances in less time than an outage takes. So the first attempt is
+refused with a time that reaches as far as callers allow, and a later one is held until
+the store is back or the time left holds no turn. Turns under way wait for their commit
+as long as callers do.
 """
 
 from __future__ import annotations
 
 from .routes import Route
 
+FIRST_ATTEMPT_SHARE = 0.85
+"""A caller that has this share of the usual time left has not been refused before: one
+that was comes back with two thirds of it."""
+SHORTEST_TURN_S = 0.35
+"""No turn is expected to take less: its way, its commit and an engine's first event."""
+RETURN_SPREAD_S = 0.3
+"""Time over which held turns go on once the store is back; it serves some hundreds."""
 ESTABLISHED_S = 0.3
 """Age from which an outage is taken to last; a lost answer or a reset is over then."""
 HONOURED_SHARE = 1 / 3
@@ -46,6 +56,43 @@
     return honoured_s * (1 - SPREAD_SHARE * draw)
 
 
+def hold_s(
+    route: Route,
+    *,
+    left_s: float,
+    held_s: float,
+    usual_left_s: float,
+    usual_turn_s: float,
+) -> float:
+    """Return how much longer a turn may be held for the store; 0 to refuse it now.
+
+    Args:
+        route: Terms of the request.
+        left_s: Time until its deadline.
+        held_s: Time since the request came.
+        usual_left_s: Time that callers of the route usually have at first; 0 where
+            that is unknown.
+        usual_turn_s: Time that a turn usually takes; 0 where that is unknown.
+    """
+    spare_s = left_s - max(SHORTEST_TURN_S, usual_turn_s)
+    has_returned = left_s + held_s < FIRST_ATTEMPT_SHARE * usual_left_s
+    if not has_returned:
+        return 0.0
+    return max(0.0, min(spare_s, _patience_s(route) - held_s))
+
+
+def return_delay_s(spare_s: float, *, draw: float) -> float:
+    """Return how long a held turn waits once the store is back.
+
+    Those with little time to spare go first; the others follow spread out.
+
+    Args:
+        spare_s: Time left beyond what the turn takes.
+        draw: Number from 0 to 1, drawn anew for each turn.
+    """
+    return draw * min(RETURN_SPREAD_S, max(0.0, spare_s) / 2)
+
+
 def commit_wait_s(route: Route, left_s: float) -> float:
     """Return how long the end of a turn may wait for the store.
 
@@ -53,9 +100,14 @@
         route: Terms of the request.
         left_s: Time until the caller's deadline.
     """
+    return max(0.0, min(_patience_s(route), left_s))
+
+
+def _patience_s(route: Route) -> float:
+    """Return for how long callers of a route wait without an event."""
     patience_s = max(
         SHORTEST_PATIENCE_S,
         PATIENCE_TARGETS * route.target_latency_s,
         PATIENCE_GAPS * route.max_gap_s,
     )
-    return max(0.0, min(patience_s - PATIENCE_MARGIN_S, left_s))
+    return patience_s - PATIENCE_MARGIN_S
--- a/src/carobspur/gateway/turn_book.py
+++ b/src/carobspur/gateway/turn_book.py
@@ -4,15 +4,23 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from contextlib import contextmanager
 
 from ._futures import consume_error
 from .context import GatewayContext
-from .outages import commit_wait_s, is_in_vain, retry_after_s
+from .outages import (
+    commit_wait_s,
+    hold_s,
+    is_in_vain,
+    retry_after_s,
+    return_delay_s,
+)
 from .refusals import EndpointFailedError, StateAwayError
 from .rows import RowKey, RowStore, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
+from .turn_times import TurnTimes
 from .turns import TurnKeeper
 
 STATE_TIMEOUT_S = 1.1
@@ -21,6 +29,10 @@
 STATE_SHARE_OF_TIME = 0.5
 """Share of the time left that such a wait may take."""
 STORE_POLL_S = 0.02
+TRY_AGAIN_S = 0.05
+"""Pause before a held turn is tried again: several answers of a healthy store."""
+MOST_HELD = 512
+"""Turns that a gateway holds at once: with 64 KB bodies, an eighth of 256 MB."""
 
 
 class TurnBook:
@@ -33,6 +45,8 @@
         store: Turns are written to it.
         away_s: Returns how long no gateway has reached the store; ``None`` while
             one does.
+        wait_reached: Waits until a gateway reaches the store again, at most so many
+            seconds; it may return early.
         on_kept: Called with the key of a row that was written, and for how many
             seconds it must stay.
     """
@@ -40,10 +54,13 @@
     __slots__ = (
         "_away_s",
         "_context",
+        "_held",
         "_on_kept",
         "_spending",
         "_store",
+        "_times",
         "_turns",
+        "_wait_reached",
     )
 
     def __init__(
@@ -54,6 +71,7 @@
         store: RowStore,
         *,
         away_s: Callable[[], float | None],
+        wait_reached: Callable[[float], Awaitable[None]],
         on_kept: Callable[[RowKey, float], None],
     ) -> None:
         self._context = context
@@ -61,7 +79,10 @@
         self._spending = spending
         self._store = store
         self._away_s = away_s
+        self._wait_reached = wait_reached
         self._on_kept = on_kept
+        self._times = TurnTimes()
+        self._held = 0
 
     @property
     def most_kept_bytes(self) -> int:
@@ -69,39 +90,103 @@
         return self._turns.most_bytes
 
     async def prepare(self, turn: TurnState) -> None:
+        """Reserve the turn's tokens and read its chain; holds it in an outage.
+
+        Raises:
+            StateAwayError: The store was away for as long as the turn could be held.
+        """
+        if turn.call.program is None:
+            return
+        self._times.note_arrival(turn.route.name, self._left_s(turn))
+        while True:
+            try:
+                await self._try_prepare(turn)
+            except RowStoreAwayError as error:
+                await self._hold(turn, error)
+            else:
+                turn.prepared_at = asyncio.get_running_loop().time()
+                return
+
+    async def _try_prepare(self, turn: TurnState) -> None:
         """Reserve the turn's tokens and read its chain, both at once."""
         call, program = turn.call, turn.call.program
-        if program is None:
-            return
+        turn.preparations += 1
         steps = []
-        if program.token_budget is not None and call.max_tokens:
+        needs_tokens = program.token_budget is not None and call.max_tokens
+        if needs_tokens and turn.reservation is None:
             steps.append(self._reserve(turn, program.token_budget))
         if turn.route.keeps_history:
             steps.append(self._await_store())
             if program.previous_turn:
                 steps.append(self._read_chain(turn, program.previous_turn))
-        try:
-            await _first_failure(steps, timeout_s=self._state_wait_s(turn))
-        except RowStoreAwayError as error:
-            left_s = turn.deadline - asyncio.get_running_loop().time()
+        await _first_failure(steps, timeout_s=self._state_wait_s(turn))
+
+    async def _hold(self, turn: TurnState, error: RowStoreAwayError) -> None:
+        """Wait until a turn may be tried again.
+
+        Raises:
+            StateAwayError: It is refused.
+        """
+        wait_s = self._hold_s(turn)
+        if wait_s <= 0:
             raise StateAwayError(
                 error.message,
-                retry_after_s=retry_after_s(left_s, draw=random.random()),
+                retry_after_s=retry_after_s(self._left_s(turn), draw=random.random()),
             ) from error
+        if turn.preparations == 1:
+            self._context.log.note(
+                "held",
+                request=turn.call.id,
+                program=turn.call.program.id,
+                away_s=self._away_s(),
+                most_s=round(wait_s, 2),
+                reason=error.message,
+            )
+        with self._counted_as_held():
+            if self._away_s() is None:
+                await asyncio.sleep(min(wait_s, TRY_AGAIN_S))
+                return
+            while self._away_s() is not None and (wait_s := self._hold_s(turn)) > 0:
+                await self._wait_reached(wait_s)
+            await asyncio.sleep(return_delay_s(wait_s, draw=random.random()))
+
+    @contextmanager
+    def _counted_as_held(self) -> Iterator[None]:
+        self._held += 1
+        try:
+            yield
+        finally:
+            self._held -= 1
+
+    def _hold_s(self, turn: TurnState) -> float:
+        """Return how much longer a turn may be held."""
+        if self._context.is_leaving or self._held > MOST_HELD:
+            return 0.0
+        route = turn.route
+        return hold_s(
+            route,
+            left_s=self._left_s(turn),
+            held_s=asyncio.get_running_loop().time() - turn.call.arrived,
+            usual_left_s=self._times.usual_left_s(route.name),
+            usual_turn_s=self._times.usual_turn_s(route.name),
+        )
+
+    def _left_s(self, turn: TurnState) -> float:
+        """Return the time until a turn's deadline."""
+        return turn.deadline - asyncio.get_running_loop().time()
 
     def _state_wait_s(self, turn: TurnState) -> float:
         """Return how long to wait for the store.
 
         A caller with little time left must hear the refusal before it leaves.
         """
-        left_s = turn.deadline - asyncio.get_running_loop().time()
-        return min(STATE_TIMEOUT_S, STATE_SHARE_OF_TIME * left_s)
+        return min(STATE_TIMEOUT_S, STATE_SHARE_OF_TIME * self._left_s(turn))
 
     async def _reserve(self, turn: TurnState, budget: int) -> None:
         call = turn.call
         turn.reservation = await self._spending.reserve(
             call.program.id,
-            call.id,
+            turn.reservation_name,
             call.max_tokens,
             budget,
             kept_s=turn.route.retention_s,
@@ -137,11 +222,9 @@
             turn.call.body + output,
             retention_s=turn.route.retention_s,
         )
-        left_s = turn.deadline - asyncio.get_running_loop().time()
+        wait_s = commit_wait_s(turn.route, self._left_s(turn))
         try:
-            await self._store.write(
-                [write], timeout_s=commit_wait_s(turn.route, left_s)
-            )
+            await self._store.write([write], timeout_s=wait_s)
         except RowStoreError as error:
             self._context.log.note(
                 "turn_not_kept",
@@ -152,6 +235,8 @@
             raise EndpointFailedError("the turn could not be kept") from error
         self._turns.note_kept(chain)
         self._on_kept(write.key, turn.route.retention_s)
+        taken_s = asyncio.get_running_loop().time() - turn.prepared_at
+        self._times.note_end(turn.route.name, taken_s)
 
     def _generated(self, turn: TurnState) -> int:
         """Return the tokens that the turn generated, at most what was reserved."""
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -26,6 +26,8 @@
         passed_bytes: Their size.
         events: How many events came.
         last_event: Id of the newest event that the caller has.
+        preparations: How often its budget and history were asked for.
+        prepared_at: Loop time at which both were there; 0 before.
         runs: Engines that may have run it.
         may_be_running: Whether a request is at an engine that has not answered.
         refused: Engines that did not run it.
@@ -41,10 +43,12 @@
     chain: Chain = EMPTY_CHAIN
     reservation: Reservation | None = None
     passed: list[StreamEvent] = field(default_factory=list)
-    last_event: str = ""
-    runs: int = 0
     passed_bytes: int = 0
     events: int = 0
+    last_event: str = ""
+    preparations: int = 0
+    prepared_at: float = 0.0
+    runs: int = 0
     may_be_running: bool = False
     refused: set[str] = field(default_factory=set)
     has_ended: bool = False
@@ -52,6 +56,16 @@
     first_event_s: float = 0.0
     widest_gap_s: float = 0.0
 
+    @property
+    def reservation_name(self) -> str:
+        """Name of its tokens at a home, another one for each time they are asked for.
+
+        A home may still be told to release those that nobody waited for.
+        """
+        if self.preparations <= 1:
+            return self.call.id
+        return f"{self.call.id}/{self.preparations}"
+
     @property
     def reads_from_start(self) -> bool:
         """Whether the engine must make all events, because they are kept."""
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -175,6 +175,7 @@
             self._spending,
             self._store,
             away_s=lambda: self._store.away_s,
+            wait_reached=self._store.wait_reached,
             on_kept=self._sweeper.note,
         )
         self._broker = Broker(
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -311,7 +311,7 @@
         try:
             while (left_s := deadline - loop.time()) > SCRAP_S:
                 if self.is_away and not attempts:
-                    await self._wait_regained(left_s)
+                    await self.wait_reached(left_s)
                     continue
                 if len(attempts) < MAX_PARALLEL:
                     request = RelayRequest(method, target, body, left_s)
@@ -349,7 +349,8 @@
             verdict=MAY_HAVE_RUN if may_be_done or attempts else NOT_RUN,
         )
 
-    async def _wait_regained(self, timeout_s: float) -> None:
+    async def wait_reached(self, timeout_s: float) -> None:
+        """Wait until the direct way works, or until a peer may reach the store."""
         try:
             async with asyncio.timeout(min(timeout_s, PROBE_S)):
                 await self._regained.wait()
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -10,10 +10,13 @@
     ESTABLISHED_S,
     HONOURED_SHARE,
     commit_wait_s,
+    hold_s,
     is_in_vain,
     retry_after_s,
+    return_delay_s,
 )
 from carobspur.gateway.routes import Route, RouteKind, WeightedService
+from carobspur.gateway.turn_times import TurnTimes
 
 DEADLINE_S = 3.0
 STARTS = 3
@@ -37,6 +40,91 @@
     return now
 
 
+def last_moment_s(rng: random.Random, *, holds: bool, deadline_s: float) -> float:
+    """Return until when a turn of a caller that is always refused could be served.
+
+    A sending has two attempts; both are refused at once, or the second is held.
+    """
+    now = 0.0
+    for start in range(STARTS):
+        now += rng.uniform(*PAUSE_S) if start else 0.0
+        end = now + deadline_s
+        now += retry_after_s(deadline_s, draw=rng.random())
+        if holds:
+            now += hold_s(
+                ROUTE,
+                left_s=end - now,
+                held_s=0.0,
+                usual_left_s=deadline_s,
+                usual_turn_s=0.5,
+            )
+    return now
+
+
+class HoldTest(unittest.TestCase):
+    """Turns that come in an outage, by what their callers have left."""
+
+    def held_s(self, left_s: float, **more: float) -> float:
+        given = {"held_s": 0.0, "usual_left_s": 4.0, "usual_turn_s": 0.8, **more}
+        return hold_s(replace(ROUTE, max_gap_s=0.4), left_s=left_s, **given)
+
+    def test_callers_reach_across_an_outage_of_seven_seconds(self) -> None:
+        rng = random.Random(7)
+        held, refused = (
+            [last_moment_s(rng, holds=holds, deadline_s=4.0) for _ in range(200)]
+            for holds in (True, False)
+        )
+        self.assertGreater(min(held), 7.0)
+        self.assertLess(max(refused), 5.0)
+
+    def test_first_attempt_is_refused_at_once(self) -> None:
+        self.assertEqual(0.0, self.held_s(3.9))
+
+    def test_first_attempt_stays_the_first_while_it_waits(self) -> None:
+        self.assertEqual(0.0, self.held_s(2.8, held_s=1.1))
+
+    def test_second_attempt_is_held_until_a_turn_no_longer_fits(self) -> None:
+        self.assertAlmostEqual(1.8, self.held_s(2.6))
+
+    def test_attempt_that_holds_no_turn_is_refused_at_once(self) -> None:
+        self.assertEqual(0.0, self.held_s(0.7))
+        self.assertEqual(0.0, self.held_s(0.3, usual_turn_s=0.0))
+
+    def test_nobody_is_held_beyond_a_callers_patience(self) -> None:
+        self.assertAlmostEqual(3.0, self.held_s(9.0, usual_left_s=20.0))
+        self.assertAlmostEqual(1.0, self.held_s(8.0, usual_left_s=20.0, held_s=2.0))
+
+    def test_route_of_which_nothing_is_known_refuses(self) -> None:
+        self.assertEqual(0.0, self.held_s(2.0, usual_left_s=0.0))
+
+    def test_those_with_little_time_return_first(self) -> None:
+        self.assertEqual(0.0, return_delay_s(0.0, draw=0.9))
+        self.assertLess(return_delay_s(0.1, draw=0.9), return_delay_s(2.0, draw=0.9))
+        self.assertLessEqual(return_delay_s(9.0, draw=1.0), 0.3)
+
+
+class TurnTimesTest(unittest.TestCase):
+    def test_deadlines_cut_by_a_programs_end_do_not_change_what_is_usual(self) -> None:
+        times = TurnTimes()
+        for number in range(100):
+            times.note_arrival("chat", 0.5 if number % 10 else 4.0)
+        self.assertGreater(times.usual_left_s("chat"), 0.9 * 4.0)
+
+    def test_longer_deadline_of_one_caller_is_forgotten(self) -> None:
+        times = TurnTimes()
+        times.note_arrival("chat", 400.0)
+        for _ in range(500):
+            times.note_arrival("chat", 4.0)
+        self.assertAlmostEqual(4.0, times.usual_left_s("chat"))
+
+    def test_usual_turn_follows_what_turns_take(self) -> None:
+        times = TurnTimes()
+        self.assertEqual(0.0, times.usual_turn_s("chat"))
+        for _ in range(200):
+            times.note_end("chat", 0.8)
+        self.assertAlmostEqual(0.8, times.usual_turn_s("chat"))
+
+
 class OutagesTest(unittest.TestCase):
     def test_short_silence_is_waited_for_and_an_outage_is_not(self) -> None:
         known = [is_in_vain(away_s) for away_s in (None, 0.0, ESTABLISHED_S)]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,11 +6,12 @@
 import json
 from unittest import IsolatedAsyncioTestCase
 
+from carobspur.gateway.outages import ESTABLISHED_S
 from carobspur.platform.gateway import LEAVE_NOTICE_S
 from carobspur.platform.registry import LAPSE_GRACE_S
 from carobspur_standins.platform_replica import ReplicaFault
 
-from .platform_world import ENGINES, TOOLS, call, configuration, route, world
+from .platform_world import ENGINES, TOOLS, World, call, configuration, route, world
 from .ports import HOST
 
 STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 5))
@@ -657,6 +658,80 @@
         self.assertLess(taken_s, 1.2)
         self.assertEqual([], engine.ran)
 
+    async def _lose_store(self, made: World) -> None:
+        """Take the store away, and wait until that is known as an outage."""
+        made.store.faults.status = 503
+        while not made.gateways[0].events("store_lost"):
+            await made.call("/chat/a", body=b"a", program_id="x", deadline_ms=300)
+        await asyncio.sleep(2 * ESTABLISHED_S)
+
+    async def test_second_attempt_is_held_until_the_store_is_back(self) -> None:
+        async with world() as made:
+            terms = {"token_budget": 500, "token_usage": "10,50"}
+            await made.call(
+                "/chat/a", body=b"a", program_id="p0", deadline_ms=4000, **terms
+            )
+            await self._lose_store(made)
+            first = await made.call(
+                "/chat/a", body=b"a", program_id="p", deadline_ms=4000, **terms
+            )
+            held = [
+                asyncio.ensure_future(
+                    made.call(
+                        "/chat/a",
+                        body=b"a",
+                        program_id=f"p{number}",
+                        deadline_ms=2200,
+                        **terms,
+                    )
+                )
+                for number in range(1, 11)
+            ]
+            hopeless = await made.call(
+                "/chat/a", body=b"a", program_id="q", deadline_ms=300, **terms
+            )
+            await asyncio.sleep(1.0)
+            made.store.faults.status = 0
+            answers = await asyncio.gather(*held)
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            ran = len(engine.ran)
+        self.assertEqual(503, first.status)
+        self.assertEqual(503, hopeless.status)
+        self.assertEqual([200] * 10, [answer.status for answer in answers])
+        # The one before the outage, the one that made it known, and those held.
+        self.assertLessEqual(ran, 12)
+
+    async def test_held_turn_that_ends_has_not_run_and_costs_no_budget(self) -> None:
+        async with world() as made:
+            terms = {"program_id": "p", "token_budget": 100, "token_usage": "10,50"}
+            await made.call("/chat/a", body=b"a", program_id="o", deadline_ms=4000)
+            await self._lose_store(made)
+            refused = await made.call("/chat/a", body=b"a", deadline_ms=2000, **terms)
+            made.store.faults.status = 0
+            await asyncio.sleep(0.6)
+            # Both turns of the budget are still there: 40 of 100 tokens each.
+            answers = [
+                await made.call("/chat/a", body=b"a", deadline_ms=4000, **terms)
+                for _ in range(2)
+            ]
+        self.assertEqual(503, refused.status)
+        self.assertEqual([200, 200], [answer.status for answer in answers])
+
+    async def test_held_turns_are_answered_at_a_stop(self) -> None:
+        async with world() as made:
+            await made.call("/chat/a", body=b"a", program_id="o", deadline_ms=4000)
+            await self._lose_store(made)
+            held = asyncio.ensure_future(
+                made.call("/chat/a", body=b"a", program_id="p", deadline_ms=3000)
+            )
+            await asyncio.sleep(0.3)
+            started = asyncio.get_running_loop().time()
+            made.gateways[0].stopping.set()
+            answer = await held
+            taken_s = asyncio.get_running_loop().time() - started
+        self.assertEqual(503, answer.status)
+        self.assertLess(taken_s, 0.5)
+
     async def test_configuration_changes_are_in_force_after_an_outage(self) -> None:
         async with world() as made:
             made.store.faults.status = 503
