carobspur failures tells lost programs, by time and cause

A failed request is no lost program: most are tried again. The new view counts programs whose last request failed by two seconds, status and cause, with an example to explain, and how many of them still had a caller when the row store came back.

--- a/src/carobspur/cli.py
+++ b/src/carobspur/cli.py
@@ -35,6 +35,7 @@
 from .gateway.explanation import read_events
 from .gateway.failures import failure_groups
 from .gateway.objectives import KindBurn, burn_of
+from .gateway.program_losses import loss_groups
 from .gateway.settings import GatewaySettings
 from .inventory import Key, Role
 from .inventory_checks import Fault
@@ -45,6 +46,7 @@
 from .tables import (
     difference_text,
     failure_text,
+    loss_text,
     status_text,
     table,
 )
@@ -276,16 +278,22 @@
         self._session.show(found.as_dict(), lambda _: found.text())
 
     @command
-    def failures(self, *logs: str) -> None:
+    def failures(self, *logs: str, programs: bool = False) -> None:
         """Count the failed requests of gateways by cause, from their logs.
 
         Example:
             carobspur failures gateway-*.log
+            carobspur failures gateway-*.log --programs=True
 
         Args:
             logs: Decision logs of any gateways; none for standard input.
+            programs: Count the programs that ended so instead, by time and cause.
         """
         events = chain.from_iterable(map(read_events, _files(logs)))
+        if programs:
+            losses = [group.as_dict() for group in loss_groups(events)]
+            self._session.show(losses, loss_text)
+            return
         groups = failure_groups(events)
         self._session.show([group.as_dict() for group in groups], failure_text)
 
--- a/src/carobspur/tables.py
+++ b/src/carobspur/tables.py
@@ -40,6 +40,16 @@
 def failure_text(groups: Sequence[dict[str, Any]]) -> str:
     """Return counts of failed requests by cause as text."""
     head = ("requests", "programs", "status", "cause", "first", "last", "example")
+    return _group_text(groups, head)
+
+
+def loss_text(groups: Sequence[dict[str, Any]]) -> str:
+    """Return counts of lost programs by time and cause as text."""
+    head = ("first", "programs", "servable", "requests", "status", "cause", "example")
+    return _group_text(groups, head)
+
+
+def _group_text(groups: Sequence[dict[str, Any]], head: Sequence[str]) -> str:
     rows = [
         [
             f"{group[name]:.3f}" if name in ("first", "last") else group[name]
