A turn whose part of the store is silent is kept in another part

Of 351 failed requests 97 were turns that had run and could not be kept, 44 later turns that could not be read or reserved, 210 first turns without a cover.

Ruled out: that the store was away (calls to other parts were answered within 15 ms), and placement.

A turn's row never changes, so it may stand in more than one part: three candidates by hash. The next one is asked once the first was silent for 0.35 s or eight times the store's usual answer, whichever is longer, and not while the store is away, so a slow store gets no more calls than before.

The account of a program still has one part: open, as its row decides who may spend, and may not stand twice.

--- a/src/carobspur/gateway/turn_book.py
+++ b/src/carobspur/gateway/turn_book.py
@@ -17,7 +17,7 @@
     return_delay_s,
 )
 from .refusals import EndpointFailedError, StateAwayError
-from .rows import RowKey, RowStore, RowStoreAwayError, RowStoreError
+from .rows import RowKey, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
 from .turn_times import TurnTimes
@@ -42,7 +42,6 @@
         context: Shared parts of the gateway.
         turns: Keeps turns.
         spending: Keeps budgets.
-        store: Turns are written to it.
         away_s: Returns how long no gateway has reached the store; ``None`` while
             one does.
         wait_reached: Waits until a gateway reaches the store again, at most so many
@@ -57,7 +56,6 @@
         "_held",
         "_on_kept",
         "_spending",
-        "_store",
         "_times",
         "_turns",
         "_wait_reached",
@@ -68,7 +66,6 @@
         context: GatewayContext,
         turns: TurnKeeper,
         spending: SpendingClient,
-        store: RowStore,
         *,
         away_s: Callable[[], float | None],
         wait_reached: Callable[[float], Awaitable[None]],
@@ -77,7 +74,6 @@
         self._context = context
         self._turns = turns
         self._spending = spending
-        self._store = store
         self._away_s = away_s
         self._wait_reached = wait_reached
         self._on_kept = on_kept
@@ -216,15 +212,15 @@
         if not turn.route.keeps_history or turn.call.program is None:
             return
         output = b"".join(event.data + b"\n" for event in turn.passed)
-        write, chain = self._turns.write_of(
-            turn.chain,
-            turn.call.id,
-            turn.call.body + output,
-            retention_s=turn.route.retention_s,
-        )
-        wait_s = commit_wait_s(turn.route, self._left_s(turn))
+        retention_s = turn.route.retention_s
         try:
-            await self._store.write([write], timeout_s=wait_s)
+            keys = await self._turns.keep(
+                turn.chain,
+                turn.call.id,
+                turn.call.body + output,
+                retention_s=retention_s,
+                timeout_s=commit_wait_s(turn.route, self._left_s(turn)),
+            )
         except RowStoreError as error:
             self._context.log.note(
                 "turn_not_kept",
@@ -233,8 +229,8 @@
                 reason=error.message,
             )
             raise EndpointFailedError("the turn could not be kept") from error
-        self._turns.note_kept(chain)
-        self._on_kept(write.key, turn.route.retention_s)
+        for key in keys:
+            self._on_kept(key, retention_s)
         taken_s = asyncio.get_running_loop().time() - turn.prepared_at
         self._times.note_end(turn.route.name, taken_s)
 
--- /dev/null
+++ b/src/carobspur/gateway/turn_rows.py
@@ -0,0 +1,178 @@
+"""Rows of turns, in the first of a few parts that answers.
+
+The load it answers: some parts of the row store are silent for seconds while the others
+go on. A turn's row is written once and never changes, so it may stand in several parts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from ._futures import consume_error
+from .decisions import DecisionLog
+from .partition import part_of
+from .rows import RowKey, RowStore, RowStoreError, RowWrite
+
+TABLE = "turns"
+CANDIDATES = 3
+"""Parts in which a turn's row may stand: with two fifths of all parts silent, 15 of 16
+turns find one that answers."""
+SHORTEST_SILENCE_S = 0.35
+SILENCE_OVER_USUAL = 8.0
+"""A part is passed over once it was silent for this long, or for so many times the
+store's usual answer: a store that is slow as a whole gets no more calls than others."""
+
+
+def turn_parts(turn: str) -> list[str]:
+    """Return the parts in which a turn's row may stand, the usual one first.
+
+    Args:
+        turn: Request id of the turn.
+    """
+    names = [turn, *(f"{turn}/{number}" for number in range(1, CANDIDATES))]
+    return [part_of(name) for name in names]
+
+
+class TurnRows:
+    """Writes and finds the rows of turns.
+
+    Args:
+        store: The row store.
+        usual_s: Returns how long the store usually takes.
+        is_away: Returns whether no gateway reaches the store.
+        log: Decision log.
+    """
+
+    __slots__ = ("_is_away", "_log", "_store", "_usual_s")
+
+    def __init__(
+        self,
+        store: RowStore,
+        *,
+        usual_s: Callable[[], float],
+        is_away: Callable[[], bool],
+        log: DecisionLog,
+    ) -> None:
+        self._store = store
+        self._usual_s = usual_s
+        self._is_away = is_away
+        self._log = log
+
+    def __repr__(self) -> str:
+        return f"TurnRows({self._store!r})"
+
+    async def write(self, turn: str, value: bytes, *, timeout_s: float) -> list[RowKey]:
+        """Write a turn's row to the first part that answers.
+
+        Returns:
+            Every row that may have been written.
+
+        Raises:
+            RowStoreError: No part has confirmed it in time.
+        """
+        end = asyncio.get_running_loop().time() + timeout_s
+        keys: list[RowKey] = []
+        with _tasks() as writing:
+            for part in turn_parts(turn):
+                key = RowKey(TABLE, part, turn)
+                keys.append(key)
+                write = self._store.write(
+                    [RowWrite(key, value)], timeout_s=_left_s(end)
+                )
+                writing.add(asyncio.ensure_future(write))
+                if await self._first_good(writing):
+                    return keys
+                if self._is_away():
+                    # Then every part is silent, and the calls wait for its return.
+                    break
+                self._note_silent(turn, part)
+            if await _last_good(writing):
+                return keys
+            return await _raise_first(writing)
+
+    async def find(self, turn: str, *, timeout_s: float) -> bytes | None:
+        """Return a turn's row; ``None`` where no part has it.
+
+        Raises:
+            RowStoreError: A part that may have it did not answer in time.
+        """
+        end = asyncio.get_running_loop().time() + timeout_s
+        first, *spare = turn_parts(turn)
+        with _tasks() as reading:
+            reading.add(asyncio.ensure_future(self._read(first, turn, end)))
+            if found := await self._first_good(reading):
+                return found
+            if not all(task.done() for task in reading):
+                self._note_silent(turn, first)
+            for part in spare:
+                reading.add(asyncio.ensure_future(self._read(part, turn, end)))
+            if found := await _last_good(reading):
+                return found
+            for task in reading:
+                task.result()
+            return None
+
+    async def _read(self, part: str, turn: str, end: float) -> bytes | None:
+        page = await self._store.read(
+            TABLE, part, first=turn, end=turn + "\x00", timeout_s=_left_s(end)
+        )
+        return next((row.value for row in page.rows if row.value is not None), None)
+
+    def _note_silent(self, turn: str, part: str) -> None:
+        self._log.note(
+            "part_silent", turn=turn, part=part, usual_s=round(self._usual_s(), 3)
+        )
+
+    async def _first_good(self, tasks: set[asyncio.Task]) -> bytes | int | None:
+        """Wait until a call succeeds, all have ended, or the parts seem silent."""
+        silence_s = max(SHORTEST_SILENCE_S, SILENCE_OVER_USUAL * self._usual_s())
+        end = asyncio.get_running_loop().time() + silence_s
+        return await _last_good(tasks, end=end)
+
+
+async def _last_good(
+    tasks: set[asyncio.Task], *, end: float | None = None
+) -> bytes | int | None:
+    """Return what the first successful call gave, once there is one.
+
+    Args:
+        tasks: Calls under way.
+        end: Loop time until which to wait; ``None`` until all have ended.
+    """
+    loop = asyncio.get_running_loop()
+    under_way = set(tasks)
+    while under_way:
+        left_s = None if end is None else max(0.0, end - loop.time())
+        done, under_way = await asyncio.wait(
+            under_way, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.exception() is None and task.result():
+                return task.result()
+        if not done:
+            return None
+    return None
+
+
+async def _raise_first(tasks: set[asyncio.Task]) -> list[RowKey]:
+    for task in tasks:
+        task.result()
+    raise RowStoreError("no part has confirmed the row")
+
+
+def _left_s(end: float) -> float:
+    return max(0.0, end - asyncio.get_running_loop().time())
+
+
+@contextmanager
+def _tasks() -> Iterator[set[asyncio.Task]]:
+    """Give a set for calls, and end those that are under way at the end."""
+    tasks: set[asyncio.Task] = set()
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.add_done_callback(consume_error)
+            task.cancel()
--- a/src/carobspur/gateway/turns.py
+++ b/src/carobspur/gateway/turns.py
@@ -14,10 +14,9 @@
 import msgspec
 
 from ..errors import NotFoundError
-from .partition import part_of
-from .rows import RowKey, RowStore, RowWrite
+from .rows import RowKey
+from .turn_rows import TurnRows
 
-TABLE = "turns"
 CACHED_BYTES = 16 * 1024 * 1024
 """Most bytes of chains in memory; a tenth of the smallest instance's memory."""
 FULL_ROW_SHARE = 0.7
@@ -69,14 +68,14 @@
     """Reads and writes turns.
 
     Args:
-        store: The row store.
+        rows: Where they are kept.
         row_bytes: Largest value of a row.
     """
 
-    __slots__ = ("_cache", "_cached_bytes", "_max_text", "_store")
+    __slots__ = ("_cache", "_cached_bytes", "_max_text", "_rows")
 
-    def __init__(self, store: RowStore, *, row_bytes: int) -> None:
-        self._store = store
+    def __init__(self, rows: TurnRows, *, row_bytes: int) -> None:
+        self._rows = rows
         self._max_text = int(row_bytes * FULL_ROW_SHARE)
         self._cache: OrderedDict[str, Chain] = OrderedDict()
         self._cached_bytes = 0
@@ -110,42 +109,45 @@
         self._remember(chain)
         return chain
 
-    def write_of(
-        self, chain: Chain, turn: str, added: bytes, *, retention_s: float
-    ) -> tuple[RowWrite, Chain]:
-        """Return the write that keeps a turn, and the chain that ends with it.
+    async def keep(
+        self,
+        chain: Chain,
+        turn: str,
+        added: bytes,
+        *,
+        retention_s: float,
+        timeout_s: float,
+    ) -> list[RowKey]:
+        """Write a turn.
 
         Args:
             chain: The chain before the turn.
             turn: Request id of the turn.
             added: The turn's input and output.
             retention_s: How long it must be kept.
+            timeout_s: How long to try.
+
+        Returns:
+            Every row that may have been written.
+
+        Raises:
+            RowStoreError: The write was not confirmed.
         """
         text = chain.text + added
         before, stored = "", text
         if len(text) > self._max_text:
             before, stored = chain.turn, added
         row = _TurnRow(before, stored, time.time() + retention_s)
-        key = RowKey(TABLE, part_of(turn), turn)
-        write = RowWrite(key, msgspec.msgpack.encode(row))
-        return write, Chain(turn, text)
-
-    def note_kept(self, chain: Chain) -> None:
-        """Remember a chain whose last turn was written."""
-        self._remember(chain)
+        value = msgspec.msgpack.encode(row)
+        keys = await self._rows.write(turn, value, timeout_s=timeout_s)
+        self._remember(Chain(turn, text))
+        return keys
 
     async def _find(self, turn: str, timeout_s: float) -> _TurnRow:
-        page = await self._store.read(
-            TABLE,
-            part_of(turn),
-            first=turn,
-            end=turn + "\x00",
-            timeout_s=timeout_s,
-        )
-        for row in page.rows:
-            if row.value is not None:
-                return msgspec.msgpack.decode(row.value, type=_TurnRow)
-        raise NoSuchTurnError(f"no turn {turn} is kept")
+        value = await self._rows.find(turn, timeout_s=timeout_s)
+        if value is None:
+            raise NoSuchTurnError(f"no turn {turn} is kept")
+        return msgspec.msgpack.decode(value, type=_TurnRow)
 
     def _remember(self, chain: Chain) -> None:
         if chain.turn in self._cache:
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -41,7 +41,8 @@
 from ..gateway.streams import StreamCalls
 from ..gateway.telemetry import Telemetry
 from ..gateway.turn_book import TurnBook
-from ..gateway.turns import TABLE as TURNS_TABLE
+from ..gateway.turn_rows import TABLE as TURNS_TABLE
+from ..gateway.turn_rows import TurnRows
 from ..gateway.turns import TurnKeeper, turn_expiry
 from ..kernel import PluginKind, plugin
 from . import configuration as wire_configuration
@@ -152,7 +153,13 @@
             log,
             gateways=lambda: 1 + len(self._membership.others()),
         )
-        turns = TurnKeeper(self._store, row_bytes=settings.store.row_bytes)
+        turn_rows = TurnRows(
+            self._store,
+            usual_s=lambda: self._store.usual_s,
+            is_away=lambda: self._store.is_away,
+            log=log,
+        )
+        turns = TurnKeeper(turn_rows, row_bytes=settings.store.row_bytes)
         self._home = SpendingHome(
             self._membership.own.name,
             self._store,
@@ -173,7 +180,6 @@
             self._context,
             turns,
             self._spending,
-            self._store,
             away_s=lambda: self._store.away_s,
             wait_reached=self._store.wait_reached,
             on_kept=self._sweeper.note,
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -155,6 +155,11 @@
         self._probe: asyncio.Task | None = None
         self._turn = 0
 
+    @property
+    def usual_s(self) -> float:
+        """How long the store usually takes to answer."""
+        return self._usual_s
+
     @property
     def is_reached(self) -> bool:
         """Whether the direct way works, as far as is known."""
--- a/src/carobspur_standins/platform_store.py
+++ b/src/carobspur_standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import tornado.web
@@ -29,6 +30,7 @@
         delay_s: Added to every answer.
         tx_s: Time of a transaction, with the part that it holds up.
         lose_answers: Writes that are done and not answered, counted down.
+        silent_parts: Parts of tables whose calls it takes and never answers.
         silent_ports: Ports on which it never answers, as behind a partition.
     """
 
@@ -37,6 +39,7 @@
     delay_s: float = 0.0
     tx_s: float = TX_S
     lose_answers: int = 0
+    silent_parts: set[str] = field(default_factory=set)
     silent_ports: set[int] = field(default_factory=set)
 
 
@@ -109,6 +112,10 @@
         port = stream.socket.getsockname()[1]
         return stream in self._muted or port in self.faults.silent_ports
 
+    def is_any_silent(self, parts: Iterable[str]) -> bool:
+        """Return whether one of some parts never answers."""
+        return any(part in self.faults.silent_parts for part in parts)
+
     def rows(self, table: str, part: str | None = None) -> list[dict]:
         """Return the rows of a table that exist, in order of keys."""
         return [
@@ -216,6 +223,11 @@
 class _WriteHandler(_Handler):
     async def post(self) -> None:
         request = json.loads(self.request.body)
+        if self._store.is_any_silent(
+            item.get("part", "") for item in _entries(request)
+        ):
+            await self._never_answer()
+            return
         taken_s = self._store.reserve_parts(request)
         if taken_s is None:
             await self._answer(429, {"error": "the part is full"})
@@ -230,6 +242,9 @@
 
 class _ReadHandler(_Handler):
     async def get(self) -> None:
+        if self._store.is_any_silent([self._text("part")]):
+            await self._never_answer()
+            return
         first = self._text("from")
         end = self._text("to")
         limit = int(self.get_query_argument("limit", str(MAX_ROWS)))
