--- a/src/carobspur/gateway/events.py
+++ b/src/carobspur/gateway/events.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .answer_limits import DEFAULT_LIMITS
-from .http1 import LostAnswerError
+from .send_errors import LostAnswerError
 
 _EVENT_END = b"\n\n"
 
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -10,17 +10,15 @@
 import asyncio
 import socket
 import time
-from collections import deque
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
 
 import httptools
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..errors import CarobspurError
-from ..verdict import MAY_HAVE_RUN, NOT_RUN
 from ._futures import consume_error
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
+from .answer_parser import AnswerParser, Message
+from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 
 CONNECT_TIMEOUT_S = 0.3
 """A handshake inside a region takes about 2 ms; a lost packet returns after 1 s."""
@@ -38,117 +36,6 @@
 """Idle time where the server names none."""
 
 
-class SendError(CarobspurError):
-    """A request got no whole answer."""
-
-    cause = "send"
-    status = 502
-
-
-class NotSentError(SendError):
-    """No connection; no byte of the request left."""
-
-    cause = "not_sent"
-    default_verdict = NOT_RUN
-
-
-class LostAnswerError(SendError):
-    """The request left, and its answer did not come whole."""
-
-    cause = "lost_answer"
-    default_verdict = MAY_HAVE_RUN
-
-
-class EndlessAnswerError(LostAnswerError):
-    """An answer has more bytes than any sound one."""
-
-    cause = "endless_answer"
-
-
-@dataclass(slots=True)
-class _Message:
-    """One answer as it is parsed."""
-
-    status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
-    raw_headers: list[tuple[str, str]] = field(default_factory=list)
-    chunks: deque[bytes] = field(default_factory=deque)
-    has_head: bool = False
-    is_complete: bool = False
-    keeps_alive: bool = False
-
-    @property
-    def ends_with_connection(self) -> bool:
-        return (
-            "content-length" not in self.headers
-            and "transfer-encoding" not in self.headers
-        )
-
-
-class _Parser:
-    """Collects messages from bytes; callbacks are named by ``httptools``.
-
-    Args:
-        limits: What a message may have.
-    """
-
-    __slots__ = ("_has_advanced", "_limits", "_parser", "_pending_bytes", "messages")
-
-    def __init__(self, limits: AnswerLimits) -> None:
-        self.messages: deque[_Message] = deque()
-        self._parser = httptools.HttpResponseParser(self)
-        self._limits = limits
-        # Bytes fed since the parser last came to the end of anything. It keeps an
-        # unfinished field itself, and takes longer over it with every piece.
-        self._pending_bytes = 0
-        self._has_advanced = False
-
-    def feed(self, data: bytes) -> None:
-        """Parse a piece.
-
-        Raises:
-            EndlessAnswerError: A head or trailer is larger than it may be.
-            HttpParserError: This is not HTTP.
-        """
-        self._has_advanced = False
-        self._parser.feed_data(data)
-        most = self._limits
-        if self.messages and len(self.messages[-1].raw_headers) > most.head_fields:
-            raise EndlessAnswerError(f"a head has over {most.head_fields} fields")
-        self._pending_bytes += len(data)
-        if self._has_advanced:
-            self._pending_bytes = 0
-        if self._pending_bytes > most.head_bytes:
-            raise EndlessAnswerError(
-                f"a head or trailer has over {most.head_bytes} bytes"
-            )
-
-    def on_message_begin(self) -> None:
-        self._has_advanced = True
-        self.messages.append(_Message())
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        message = self.messages[-1]
-        text = value.decode("latin-1")
-        message.raw_headers.append((name.decode("latin-1"), text))
-        message.headers[name.decode("latin-1").lower()] = text
-
-    def on_headers_complete(self) -> None:
-        self._has_advanced = True
-        message = self.messages[-1]
-        message.status = self._parser.get_status_code()
-        message.keeps_alive = self._parser.should_keep_alive()
-        message.has_head = True
-
-    def on_body(self, data: bytes) -> None:
-        self._has_advanced = True
-        self.messages[-1].chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        self._has_advanced = True
-        self.messages[-1].is_complete = True
-
-
 class Connection:
     """One connection; serves one request at a time.
 
@@ -176,7 +63,7 @@
     ) -> None:
         self._stream = stream
         self._limits = limits
-        self._parser = _Parser(limits)
+        self._parser = AnswerParser(limits)
         self._read = self._begin_read()
         self._written: asyncio.Future | None = None
         self._idle_s = DEFAULT_IDLE_S
@@ -237,7 +124,7 @@
             raise NotSentError("the kept connection had ended") from error
         self._written.add_done_callback(consume_error)
 
-    async def head(self, is_mine: Callable[[dict[str, str]], bool]) -> _Message:
+    async def head(self, is_mine: Callable[[dict[str, str]], bool]) -> Message:
         """Wait for the head of the answer, passing over answers to others.
 
         Raises:
@@ -261,7 +148,7 @@
                 )
             self._parser.messages.popleft()
 
-    async def body(self, message: _Message) -> AsyncIterator[bytes]:
+    async def body(self, message: Message) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; ends normally only if it came whole.
 
         Raises:
@@ -276,7 +163,7 @@
                 message.is_complete = True
                 self._error = True
 
-    def settle(self, message: _Message) -> bool:
+    def settle(self, message: Message) -> bool:
         """End a request whose answer came whole; return whether to keep this."""
         self._idle_s = _idle_s(message.headers)
         extra = len(self._parser.messages) > 1
@@ -288,7 +175,7 @@
         self.idle_since = time.monotonic()
         return not self._stream.closed()
 
-    async def _next_message(self) -> _Message:
+    async def _next_message(self) -> Message:
         messages = self._parser.messages
         while not messages or not messages[0].has_head:
             await self._receive()
--- a/src/carobspur/gateway/http_pool.py
+++ b/src/carobspur/gateway/http_pool.py
@@ -8,12 +8,8 @@
 
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 from .host_port import split_address
-from .http1 import (
-    CONNECT_TIMEOUT_S,
-    Connection,
-    EndlessAnswerError,
-    LostAnswerError,
-)
+from .http1 import CONNECT_TIMEOUT_S, Connection
+from .send_errors import EndlessAnswerError, LostAnswerError
 
 
 class Pool:
--- a/src/carobspur/gateway/plain.py
+++ b/src/carobspur/gateway/plain.py
@@ -8,7 +8,6 @@
 from .context import GatewayContext
 from .endpoints import Endpoint
 from .hedging import HedgeBudget, unusual_s
-from .http1 import LostAnswerError, NotSentError
 from .objectives import Served
 from .outcomes import (
     Answered,
@@ -26,6 +25,7 @@
     OutOfTimeError,
 )
 from .routes import Route
+from .send_errors import LostAnswerError, NotSentError
 
 RETRY_AFTER_S = 0.15
 """When to come back after a refusal: about two plain calls."""
--- a/src/carobspur/gateway/sender.py
+++ b/src/carobspur/gateway/sender.py
@@ -11,13 +11,9 @@
 from .calls import AnswerHead, Call
 from .endpoints import Endpoint
 from .health import HealthBook
-from .http1 import (
-    Connection,
-    EndlessAnswerError,
-    LostAnswerError,
-    NotSentError,
-)
+from .http1 import Connection
 from .http_pool import Pool
+from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 from .telemetry import Telemetry
 
 
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -12,10 +12,10 @@
 from .account_rows import COVER_TIMEOUT_S
 from .accounts import GivenUp
 from .decisions import DecisionLog
-from .http1 import NotSentError, SendError
 from .http_pool import Pool, fetch
 from .members import Membership
 from .rows import RowStoreAwayError
+from .send_errors import NotSentError, SendError
 from .spending import SpendingHome
 from .spending_protocol import (
     SPENDING_PATH,
--- a/src/carobspur/gateway/streams.py
+++ b/src/carobspur/gateway/streams.py
@@ -10,7 +10,6 @@
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent, event_number
 from .health import MeasuredTurn
-from .http1 import EndlessAnswerError, LostAnswerError, NotSentError
 from .objectives import Served
 from .outcomes import MAX_SENDS
 from .placement import Need
@@ -21,6 +20,7 @@
     OutOfTimeUnsentError,
 )
 from .routes import Route
+from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 from .sender import Exchange
 from .turn_book import TurnBook
 from .turn_state import TurnState
--- a/src/carobspur/platform/bootstrap.py
+++ b/src/carobspur/platform/bootstrap.py
@@ -9,10 +9,10 @@
 
 from ..gateway.decisions import DecisionLog
 from ..gateway.feed import TableFeed
-from ..gateway.http1 import SendError
 from ..gateway.http_pool import Pool, fetch
 from ..gateway.members import Member
 from ..gateway.rows import Row, RowKey
+from ..gateway.send_errors import SendError
 
 SNAPSHOT_PATH = "/snapshot"
 FIRST_WAIT_S = 0.3
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from ..gateway.decisions import DecisionLog
-from ..gateway.http1 import NotSentError, SendError
 from ..gateway.http_pool import Pool, SimpleAnswer, fetch
 from ..gateway.rows import (
     HistoryGoneError,
@@ -23,6 +22,7 @@
     RowWrite,
     Snapshot,
 )
+from ..gateway.send_errors import NotSentError, SendError
 from ..gateway.telemetry import Telemetry
 from ..verdict import MAY_HAVE_RUN, NOT_RUN
 from .store_wire import Page, decode_row, encode_key
--- a/tests/test_spending_client.py
+++ b/tests/test_spending_client.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from carobspur.gateway.decisions import DecisionLog
-from carobspur.gateway.http1 import NotSentError
 from carobspur.gateway.members import Heartbeat, Member, Membership
+from carobspur.gateway.send_errors import NotSentError
 from carobspur.gateway.spending import SpendingHome
 from carobspur.gateway.spending_client import SpendingClient
 from carobspur.gateway.spending_protocol import SpendingRequest, answer_spending
