A scheduler whose session may have lapsed says that it is not ready

A session that is stale answered "belongs to another scheduler", and since entry follows that word for the caller's whole time; before it gave up after 2 s.

Ruled out: going back to 2 s for all, which refuses programs while shards move.

--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -9,6 +9,7 @@
 from carobspur.clock import LoopClock
 from carobspur.errors import NotOwnerError, NotReadyError, PeerUnreachableError
 from carobspur.forward import Forwarder
+from carobspur.ownership import Ownership
 
 from . import builders
 from .virtual import run_virtual
@@ -91,3 +92,15 @@
             self.ask(PeerUnreachableError("no connection"), for_s=3.0)
         with self.assertRaises(NotReadyError):
             self.ask(PeerUnreachableError("none"), for_s=60.0, has_owner=False)
+
+    def test_stale_owner_is_followed_as_long_as_a_takeover_takes(self) -> None:
+        """In an outage of the table a session lapses, and its caller must hear it."""
+        session = SimpleNamespace(is_stale=True, is_lost=False)
+        ownership = Ownership(session=session, owns=lambda _: False, shards=64)
+        with self.assertRaises(NotReadyError) as stale:
+            ownership.require("p")
+        with self.assertRaises(NotReadyError):
+            self.ask(stale.exception, for_s=3.0)
+        session.is_stale = False
+        with self.assertRaises(NotOwnerError):
+            ownership.require("p")
