--- a/src/carobspur/forward.py
+++ b/src/carobspur/forward.py
@@ -55,10 +55,7 @@
 
     Every request carries what makes it idempotent (the program's id, the call's
     number), so it may be asked again of the next owner whatever became of it at the
-    last one. An owner that can't be reached is followed for as long as a takeover
-    takes: then the caller is told to come back. While schedulers answer that another
-    one owns the program, it is on its way between them, and is followed within the
-    caller's time.
+    last one. For as long as a takeover takes: then the caller is told to come back.
 
     Args:
         peers: Client of our own processes.
@@ -146,7 +143,7 @@
         timeout_s: float,
     ) -> Any:
         if owner is None:
-            raise NotReadyError(f"nobody owns program {program} at present")
+            raise NotOwnerError(f"nobody owns program {program} at present")
         calling = self._peers.call(
             owner.host,
             owner.port,
@@ -211,13 +208,9 @@
         """Take one owner's failure to answer."""
         if error.verdict != NOT_RUN:
             self._may_have_run = True
-        match error:
-            case PeerDisconnectedError():
-                self._disconnects += 1
-                self._since_s = now_s
-            case NotOwnerError():
-                # Whoever says so lives, and the shard moves while schedulers start.
-                self._since_s = now_s
+        if isinstance(error, PeerDisconnectedError):
+            self._disconnects += 1
+            self._since_s = now_s
         if self._since_s is None:
             self._since_s = now_s
         is_late = now_s - self._since_s > self._limit_s
--- a/src/carobspur/ownership.py
+++ b/src/carobspur/ownership.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from .errors import NotOwnerError, NotReadyError
+from .errors import NotOwnerError
 from .placement import shard_of
 from .session import Session
 
@@ -45,10 +45,7 @@
 
         Raises:
             NotOwnerError: Another scheduler owns it.
-            NotReadyError: Whether another one does can't be told at present.
         """
-        if self._session.is_stale:
-            raise NotReadyError("the session of this scheduler may have lapsed")
         if not self.owns(program):
             raise NotOwnerError(f"program {program} belongs to another scheduler")
 
@@ -58,7 +55,6 @@
 
         Raises:
             NotOwnerError: Another scheduler owns the program.
-            NotReadyError: Whether another one does can't be told at present.
         """
         self.require(program)
         shard = shard_of(program, self._shards)
