--- a/src/carobspur/gateway/program_losses.py
+++ b/src/carobspur/gateway/program_losses.py
@@ -17,12 +17,10 @@
     """What is known of one program so far.
 
     Attributes:
-        began: Unix time of its first settled request in seconds.
         failed: Requests that failed since its last good one.
         last: The newest of its settled requests.
     """
 
-    began: float
     failed: int
     last: LoggedEvent
 
@@ -101,8 +99,7 @@
 
 def _note(programs: dict[str, _Program], name: str, event: LoggedEvent) -> None:
     """Take a settled request; lines of several gateways come in any order."""
-    known = programs.setdefault(name, _Program(event.time, 0, event))
-    known.began = min(known.began, event.time)
+    known = programs.setdefault(name, _Program(0, event))
     has_failed = event.event == "failed" or _status(event) >= FIRST_FAILURE_STATUS
     if event.time >= known.last.time:
         known.last = event
--- a/src/carobspur/gateway/turn_rows.py
+++ b/src/carobspur/gateway/turn_rows.py
@@ -90,7 +90,9 @@
                 self._note_silent(turn, part)
             if await _last_good(writing):
                 return keys
-            return await _raise_first(writing)
+            for task in writing:
+                task.result()
+            raise RowStoreError("no part has confirmed the row")
 
     async def find(self, turn: str, *, timeout_s: float) -> bytes | None:
         """Return a turn's row; ``None`` where no part has it.
@@ -156,12 +158,6 @@
     return None
 
 
-async def _raise_first(tasks: set[asyncio.Task]) -> list[RowKey]:
-    for task in tasks:
-        task.result()
-    raise RowStoreError("no part has confirmed the row")
-
-
 def _left_s(end: float) -> float:
     return max(0.0, end - asyncio.get_running_loop().time())
 
