A shard handed over as a third scheduler joins is claimed by whom it should be

Cause: one of 64 shards stayed without a holder for good. The first scheduler held all shards and knew the second when it handed shard 0 to it; by then the second knew the third, whose shard it is by rank, so it did not take it up, and the third saw a live session in the row and waited. Programs of that shard were refused with "belongs to another scheduler" until the second ended.

Ruled out: a slow hand-over (all others were served within 0.2 s), a lapsed lease (none was taken over).

Before: test_shards, 12 of 25 moments at which the third joins left 1 to 3 of 64 shards without a holder.

Following the owner for longer could not help: there was none.

--- a/src/carobspur/shard_rows.py
+++ b/src/carobspur/shard_rows.py
@@ -24,7 +24,7 @@
     """Content of a shard's row.
 
     Attributes:
-        session: Id of the session that holds it.
+        session: Id of the session that holds it, or that it was handed to.
         snapshot: Key of the object with its state, or empty.
         spans: Journals to replay on top of it, in order.
     """
@@ -33,6 +33,11 @@
     snapshot: str = ""
     spans: list[Span] = []
 
+    @property
+    def is_held(self) -> bool:
+        """Whether its session has taken it up, by a commit that adds its journal."""
+        return bool(self.spans) and self.spans[-1].session == self.session
+
 
 def shard_key(number: int) -> str:
     """Return the key of a shard's row."""
--- a/src/carobspur/shards.py
+++ b/src/carobspur/shards.py
@@ -7,6 +7,9 @@
 - a session whose row stayed unchanged for the lease time on the watcher's own clock
   is deleted in one transaction that checks its row's version;
 - a shard whose session has no row may be claimed by anyone who checks both rows;
+- a shard that was handed to a session which has not taken it up may be claimed by
+  anyone who checks its row: two who know different sessions may not agree on whose
+  it should be;
 - a new holder serves a shard after a commit of its own has added it to the row.
 """
 
@@ -262,12 +265,13 @@
             return
         found = []
         for row in await read_shards(self._table, wanted):
-            if row is not None and await self._may_claim(decode_shard(row).session):
+            if self._may_claim(decode_shard(row)):
                 found.append(row)
         await self._activate(found)
 
-    async def _may_claim(self, holder: str) -> bool:
-        if holder in ("", self._session.id):
+    def _may_claim(self, shard: ShardRow) -> bool:
+        holder = shard.session
+        if holder == self._session.id or not shard.is_held:
             return True
         if holder in self._list:
             self._gone_s.pop(holder, None)
@@ -298,7 +302,7 @@
         for row in rows:
             shard = decode_shard(row)
             checks.add(Check(row.key, row.version))
-            if shard.session not in ("", self._session.id):
+            if shard.is_held and shard.session != self._session.id:
                 checks.add(Check(session_key(shard.session), ABSENT_VERSION))
             new[shard_number(row.key)] = ShardRow(
                 self._session.id, shard.snapshot, [*shard.spans, span]
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -345,6 +345,31 @@
 
         run_virtual(scenario)
 
+    def test_shard_handed_to_one_whose_claim_a_third_ends_is_served(self) -> None:
+        """Three start at once, as in a new deployment: the second is offered shards
+        that are the third's by the time it looks."""
+        stuck = []
+        for delay_ms in range(0, 500, 20):
+
+            async def scenario(delay_ms: int = delay_ms) -> None:
+                cluster = Cluster(shards=64)
+                await cluster.add()
+                await cluster.until_served()
+                await cluster.add()
+                await asyncio.sleep(delay_ms / 1000)
+                await cluster.add()
+                try:
+                    await cluster.until(
+                        lambda: (
+                            cluster.is_balanced() and cluster.served == list(range(64))
+                        )
+                    )
+                except AssertionError:
+                    stuck.append((delay_ms, set(range(64)) - set(cluster.served)))
+
+            run_virtual(scenario)
+        self.assertEqual([], stuck)
+
     def test_joins_even_out_and_every_shard_is_held_once(self) -> None:
         async def scenario() -> None:
             cluster = Cluster(shards=64)
