--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -346,8 +346,7 @@
         run_virtual(scenario)
 
     def test_shard_handed_to_one_whose_claim_a_third_ends_is_served(self) -> None:
-        """Three start at once, as in a new deployment: the second is offered shards
-        that are the third's by the time it looks."""
+        """Three start at once: the second is offered what is now the third's."""
         stuck = []
         for delay_ms in range(0, 500, 20):
 
