Covers of accounts are extended by a module of their own

No change of behaviour: what asks the store, a former home or the share without a row moves from spending.py (456 lines, now 346) to covers.py.

--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -6,8 +6,6 @@
 from collections.abc import Awaitable, Callable
 from weakref import WeakValueDictionary
 
-import msgspec
-
 from ..verdict import NOT_RUN
 from .account_rows import AccountRows
 from .accounts import (
@@ -19,21 +17,19 @@
     NeedsCover,
     Spent,
 )
+from .covers import Covers, HandOver, Pull
 from .decisions import DecisionLog
 from .early_ends import EarlyEnds
 from .given_up import GivenUpAccounts
-from .rows import Row, RowConflictError, RowStore, RowStoreAwayError
+from .rows import RowConflictError, RowStore, RowStoreAwayError
 from .spending_records import (
     BudgetSpentError,
     MovedAccount,
-    SpendingRow,
     StoreDoubt,
     fill_account,
     moved_account,
 )
 
-LOOK_S = 0.05
-"""Time between looks at whether the store turns out to be away meanwhile."""
 IDLE_S = 1.0
 """Time after which a program without a turn pauses: longer than usual tool calls."""
 IDLE_MARGIN_S = 10.0
@@ -41,15 +37,6 @@
 SWEEP_S = 5.0
 MAX_TRIES = 4
 
-
-HandOver = Callable[[str, str, int, int], Awaitable[GivenUp | None]]
-"""Asks a holder for a program's account, by version and serial of the row that was
-found; ``None`` where it says nothing."""
-
-
-Pull = Callable[[str], Awaitable[MovedAccount | None]]
-"""Asks the gateways that may have been a program's home for its account."""
-
 Move = Callable[[MovedAccount], Awaitable[bool]]
 """Hands an account to its next home; returns whether that has taken it."""
 
@@ -68,15 +55,13 @@
 
     __slots__ = (
         "_accounts",
+        "_covers",
         "_doubt",
         "_early",
         "_given_up",
-        "_hand_over",
         "_idle_writes",
         "_locks",
         "_log",
-        "_name",
-        "_pull",
         "_rows",
     )
 
@@ -90,10 +75,7 @@
         doubt: Callable[[], StoreDoubt],
         log: DecisionLog,
     ) -> None:
-        self._name = name
         self._rows = AccountRows(name, store, log)
-        self._hand_over = hand_over
-        self._pull = pull
         self._doubt = doubt
         self._log = log
         self._accounts: dict[str, Account] = {}
@@ -101,6 +83,16 @@
         self._locks: WeakValueDictionary[str, asyncio.Lock] = WeakValueDictionary()
         self._early = EarlyEnds()
         self._given_up = GivenUpAccounts()
+        self._covers = Covers(
+            name,
+            self._rows,
+            self._early,
+            self._given_up,
+            hand_over=hand_over,
+            pull=pull,
+            doubt=doubt,
+            log=log,
+        )
         # Writes of programs that pause, under way; they give way to new turns.
         self._idle_writes: dict[str, asyncio.Task] = {}
 
@@ -150,7 +142,7 @@
                         f"{tokens} more do not fit"
                     )
                 case NeedsCover(tokens=needed):
-                    await self._cover_or_go_on(program, account, needed, tokens)
+                    await self._covers.extend(program, account, needed, tokens)
         raise RowStoreAwayError("the account changed hands again and again")
 
     def settle(self, program: str, turn: str, tokens: int) -> bool:
@@ -259,7 +251,7 @@
                 if account.version or self._accounts.get(program) is not account:
                     continue
                 try:
-                    await self._cover(program, account, account.spent)
+                    await self._covers.cover(program, account, account.spent)
                 except RowStoreAwayError as error:
                     self._log.note("not_covered", program=program, reason=error.message)
                     return
@@ -320,7 +312,7 @@
                 await self._rows.cover(program, account, tokens)
             except RowConflictError as error:
                 # Another home has it, or an earlier write was done after all.
-                await self._adopt(program, account, error.rows)
+                await self._covers.adopt(program, account, error.rows)
             except RowStoreAwayError as error:
                 if error.verdict == NOT_RUN:
                     account.covered, account.is_row_unsure = before
@@ -352,105 +344,3 @@
             account.base = int(budget * DOUBT_SHARE)
         self._accounts[program] = account
         return account
-
-    async def _cover_or_go_on(
-        self, program: str, account: Account, needed: int, tokens: int
-    ) -> None:
-        """Cover tokens, or begin without where the store turns out to be away.
-
-        Raises:
-            RowStoreAwayError: The store is away and the program may not begin.
-        """
-        if await self._go_on_without(program, account, tokens):
-            return
-        if self._doubt().is_wait_in_vain:
-            raise RowStoreAwayError("the store is away")
-        covering = asyncio.create_task(self._cover(program, account, needed))
-        has_looked = False
-        try:
-            # A slow store still answers; whether it is away is known meanwhile.
-            while not (await asyncio.wait([covering], timeout=LOOK_S))[0]:
-                doubt = self._doubt()
-                if doubt.is_away and not has_looked:
-                    has_looked = True
-                    if await self._go_on_without(program, account, tokens):
-                        return
-                if doubt.is_wait_in_vain:
-                    raise RowStoreAwayError("the store is away")
-            await covering
-        except RowStoreAwayError:
-            if not await self._go_on_without(program, account, tokens):
-                raise
-        finally:
-            covering.cancel()
-
-    async def _go_on_without(self, program: str, account: Account, tokens: int) -> bool:
-        """Let a program begin while the store is away, up to a small share.
-
-        A former home may hold its account, so the likely ones are asked first.
-        """
-        doubt = self._doubt()
-        if not doubt.is_away or account.version:
-            return False
-        if not account.unrecorded:
-            moved = await self._pull(program)
-            if moved is not None:
-                fill_account(account, moved)
-                self._early.settle(account)
-                return True
-        uncovered = int(account.budget * UNCOVERED_SHARE)
-        if (
-            not doubt.may_grant_uncovered
-            or account.spent + tokens > account.base + uncovered
-        ):
-            return False
-        account.covered = account.base + uncovered
-        self._log.note("account_uncovered", program=program, tokens=uncovered)
-        return True
-
-    async def _cover(self, program: str, account: Account, tokens: int) -> None:
-        """Write that so many tokens count as spent; adopts a row found instead."""
-        try:
-            await self._rows.cover(program, account, tokens)
-        except RowConflictError as error:
-            await self._adopt(program, account, error.rows)
-            return
-        self._given_up.forget(program)
-
-    async def _adopt(self, program: str, account: Account, rows: list[Row]) -> None:
-        found = next((item for item in rows if item.value is not None), None)
-        if found is None:
-            # The row was dropped as unused; what is known here stands.
-            account.version = 0
-            account.is_row_unsure = False
-            return
-        row = msgspec.msgpack.decode(found.value, type=SpendingRow)
-        if row.holder == self._name and row.serial > account.opened_serial:
-            # An earlier write of this account whose answer was lost.
-            account.covered, account.version = row.tokens, found.version
-            account.is_row_unsure = False
-            return
-        told = await self._former(row, program, found.version)
-        spent = told.counted(row.tokens) if told else row.tokens
-        self._log.note(
-            "account_adopted",
-            program=program,
-            holder=row.holder,
-            covered=row.tokens,
-            spent=spent,
-            row_version=found.version,
-        )
-        under_way = (dict(told.open) if told else {}) | account.unrecorded_turns
-        account.adopt(spent + account.unrecorded, found.version, under_way)
-        self._early.settle(account)
-        account.covered = 0
-
-    async def _former(
-        self, row: SpendingRow, program: str, version: int
-    ) -> GivenUp | None:
-        """Return what the holder of a row says of its account."""
-        if row.holder == self._name:
-            return self._given_up.about(program, version, row.serial)
-        if not row.holder:
-            return None
-        return await self._hand_over(row.holder, program, version, row.serial)
