The reserve of a budget is returned in a pause; a home that slept never frees it

Cause: a reserve taken in a silence of seconds stayed taken, so that after the death of its home a program could use two thirds of its budget only, and might be refused with 402 for what it had not spent.

Change: as soon as the program pauses and its row can cover all that is spent, the row is written and then the reserve's row dropped; while the drop is unsure this account does not use the reserve.

Also found by a test of its own: a home that slept while the program went on elsewhere dropped the reserve's row at the end of its own account's time, and the new home was given it again: 1,300 of 1,000 tokens. Now only a home that could drop the program's own row, which the newest home alone can, drops the reserve's.

--- a/src/carobspur/gateway/account_rows.py
+++ b/src/carobspur/gateway/account_rows.py
@@ -113,14 +113,23 @@
             [write], expected={key: 0}, timeout_s=COVER_TIMEOUT_S
         )
 
+    async def free_reserve(self, program: str, account: Account) -> None:
+        """Let others take a reserve that the account has returned."""
+        if await self._drop(_reserve_key(program), account.reserve_version):
+            account.free_reserve()
+
     async def drop(self, program: str, account: Account) -> None:
         """Remove the rows of a program that is over."""
-        if account.version:
-            await self._drop(_key(program), account.version)
-        if account.reserve_version:
+        if not account.version:
+            return
+        # Only the newest home can drop the program's row; a former one that wakes must
+        # not free the reserve of a program that goes on.
+        is_over = await self._drop(_key(program), account.version)
+        if is_over and account.reserve_version:
             await self._drop(_reserve_key(program), account.reserve_version)
 
-    async def _drop(self, key: RowKey, version: int) -> None:
+    async def _drop(self, key: RowKey, version: int) -> bool:
+        """Remove a row; return whether that is known to be done."""
         try:
             await self._store.write(
                 [RowWrite(key, None)],
@@ -129,6 +138,8 @@
             )
         except (RowConflictError, RowStoreAwayError) as error:
             self._log.note("row_not_dropped", row=key.key, reason=error.message)
+            return False
+        return True
 
     def _write_of(
         self, program: str, account: Account, tokens: int, holder: str
--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -157,15 +157,24 @@
         One turn more than is spent, so that the next needs no store call; but only
         where that leaves place for a turn if this home dies.
         """
-        ahead = self.spent + self.turn_tokens
+        spent = self.used if self.may_return_reserve else self.spent
+        ahead = spent + self.turn_tokens
         leaves_a_turn = ahead + self.turn_tokens <= self.limit
-        return ahead if leaves_a_turn and ahead <= self.most_covered else self.spent
+        return ahead if leaves_a_turn and ahead <= self.most_covered else spent
+
+    @property
+    def may_return_reserve(self) -> bool:
+        """Whether the row alone could cover what is spent, so that others may take it.
+
+        Else a program whose home dies could use two thirds of its budget only.
+        """
+        return self.reserve_is is Reserve.OURS and self.used <= self.most_covered
 
     @property
     def is_row_higher(self) -> bool:
-        """Whether the row may cover more than it should while the program pauses."""
+        """Whether rows may count more than they should while the program pauses."""
         is_higher = bool(self.version) and self.covered > self.resting_cover
-        return is_higher or self.is_row_unsure
+        return is_higher or self.is_row_unsure or self.may_return_reserve
 
     @property
     def row_refuses_next_turn(self) -> bool:
@@ -220,6 +229,16 @@
         self.reserve_version = version
         self.base -= self.reserve
 
+    def return_reserve(self) -> None:
+        """Count what is spent without the reserve, which this account has no more."""
+        self.base += self.reserve
+        self.reserve_is = Reserve.GONE
+
+    def free_reserve(self) -> None:
+        """Take note that the reserve is nobody's."""
+        self.reserve_is = Reserve.FREE
+        self.reserve_version = 0
+
     def lose_reserve(self, version: int) -> None:
         """Take note that the reserve is another account's.
 
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -309,11 +309,15 @@
             if not is_current or not account.is_row_higher:
                 return
             tokens = account.resting_cover
+            returns_reserve = account.may_return_reserve
             before = account.covered, account.is_row_unsure
             # Nothing more is granted under a row that may be lower from now on.
             account.covered = min(account.covered, tokens)
             try:
                 await self._rows.cover(program, account, tokens)
+                if returns_reserve:
+                    account.return_reserve()
+                    await self._rows.free_reserve(program, account)
             except RowConflictError as error:
                 # Another home has it, or an earlier write was done after all.
                 await self._covers.adopt(program, account, error.rows)
--- a/tests/test_reserves.py
+++ b/tests/test_reserves.py
@@ -84,6 +84,45 @@
 
         run_virtual(scenario)
 
+    def test_reserve_is_returned_in_the_first_pause_after_the_silence(self) -> None:
+        async def scenario() -> None:
+            homes = Homes()
+            home = homes.start("a")
+            homes.store.silent_parts = {OWN_PART}
+            for _ in range(2):
+                await homes.turn(home)
+            await home.write_idle(idle_s=0.0)
+            self.assertEqual(["p"], _reserves(homes))
+            homes.store.silent_parts = set()
+            await home.write_idle(idle_s=0.0)
+            self.assertEqual([], _reserves(homes))
+            del homes.homes["a"]
+            second = homes.start("b")
+            granted = sum([await homes.turn(second) for _ in range(12)])
+            # One turn more is covered than was spent.
+            self.assertEqual(10 - 2 - 1, granted)
+
+        run_virtual(scenario)
+
+    def test_reserve_whose_return_is_unsure_is_not_used_again(self) -> None:
+        async def scenario() -> None:
+            homes = Homes()
+            home = homes.start("a")
+            homes.store.silent_parts = {OWN_PART}
+            await homes.turn(home)
+            homes.store.silent_parts = {RESERVE_PART}
+            homes.store.does_in_silence = True
+            await home.write_idle(idle_s=0.0)
+            homes.store.silent_parts = set()
+            self.assertEqual([], _reserves(homes))
+            del homes.homes["a"]
+            for sleeper_or_new in (home, homes.start("b"), home):
+                while await homes.turn(sleeper_or_new):
+                    continue
+            self.assertLessEqual(homes.handed, BUDGET)
+
+        run_virtual(scenario)
+
     def test_reserve_whose_answer_was_lost_is_used(self) -> None:
         async def scenario() -> None:
             homes = Homes()
@@ -133,6 +172,28 @@
 
         run_virtual(scenario)
 
+    def test_home_that_slept_does_not_drop_the_reserve_of_a_program_that_goes_on(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            homes = Homes()
+            homes.store.silent_parts = {OWN_PART}
+            sleeper = homes.start("a")
+            for _ in range(TURNS_IN_RESERVE):
+                await homes.turn(sleeper)
+            del homes.homes["a"]
+            homes.store.silent_parts = set()
+            second = homes.start("b")
+            await homes.turn(second)
+            sweeping = asyncio.ensure_future(sleeper.sweep_forever())
+            await asyncio.sleep(100)
+            sweeping.cancel()
+            while await homes.turn(second):
+                continue
+            self.assertLessEqual(homes.handed, BUDGET)
+
+        run_virtual(scenario)
+
     def test_random_histories_never_exceed_the_budget(self) -> None:
         for seed in range(300):
             with self.subTest(seed):
