Endless answers end at the daemons of carobspur's own interface too

The curl client had only its library's bound of 100 MB, and the parser of events none: one event without its end grew until the call's time was over.

The reading of a stream moves from a function of 40 lines to a class.

Test: test_endless_endpoints, eight floods at full speed.

--- a/src/carobspur/endpoints.py
+++ b/src/carobspur/endpoints.py
@@ -17,7 +17,7 @@
     RequestError,
 )
 from .http import HttpClient, HttpError, HttpRequest, HttpResponse
-from .sse import EventParser
+from .sse import Event, EventParser
 from .verdict import MAY_HAVE_RUN, NOT_RUN
 
 CALL_ID_HEADER = "Idempotency-Key"
@@ -28,6 +28,8 @@
 HTTP_FENCED = 412
 HTTP_TOO_MANY = 429
 PREFIX_KEY_HEX_DIGITS = 32
+SPARE_EVENTS = 16
+"""Events of a stream beyond one a token: its start, its end, and some to spare."""
 
 OnText = Callable[[str], None]
 OutputTokens = Annotated[int, msgspec.Meta(ge=1, le=1 << 31)]
@@ -152,6 +154,80 @@
     return hashlib.sha256(text.encode()).hexdigest()[:PREFIX_KEY_HEX_DIGITS]
 
 
+class _StreamReader:
+    """Reads the stream of a model call, and nothing more once it is not sound.
+
+    Args:
+        request: The call.
+        address: The engine's base URL.
+        on_text: Called with each piece of the answer.
+
+    Attributes:
+        fault: Why the stream is not sound, if it is not.
+    """
+
+    __slots__ = (
+        "_address",
+        "_answered",
+        "_events",
+        "_on_text",
+        "_parser",
+        "_request",
+        "_results",
+        "fault",
+    )
+
+    def __init__(self, request: GenerateRequest, address: str, on_text: OnText) -> None:
+        self._request = request
+        self._address = address
+        self._on_text = on_text
+        self._parser = EventParser()
+        self._events = 0
+        self._answered = request.call_id
+        self._results: list[GenerateResult] = []
+        self.fault: EndpointTimeoutError | None = None
+
+    def take(self, data: bytes) -> None:
+        """Take a piece of the stream."""
+        if self.fault:
+            # The client ends the transfer at its own bound or time limit.
+            return
+        try:
+            for event in self._parser.feed(data):
+                self._take_event(event)
+        except EndpointTimeoutError as error:
+            self.fault = error
+
+    def _take_event(self, event: Event) -> None:
+        self._events += 1
+        if self._events > self._request.max_tokens + SPARE_EVENTS:
+            raise EndpointTimeoutError(
+                f"{self._address} sent over {self._request.max_tokens} tokens",
+                verdict=MAY_HAVE_RUN,
+            )
+        if event.name == "start":
+            self._answered = msgspec.json.decode(event.data, type=str)
+        elif event.name == "done":
+            self._results.append(msgspec.json.decode(event.data, type=GenerateResult))
+        elif event.name == "token" and self._answered == self._request.call_id:
+            self._on_text(msgspec.json.decode(event.data, type=str))
+
+    def result(self) -> GenerateResult:
+        """Return what the last event has told.
+
+        Raises:
+            EndpointTimeoutError: There was none, or it is another call's.
+        """
+        if not self._results:
+            raise EndpointTimeoutError(
+                f"{self._address} broke off before its last event"
+            )
+        found = self._results[0]
+        for answered in (self._answered, found.call_id):
+            _require_same_call(answered, self._request.call_id, self._address)
+        return msgspec.structs.replace(found, call_id="")
+
+
 class Endpoints:
     """Sends calls to endpoints.
 
@@ -186,37 +262,24 @@
             EndpointTimeoutError: The engine did not finish in time, or broke off.
             EndpointRejectedError: The engine refused the call.
         """
-        parser = EventParser()
-        results: list[GenerateResult] = []
-
-        answered = request.call_id
-
-        def _take(data: bytes) -> None:
-            nonlocal answered
-            for event in parser.feed(data):
-                if event.name == "start":
-                    answered = msgspec.json.decode(event.data, type=str)
-                elif event.name == "done":
-                    results.append(msgspec.json.decode(event.data, type=GenerateResult))
-                elif event.name == "token" and answered == request.call_id:
-                    on_text(msgspec.json.decode(event.data, type=str))
-
+        reader = _StreamReader(request, address, on_text)
         message = HttpRequest(
             "POST",
             f"{address}/v1/generate",
             body=msgspec.json.encode(request),
             timeout_s=timeout_s,
-            on_data=_take,
+            on_data=reader.take,
         )
-        response = await self._fetch(message)
+        try:
+            response = await self._fetch(message)
+        except EndpointTimeoutError as error:
+            raise reader.fault or error from error
+        if reader.fault:
+            raise reader.fault
         if response.status == HTTP_PREFIX_LOST:
             raise PrefixLostError(f"{address} no longer has the history")
         _require_success(response, address)
-        if not results:
-            raise EndpointTimeoutError(f"{address} broke off before its last event")
-        _require_same_call(answered, request.call_id, address)
-        _require_same_call(results[0].call_id, request.call_id, address)
-        return msgspec.structs.replace(results[0], call_id="")
+        return reader.result()
 
     async def cancel(self, address: str, call: str) -> None:
         """Tell an engine to stop a call; best effort."""
--- a/src/carobspur/http.py
+++ b/src/carobspur/http.py
@@ -17,6 +17,9 @@
 
 MAX_CLIENTS = 2000
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Most bytes of an answer's body, streamed ones too: an endpoint may send without end.
+Well above the state of a shard, the largest sound one."""
 
 _NOTHING_WAS_SENT = frozenset(
     {
@@ -95,7 +98,11 @@
     __slots__ = ("_client",)
 
     def __init__(self, *, max_clients: int = MAX_CLIENTS) -> None:
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=max_clients,
+            max_body_size=MAX_ANSWER_BYTES,
+        )
 
     async def fetch(self, request: HttpRequest) -> HttpResponse:
         """Send a request; see :class:`HttpClient`."""
--- a/src/carobspur/sse.py
+++ b/src/carobspur/sse.py
@@ -4,6 +4,12 @@
 
 from dataclasses import dataclass
 
+from .errors import EndpointTimeoutError
+from .verdict import MAY_HAVE_RUN
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Most bytes of an event: a whole answer stands in the last one."""
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -30,16 +36,29 @@
 
 
 class EventParser:
-    """Reads events from pieces of a stream, however it was cut."""
+    """Reads events from pieces of a stream, however it was cut.
 
-    __slots__ = ("_rest",)
+    Args:
+        max_bytes: Most bytes of an event.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_max_bytes", "_rest")
+
+    def __init__(self, *, max_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._rest = b""
 
     def feed(self, data: bytes) -> list[Event]:
-        """Take a piece of the stream and return the events that it completed."""
+        """Take a piece of the stream and return the events that it completed.
+
+        Raises:
+            EndpointTimeoutError: An event does not end.
+        """
         *blocks, self._rest = (self._rest + data).split(b"\n\n")
+        if len(self._rest) > self._max_bytes:
+            raise EndpointTimeoutError(
+                f"an event has over {self._max_bytes} bytes", verdict=MAY_HAVE_RUN
+            )
         return [_parse(block) for block in blocks if block.strip()]
 
 
--- /dev/null
+++ b/tests/test_endless_endpoints.py
@@ -0,0 +1,53 @@
+"""Endpoints of the daemons' own interface that send without end."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from carobspur.endpoints import Endpoints, GenerateRequest, ToolOrder
+from carobspur.errors import EndpointTimeoutError
+from carobspur.http import MAX_ANSWER_BYTES, CurlClient
+from carobspur.verdict import MAY_HAVE_RUN
+
+from .floods import Flood, FloodingEndpoint, flooding_endpoint, measured
+
+TIMEOUT_S = 4.0
+IN_TIME_S = 3.0
+"""Before the time limit: the bound must have ended the call."""
+BODIES = (Flood.HEAD, Flood.VALUE, Flood.LENGTH, Flood.CHUNKS)
+STREAMS = (Flood.HEAD, Flood.VALUE, Flood.EVENT, Flood.EVENTS)
+
+
+class EndlessEndpointsTest(IsolatedAsyncioTestCase):
+    async def test_tool_call_ends(self) -> None:
+        order = ToolOrder("p.1", 1, b"{}", TIMEOUT_S, send_once=True)
+        for flood in BODIES:
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                await self._check_ends(
+                    lambda endpoints, url: endpoints.run(url, order), endpoint
+                )
+
+    async def test_model_call_ends(self) -> None:
+        request = GenerateRequest("p.1", "p", "m", "", 0, "", "a", 8)
+        for flood in STREAMS:
+            with self.subTest(flood), flooding_endpoint(flood) as endpoint:
+                await self._check_ends(
+                    lambda endpoints, url: endpoints.generate(
+                        url, request, timeout_s=TIMEOUT_S, on_text=lambda text: None
+                    ),
+                    endpoint,
+                )
+
+    async def _check_ends(self, call: object, endpoint: FloodingEndpoint) -> None:
+        loop = asyncio.get_running_loop()
+        client = CurlClient(max_clients=10)
+        started = loop.time()
+        async with measured() as strain:
+            with self.assertRaises(EndpointTimeoutError) as caught:
+                await call(Endpoints(client), f"http://127.0.0.1:{endpoint.port}")
+        taken_s = loop.time() - started
+        client.close()
+        self.assertEqual(MAY_HAVE_RUN, caught.exception.verdict)
+        self.assertLess(taken_s, IN_TIME_S)
+        self.assertLess(strain.peak_bytes, 2 * MAX_ANSWER_BYTES)
