A home that waits for the store is not taken for dead by gateways that do not hear it

Cause: a gateway leaves a home after 0.1 s without an answer unless it has heard it within 0.6 s. Of many gateways only eight hear a home's heartbeats; the others have heard it when it started, so to them it counts as silent for ever.

Ruled out: the heartbeats themselves (peer_silent names the restarted ones only).

Change: a home that is not heard is asked whether it is there, on a question that needs nothing of the store; without an answer in 0.1 s it is left as before.

test_spending_client: a store of 0.4 s an answer and no heartbeat; before, the turn was refused ("home a: neither an answer nor a heartbeat"), after, it is granted by the first home with one store call. A silent home is left within 0.3 s (before too).

--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -20,6 +20,7 @@
 from .spending_protocol import (
     SPENDING_PATH,
     HandOverRequest,
+    PresenceRequest,
     PullRequest,
     ReserveRequest,
     SettleRequest,
@@ -32,7 +33,8 @@
 HOME_TIMEOUT_S = COVER_TIMEOUT_S + 0.15
 """Longest wait for a home that lives: its store call and the way."""
 SILENT_HOME_S = 0.1
-"""Time without an answer after which a home must have been heard lately."""
+"""Time without an answer after which a home must have been heard lately, or must answer
+a question that needs nothing of the store in as much time."""
 HEARD_LATELY_S = 0.6
 """Two heartbeats, and a little."""
 HOMES_TRIED = 3
@@ -238,12 +240,26 @@
         asking = loop.create_task(self._ask(home, request, HOME_TIMEOUT_S))
         try:
             while not (await asyncio.wait([asking], timeout=SILENT_HOME_S))[0]:
-                if not self._membership.is_heard(home, HEARD_LATELY_S, loop.time()):
+                if not await self._is_there(home):
                     raise SendError("neither an answer nor a heartbeat")
             return await asking
         finally:
             asking.cancel()
 
+    async def _is_there(self, home: str) -> bool:
+        """Return whether a home that does not answer yet lives all the same.
+
+        Of many gateways only a few hear its heartbeats.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._membership.is_heard(home, HEARD_LATELY_S, now):
+            return True
+        try:
+            await self._ask(home, PresenceRequest(), SILENT_HOME_S)
+        except SendError:
+            return False
+        return True
+
     async def _ask(
         self, home: str, request: SpendingRequest, timeout_s: float
     ) -> SpendingAnswer:
--- a/src/carobspur/gateway/spending_protocol.py
+++ b/src/carobspur/gateway/spending_protocol.py
@@ -44,6 +44,10 @@
     program: str
 
 
+class PresenceRequest(msgspec.Struct, frozen=True, tag="presence"):
+    """Asks whether a home lives while another answer of it is awaited."""
+
+
 class SpendingAnswer(msgspec.Struct, frozen=True):
     """A home's answer.
 
@@ -64,7 +68,12 @@
 
 
 SpendingRequest = (
-    ReserveRequest | SettleRequest | HandOverRequest | PullRequest | MovedAccount
+    ReserveRequest
+    | SettleRequest
+    | HandOverRequest
+    | PullRequest
+    | PresenceRequest
+    | MovedAccount
 )
 
 
@@ -91,5 +100,7 @@
             return SpendingAnswer("told", given_up=told)
         case PullRequest(program):
             return SpendingAnswer("told", moved=await home.give_away(program))
+        case PresenceRequest():
+            return SpendingAnswer("granted")
         case MovedAccount():
             return SpendingAnswer("granted" if home.take_over(request) else "none")
--- a/tests/test_spending_client.py
+++ b/tests/test_spending_client.py
@@ -12,13 +12,17 @@
 
 from carobspur.gateway.decisions import DecisionLog
 from carobspur.gateway.members import Heartbeat, Member, Membership
-from carobspur.gateway.send_errors import NotSentError
+from carobspur.gateway.send_errors import LostAnswerError, NotSentError
 from carobspur.gateway.spending import SpendingHome
-from carobspur.gateway.spending_client import SpendingClient
+from carobspur.gateway.spending_client import (
+    HEARD_LATELY_S,
+    SILENT_HOME_S,
+    SpendingClient,
+)
 from carobspur.gateway.spending_protocol import SpendingRequest, answer_spending
 from carobspur.gateway.spending_records import BudgetSpentError, MovedAccount
 
-from .test_spending import Homes
+from .homes import Homes
 
 NAMES = ("a", "b", "c")
 BUDGET = 500
@@ -38,6 +42,7 @@
             self.homes.start(name)
         self.membership = Membership(_member("own"))
         self.tasks: set[asyncio.Task] = set()
+        self.silent: set[str] = set()
         self.client = SpendingClient(
             self.membership,
             self.homes.start("own"),
@@ -58,9 +63,13 @@
     async def fetch(self, pool, address, method, path, *, body, timeout_s):
         """Answer one request as the peer at an address would."""
         await asyncio.sleep(0)
-        home = self.homes.homes.get(address.partition(":")[0])
+        name = address.partition(":")[0]
+        home = self.homes.homes.get(name)
         if home is None:
             raise NotSentError("refused")
+        if name in self.silent:
+            await asyncio.sleep(timeout_s)
+            raise LostAnswerError("no answer")
         request = msgspec.msgpack.decode(body, type=SpendingRequest)
         answer = await answer_spending(home, request)
         return SimpleNamespace(status=200, body=msgspec.msgpack.encode(answer))
@@ -89,6 +98,31 @@
         self.peers.hear_all()
         return await self.peers.client.reserve("p", turn, TOKENS, BUDGET, kept_s=60)
 
+    async def test_home_that_waits_for_the_store_is_not_taken_for_dead(self) -> None:
+        self.peers.hear_all()
+        # Its heartbeats go to others: nothing is heard of it from now on.
+        await asyncio.sleep(HEARD_LATELY_S + 0.1)
+        self.peers.homes.store.answer_s = 0.4
+        first = self.peers.client._homes("p")[0]
+        reservation = await self.peers.client.reserve(
+            "p", "t", TOKENS, BUDGET, kept_s=60
+        )
+        self.assertEqual(first, reservation.home)
+        self.assertEqual(1, self.peers.homes.store.version)
+
+    async def test_home_that_is_silent_is_left_soon(self) -> None:
+        self.peers.hear_all()
+        await asyncio.sleep(HEARD_LATELY_S + 0.1)
+        first, second = self.peers.client._homes("p")[:2]
+        self.peers.silent = {first}
+        began = asyncio.get_running_loop().time()
+        reservation = await self.peers.client.reserve(
+            "p", "t", TOKENS, BUDGET, kept_s=60
+        )
+        taken_s = asyncio.get_running_loop().time() - began
+        self.assertEqual(second, reservation.home)
+        self.assertLess(taken_s, 2 * SILENT_HOME_S + 0.1)
+
     async def test_end_of_a_turn_follows_its_account(self) -> None:
         reservation = await self.reserve("t")
         next_home = next(
