A reserve moves with its account at a planned stop

Cause: a home that stops sends its accounts to their next homes, which did not learn that the reserve is theirs, counted it as gone, and could use two thirds of the budget only; while the program's own part is silent it could not go on at all.

One home alone may use a moved account, so one alone has the reserve.

Ruled out: the same for accounts that are given up on a row's word: two homes may be told of one, and only a write of the row decides between them.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -115,20 +115,23 @@
     turn_tokens: int = 0
 
     @property
-    def _balance(self) -> int:
-        """Tokens spent or set aside; below zero while the reserve is not used up."""
+    def balance(self) -> int:
+        """Tokens spent or set aside that the row counts.
+
+        Below zero while the reserve is not used up.
+        """
         return self.base + self.carried + self.settled + sum(self.open.values())
 
     @property
     def spent(self) -> int:
         """Tokens spent or set aside that the row must cover."""
-        return max(0, self._balance)
+        return max(0, self.balance)
 
     @property
     def used(self) -> int:
         """Tokens of the whole budget that are spent, set aside or in other hands."""
         taken = 0 if self.reserve_is is Reserve.FREE else self.reserve
-        return self._balance + taken
+        return self.balance + taken
 
     @property
     def most_covered(self) -> int:
@@ -204,7 +207,7 @@
             return Granted(self.used - self.open[turn])
         self.turn_tokens = tokens
         others = self.used
-        needed = self._balance + tokens
+        needed = self.balance + tokens
         if needed > self.limit:
             return Spent(others)
         if needed > self.covered:
@@ -217,7 +220,7 @@
     def reserve_holds(self, tokens: int) -> bool:
         """Return whether the reserve would let a turn run without a higher cover."""
         is_free = self.reserve_is is Reserve.FREE
-        return is_free and self._balance + tokens <= self.covered + self.reserve
+        return is_free and self.balance + tokens <= self.covered + self.reserve
 
     def take_reserve(self, version: int) -> None:
         """Take note that the reserve is this account's.
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -231,7 +231,7 @@
     async def _move(self, program: str, move: Move) -> None:
         async with self._alone(program):
             account = self._accounts.pop(program, None)
-        if account is None or not account.spent:
+        if account is None or not account.used:
             return
         moved = moved_account(program, account)
         if await move(moved):
--- a/tests/test_reserves.py
+++ b/tests/test_reserves.py
@@ -15,6 +15,7 @@
 from carobspur.gateway.partition import SHORTEST_SILENCE_S, part_of
 from carobspur.gateway.rows import RowStoreAwayError
 from carobspur.gateway.spending import SpendingHome
+from carobspur.gateway.spending_records import MovedAccount
 
 from .homes import BUDGET, TOKENS, Homes
 from .virtual import run_virtual
@@ -172,6 +173,25 @@
 
         run_virtual(scenario)
 
+    def test_reserve_moves_with_its_account_at_a_planned_stop(self) -> None:
+        async def scenario() -> None:
+            homes = Homes()
+            homes.store.silent_parts = {OWN_PART}
+            first, second = homes.start("a"), homes.start("b")
+            await homes.turn(first)
+
+            async def move(account: MovedAccount) -> bool:
+                return second.take_over(account)
+
+            await first.move_all(move)
+            goes_on = [await homes.turn(second) for _ in range(TURNS_IN_RESERVE - 1)]
+            homes.store.silent_parts = set()
+            granted = sum([await homes.turn(second) for _ in range(12)])
+            self.assertTrue(all(goes_on))
+            self.assertEqual(10, granted + TURNS_IN_RESERVE)
+
+        run_virtual(scenario)
+
     def test_home_that_slept_does_not_drop_the_reserve_of_a_program_that_goes_on(
         self,
     ) -> None:
@@ -257,8 +277,24 @@
             case 7 if under_way:
                 turn = under_way.pop(rng.randrange(len(under_way)))
                 homes.end_turn(turn, rng.choice((0, 40, TOKENS)))
+            case 8:
+                await _stop(homes, alive, rng)
+                alive.append(homes.start(next(names)))
             case _:
                 await homes.turn(rng.choice(alive))
     for turn in under_way:
         homes.end_turn(turn, TOKENS)
     return homes.handed
+
+
+async def _stop(homes: Homes, alive: list[SpendingHome], rng: random.Random) -> None:
+    """Stop a home as planned; another one takes its accounts, or is not there."""
+    leaver = alive.pop(rng.randrange(len(alive)))
+    taker = rng.choice([*alive, None])
+
+    async def move(account: MovedAccount) -> bool:
+        return taker is not None and taker.take_over(account)
+
+    await leaver.move_all(move)
+    name = next(n for n, home in homes.homes.items() if home is leaver)
+    del homes.homes[name]
