The wait for a cover reads as one loop over two tasks

No change of behaviour: the reserve is asked for by a task that waits out the silence itself, so the loop keeps no flags for it. test_reserves, test_spending, test_spending_client, BudgetsTest: 61 passed.

--- a/src/carobspur/gateway/covers.py
+++ b/src/carobspur/gateway/covers.py
@@ -95,18 +95,13 @@
         if self._doubt().is_wait_in_vain:
             raise RowStoreAwayError("the store is away")
         covering = asyncio.create_task(self.cover(program, account, needed))
-        tasks = [covering]
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        turning = asyncio.create_task(self._turn_to_reserve(program, account, tokens))
         has_looked = False
         try:
             # A slow store still answers; whether it is away is known meanwhile.
             while not covering.done():
-                under_way = [task for task in tasks if not task.done()]
-                await asyncio.wait(
-                    under_way, timeout=LOOK_S, return_when=asyncio.FIRST_COMPLETED
-                )
-                if any(task.done() and task.result() for task in tasks[1:]):
+                await _first_of(covering, turning, timeout_s=LOOK_S)
+                if turning.done() and turning.result():
                     return
                 if covering.done():
                     break
@@ -117,23 +112,24 @@
                         return
                 if doubt.is_wait_in_vain:
                     raise RowStoreAwayError("the store is away")
-                is_silent = loop.time() - began >= silence_s(doubt.usual_s)
-                if is_silent and len(tasks) == 1 and not doubt.is_away:
-                    turning = self._turn_to_reserve(program, account, tokens)
-                    tasks.append(asyncio.create_task(turning))
             await covering
         except RowStoreAwayError:
             if not await self._go_on_without(program, account, tokens):
                 raise
         finally:
-            for task in tasks:
-                task.cancel()
+            covering.cancel()
+            turning.cancel()
 
     async def _turn_to_reserve(
         self, program: str, account: Account, tokens: int
     ) -> bool:
-        """Take the reserve while the part with the account's row is silent."""
-        if not account.reserve_holds(tokens):
+        """Take the reserve once the part with the account's row seems silent.
+
+        Returns:
+            Whether the turn may go on under it.
+        """
+        await asyncio.sleep(silence_s(self._doubt().usual_s))
+        if self._doubt().is_away or not account.reserve_holds(tokens):
             return False
         try:
             await self.take_reserve(program, account)
@@ -253,3 +249,11 @@
         if not row.holder:
             return None
         return await self._hand_over(row.holder, program, version, row.serial)
+
+
+async def _first_of(*tasks: asyncio.Task, timeout_s: float) -> None:
+    """Wait until one of those tasks ends that are under way."""
+    under_way = [task for task in tasks if not task.done()]
+    await asyncio.wait(
+        under_way, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
