--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from carobspur.gateway.outages import ESTABLISHED_S
+from carobspur.gateway.spending_client import HEARD_LATELY_S
 from carobspur.gateway.turn_rows import CANDIDATES, turn_parts
 from carobspur.platform.gateway import LEAVE_NOTICE_S
 from carobspur.platform.registry import LAPSE_GRACE_S
@@ -633,23 +634,36 @@
 class ManyGatewaysTest(IsolatedAsyncioTestCase):
     async def test_a_dozen_gateways_agree_on_who_is_there(self) -> None:
         async with world(gateways=12) as made:
-            turns = [
-                made.call(
-                    "/walk/a",
-                    via=number,
-                    body=b"x",
-                    program_id="p",
-                    token_budget=5000,
-                    token_usage="10,50",
-                )
-                for number in range(12)
-            ]
-            await asyncio.gather(*turns)
-            reserved = [
-                event["home"]
-                for handle in made.gateways
-                for event in handle.events("reserved")
-            ]
+            await self._check_one_home(made)
+
+    async def test_a_dozen_gateways_agree_while_the_store_is_slow(self) -> None:
+        """While they start, all hear the home; later a few do, and it takes a while."""
+        async with world(gateways=1) as made:
+            made.store.faults.delay_s = 0.25
+            for _ in range(11):
+                made.start_gateway()
+            await made.until_ready()
+            await asyncio.sleep(HEARD_LATELY_S + 0.4)
+            await self._check_one_home(made)
+
+    async def _check_one_home(self, made: World) -> None:
+        turns = [
+            made.call(
+                "/walk/a",
+                via=number,
+                body=b"x",
+                program_id="p",
+                token_budget=5000,
+                token_usage="10,50",
+            )
+            for number in range(12)
+        ]
+        await asyncio.gather(*turns)
+        reserved = [
+            event["home"]
+            for handle in made.gateways
+            for event in handle.events("reserved")
+        ]
         self.assertEqual(12, len(reserved))
         self.assertEqual(1, len(set(reserved)), reserved)
 
