A new home goes on with a former one's cover while the program's part is silent

Cause: a gateway that restarted is the home of its programs again. Which gateway was it meanwhile stands in the program's row; while its part is silent the new home can't ask it, although it lives and its cover holds.

Change: after the silence the next homes in order are asked for the account, as in an outage of the whole store; then for the reserve. What is pulled is logged.

test_reserves: a new home with both parts silent; no turn before, granted within 0.5 s after, budget held.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -188,6 +188,12 @@
         fits = self.spent + self.turn_tokens <= self.limit
         return fits and self.covered + self.turn_tokens > self.limit
 
+    @property
+    def is_new(self) -> bool:
+        """Whether nothing was granted here, and no row or reserve speaks for it."""
+        is_free = self.reserve_is is Reserve.FREE
+        return is_free and not self.version and not self.unrecorded
+
     @property
     def unrecorded(self) -> int:
         """Tokens that were granted and that no row counts."""
--- a/src/carobspur/gateway/covers.py
+++ b/src/carobspur/gateway/covers.py
@@ -95,7 +95,7 @@
         if self._doubt().is_wait_in_vain:
             raise RowStoreAwayError("the store is away")
         covering = asyncio.create_task(self.cover(program, account, needed))
-        turning = asyncio.create_task(self._turn_to_reserve(program, account, tokens))
+        turning = asyncio.create_task(self._pass_silence(program, account, tokens))
         has_looked = False
         try:
             # A slow store still answers; whether it is away is known meanwhile.
@@ -120,16 +120,27 @@
             covering.cancel()
             turning.cancel()
 
-    async def _turn_to_reserve(
-        self, program: str, account: Account, tokens: int
-    ) -> bool:
-        """Take the reserve once the part with the account's row seems silent.
+    async def _pass_silence(self, program: str, account: Account, tokens: int) -> bool:
+        """Go on once the part with the account's row seems silent.
+
+        With the cover of a former home, which the row can't name now, or else under
+        the reserve.
 
         Returns:
-            Whether the turn may go on under it.
+            Whether the turn may be looked at again.
         """
         await asyncio.sleep(silence_s(self._doubt().usual_s))
-        if self._doubt().is_away or not account.reserve_holds(tokens):
+        if self._doubt().is_away:
+            return False
+        if account.is_new and await self._pull_account(program, account):
+            return True
+        return await self._turn_to_reserve(program, account, tokens)
+
+    async def _turn_to_reserve(
+        self, program: str, account: Account, tokens: int
+    ) -> bool:
+        """Take the reserve; return whether it lets the turn run."""
+        if not account.reserve_holds(tokens):
             return False
         try:
             await self.take_reserve(program, account)
@@ -180,12 +191,8 @@
         doubt = self._doubt()
         if not doubt.is_away or account.version or account.reserve_is is Reserve.OURS:
             return False
-        if not account.unrecorded:
-            moved = await self._pull(program)
-            if moved is not None:
-                fill_account(account, moved)
-                self._early.settle(account)
-                return True
+        if not account.unrecorded and await self._pull_account(program, account):
+            return True
         uncovered = int(account.budget * UNCOVERED_SHARE)
         if (
             not doubt.may_grant_uncovered
@@ -196,6 +203,18 @@
         self._log.note("account_uncovered", program=program, tokens=uncovered)
         return True
 
+    async def _pull_account(self, program: str, account: Account) -> bool:
+        """Go on with the account of a likely former home; return whether one had it."""
+        moved = await self._pull(program)
+        if moved is None:
+            return False
+        fill_account(account, moved)
+        self._early.settle(account)
+        self._log.note(
+            "account_pulled", program=program, covered=moved.covered, spent=moved.spent
+        )
+        return True
+
     async def cover(self, program: str, account: Account, tokens: int) -> None:
         """Write that so many tokens count as spent; adopts a row found instead."""
         try:
--- a/tests/test_reserves.py
+++ b/tests/test_reserves.py
@@ -47,6 +47,27 @@
 
         run_virtual(scenario)
 
+    def test_new_home_goes_on_with_what_the_former_one_covers(self) -> None:
+        """A gateway restarts and is the home again; the row can't say who was."""
+
+        async def scenario() -> None:
+            homes = Homes()
+            former, home = homes.start("a"), homes.start("b")
+            await homes.turn(former, budget=BUDGET)
+            covered = former._accounts["p"].covered
+            homes.store.silent_parts = {OWN_PART, RESERVE_PART}
+            granted, seconds = await taken_s(homes.turn(home))
+            self.assertGreaterEqual(covered, 2 * TOKENS)
+            self.assertTrue(granted)
+            self.assertLess(seconds, BEGINS_WITHIN_S)
+            homes.store.silent_parts = set()
+            for each in (home, former):
+                while await homes.turn(each):
+                    continue
+            self.assertLessEqual(homes.handed, BUDGET)
+
+        run_virtual(scenario)
+
     def test_program_whose_cover_is_used_up_goes_on(self) -> None:
         async def scenario() -> None:
             homes = Homes()
