The reserve of budgets is reverted; what was found beside it stays

Cause, from the logs of lost programs: budgets of 1,800 hold three turns, so a reserve buys one, and the chain of the next stands in a silent part; one program of six has both its parts silent.

Kept: covers.py, homes that are asked whether they live, accounts that are pulled from a former home while the part is silent (test_silent_parts: fails without it; 300 random histories with planned stops), the builders in tests/homes.py. test_spending, test_spending_client, BudgetsTest: 51 passed with these.

--- a/src/carobspur/gateway/account_rows.py
+++ b/src/carobspur/gateway/account_rows.py
@@ -16,10 +16,6 @@
 from .spending_records import SpendingRow
 
 TABLE = "spending"
-RESERVES_TABLE = "reserves"
-RESERVE_KEPT_S = 86_400.0
-"""Shortest time for which the row of a reserve stays: a program that goes on at another
-home must not find it free again."""
 COVER_TIMEOUT_S = 1.0
 """Longest wait for the store inside one reservation: a store slowed 91 times answers a
 write within 0.9 s."""
@@ -98,64 +94,28 @@
                 "accounts_not_flushed", accounts=len(batch), reason=error.message
             )
 
-    async def take_reserve(self, program: str, account: Account) -> int:
-        """Write that the reserve of a budget is this home's; returns the version.
-
-        Raises:
-            RowConflictError: It has been taken, perhaps by an earlier call of this.
-            RowStoreAwayError: No answer; it may have been taken.
-        """
-        key = _reserve_key(program)
-        kept_s = max(RESERVE_KEPT_S, account.kept_s)
-        row = self._row_of(account.reserve, self._home, kept_s)
-        write = RowWrite(key, msgspec.msgpack.encode(row))
-        return await self._store.write(
-            [write], expected={key: 0}, timeout_s=COVER_TIMEOUT_S
-        )
-
-    async def free_reserve(self, program: str, account: Account) -> None:
-        """Let others take a reserve that the account has returned."""
-        if await self._drop(_reserve_key(program), account.reserve_version):
-            account.free_reserve()
-
     async def drop(self, program: str, account: Account) -> None:
-        """Remove the rows of a program that is over."""
+        """Remove the row of a program that is over."""
         if not account.version:
             return
-        # Only the newest home can drop the program's row; a former one that wakes must
-        # not free the reserve of a program that goes on.
-        is_over = await self._drop(_key(program), account.version)
-        if is_over and account.reserve_version:
-            await self._drop(_reserve_key(program), account.reserve_version)
-
-    async def _drop(self, key: RowKey, version: int) -> bool:
-        """Remove a row; return whether that is known to be done."""
+        key = _key(program)
         try:
             await self._store.write(
                 [RowWrite(key, None)],
-                expected={key: version},
+                expected={key: account.version},
                 timeout_s=COVER_TIMEOUT_S,
             )
         except (RowConflictError, RowStoreAwayError) as error:
-            self._log.note("row_not_dropped", row=key.key, reason=error.message)
-            return False
-        return True
+            self._log.note("row_not_dropped", row=program, reason=error.message)
 
     def _write_of(
         self, program: str, account: Account, tokens: int, holder: str
     ) -> RowWrite:
-        row = self._row_of(tokens, holder, account.kept_s)
-        return RowWrite(_key(program), msgspec.msgpack.encode(row))
-
-    def _row_of(self, tokens: int, holder: str, kept_s: float) -> SpendingRow:
         self.serial += 1
-        return SpendingRow(tokens, holder, self.serial, time.time() + kept_s)
+        kept_until = time.time() + account.kept_s
+        row = SpendingRow(tokens, holder, self.serial, kept_until)
+        return RowWrite(_key(program), msgspec.msgpack.encode(row))
 
 
 def _key(program: str) -> RowKey:
     return RowKey(TABLE, part_of(program), program)
-
-
-def _reserve_key(program: str) -> RowKey:
-    # Nearly always another part than that of the program's own row.
-    return RowKey(RESERVES_TABLE, part_of(f"{program}/reserve"), program)
--- a/src/carobspur/gateway/covers.py
+++ b/src/carobspur/gateway/covers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from .account_rows import AccountRows
-from .accounts import UNCOVERED_SHARE, Account, GivenUp, Reserve
+from .accounts import UNCOVERED_SHARE, Account, GivenUp
 from .decisions import DecisionLog
 from .early_ends import EarlyEnds
 from .given_up import GivenUpAccounts
@@ -42,7 +42,7 @@
         early: Ends of turns that came before their accounts.
         given_up: Accounts that the home has given up.
         hand_over: Asks another gateway to give an account up.
-        pull: Asks likely former homes for an account while the store is away.
+        pull: Asks likely former homes for an account while the store does not answer.
         doubt: Returns what is known of the store.
         log: Decision log.
     """
@@ -95,13 +95,13 @@
         if self._doubt().is_wait_in_vain:
             raise RowStoreAwayError("the store is away")
         covering = asyncio.create_task(self.cover(program, account, needed))
-        turning = asyncio.create_task(self._pass_silence(program, account, tokens))
+        pulling = asyncio.create_task(self._pass_silence(program, account))
         has_looked = False
         try:
             # A slow store still answers; whether it is away is known meanwhile.
             while not covering.done():
-                await _first_of(covering, turning, timeout_s=LOOK_S)
-                if turning.done() and turning.result():
+                await _first_of(covering, pulling, timeout_s=LOOK_S)
+                if pulling.done() and pulling.result():
                     return
                 if covering.done():
                     break
@@ -118,70 +118,20 @@
                 raise
         finally:
             covering.cancel()
-            turning.cancel()
+            pulling.cancel()
 
-    async def _pass_silence(self, program: str, account: Account, tokens: int) -> bool:
-        """Go on once the part with the account's row seems silent.
+    async def _pass_silence(self, program: str, account: Account) -> bool:
+        """Go on with a former home's cover once the part with the row seems silent.
 
-        With the cover of a former home, which the row can't name now, or else under
-        the reserve.
+        The row would name that home; the likely ones are asked instead.
 
         Returns:
             Whether the turn may be looked at again.
         """
         await asyncio.sleep(silence_s(self._doubt().usual_s))
-        if self._doubt().is_away:
+        if self._doubt().is_away or not account.is_new:
             return False
-        if account.is_new and await self._pull_account(program, account):
-            return True
-        return await self._turn_to_reserve(program, account, tokens)
-
-    async def _turn_to_reserve(
-        self, program: str, account: Account, tokens: int
-    ) -> bool:
-        """Take the reserve; return whether it lets the turn run."""
-        if not account.reserve_holds(tokens):
-            return False
-        try:
-            await self.take_reserve(program, account)
-        except RowStoreAwayError as error:
-            self._log.note("reserve_not_taken", program=program, reason=error.message)
-            return False
-        return account.reserve_is is Reserve.OURS
-
-    async def take_reserve(self, program: str, account: Account) -> None:
-        """Ask the store for the reserve; what came of it stands in the account.
-
-        Raises:
-            RowStoreAwayError: It did not answer.
-        """
-        if self._doubt().is_wait_in_vain:
-            raise RowStoreAwayError("the store is away")
-        try:
-            version = await self._rows.take_reserve(program, account)
-        except RowConflictError as error:
-            self._find_reserve(account, error.rows)
-        else:
-            account.take_reserve(version)
-        self._log.note(
-            "reserve_asked_for",
-            program=program,
-            tokens=account.reserve,
-            outcome=account.reserve_is.value,
-            row_version=account.reserve_version,
-        )
-
-    def _find_reserve(self, account: Account, rows: list[Row]) -> None:
-        """Take note of whose a reserve is that was taken before."""
-        found = next((item for item in rows if item.value is not None), None)
-        if found is None:
-            raise RowStoreAwayError("the reserve's row was dropped meanwhile")
-        row = msgspec.msgpack.decode(found.value, type=SpendingRow)
-        if row.holder == self._name and row.serial > account.opened_serial:
-            # An earlier call of this account whose answer was lost.
-            account.take_reserve(found.version)
-        else:
-            account.lose_reserve(found.version)
+        return await self._pull_account(program, account)
 
     async def _go_on_without(self, program: str, account: Account, tokens: int) -> bool:
         """Let a program begin while the store is away, up to a small share.
@@ -189,9 +139,9 @@
         A former home may hold its account, so the likely ones are asked first.
         """
         doubt = self._doubt()
-        if not doubt.is_away or account.version or account.reserve_is is Reserve.OURS:
+        if not doubt.is_away or account.version:
             return False
-        if not account.unrecorded and await self._pull_account(program, account):
+        if account.is_new and await self._pull_account(program, account):
             return True
         uncovered = int(account.budget * UNCOVERED_SHARE)
         if (
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -10,13 +10,11 @@
 from .account_rows import AccountRows
 from .accounts import (
     DOUBT_SHARE,
-    RESERVE_SHARE,
     UNCOVERED_SHARE,
     Account,
     GivenUp,
     Granted,
     NeedsCover,
-    NeedsReserve,
     Spent,
 )
 from .covers import Covers, HandOver, Pull
@@ -145,8 +143,6 @@
                     )
                 case NeedsCover(tokens=needed):
                     await self._covers.extend(program, account, needed, tokens)
-                case NeedsReserve():
-                    await self._covers.take_reserve(program, account)
         raise RowStoreAwayError("the account changed hands again and again")
 
     def settle(self, program: str, turn: str, tokens: int) -> bool:
@@ -201,7 +197,7 @@
         """Go on with an account that its home has given up; false if one is open."""
         if moved.program in self._accounts:
             return False
-        account = self._new_account(moved.budget)
+        account = Account(moved.budget, opened_serial=self._rows.serial)
         account.used_at = asyncio.get_running_loop().time()
         fill_account(account, moved)
         self._early.settle(account)
@@ -231,7 +227,7 @@
     async def _move(self, program: str, move: Move) -> None:
         async with self._alone(program):
             account = self._accounts.pop(program, None)
-        if account is None or not account.used:
+        if account is None or not account.spent:
             return
         moved = moved_account(program, account)
         if await move(moved):
@@ -309,15 +305,11 @@
             if not is_current or not account.is_row_higher:
                 return
             tokens = account.resting_cover
-            returns_reserve = account.may_return_reserve
             before = account.covered, account.is_row_unsure
             # Nothing more is granted under a row that may be lower from now on.
             account.covered = min(account.covered, tokens)
             try:
                 await self._rows.cover(program, account, tokens)
-                if returns_reserve:
-                    account.return_reserve()
-                    await self._rows.free_reserve(program, account)
             except RowConflictError as error:
                 # Another home has it, or an earlier write was done after all.
                 await self._covers.adopt(program, account, error.rows)
@@ -341,20 +333,13 @@
                     await self._rows.drop(program, account)
             self._given_up.sweep(now)
 
-    def _new_account(self, budget: int) -> Account:
-        return Account(
-            budget,
-            reserve=int(budget * RESERVE_SHARE),
-            opened_serial=self._rows.serial,
-        )
-
     def _open(self, program: str, budget: int, tokens: int) -> Account:
         """Create an account; a row that exists is found when it is covered.
 
         Where homes may have died with uncovered grants, as much counts as spent; but
         not for a program too small to have been granted a turn that way.
         """
-        account = self._new_account(budget)
+        account = Account(budget, opened_serial=self._rows.serial)
         if self._doubt().may_be_lost and tokens <= int(budget * UNCOVERED_SHARE):
             account.base = int(budget * DOUBT_SHARE)
         self._accounts[program] = account
--- a/src/carobspur/gateway/spending_records.py
+++ b/src/carobspur/gateway/spending_records.py
@@ -8,7 +8,7 @@
 
 from ..errors import CarobspurError
 from ..verdict import NOT_RUN
-from .accounts import Account, Reserve
+from .accounts import Account
 
 
 class BudgetSpentError(CarobspurError):
@@ -20,7 +20,7 @@
 
 
 class SpendingRow(msgspec.Struct, frozen=True, array_like=True):
-    """Content of a program's row, and of the row that gives its reserve away.
+    """Content of a program's row.
 
     Attributes:
         tokens: Tokens that count as spent.
@@ -66,15 +66,12 @@
     Attributes:
         program: The program.
         budget: Tokens that all its turns may generate.
-        spent: Tokens spent or set aside, as the row counts them; below zero while a
-            reserve that moves along is not used up.
+        spent: Tokens spent or set aside.
         unrecorded: Those of them that no row counts.
         covered: Tokens that the row counts as spent.
         version: Version of the row; 0 without one.
         kept_s: How long after its last turn the program may return.
         open: Most tokens of each turn under way, all of them counted above.
-        reserve_version: Version of the row that gives the reserve to this account; 0
-            where it does not have it.
     """
 
     program: str
@@ -85,22 +82,19 @@
     version: int
     kept_s: float
     open: dict[str, int]
-    reserve_version: int = 0
 
 
 def moved_account(program: str, account: Account) -> MovedAccount:
     """Return an account as it is sent to another home."""
-    has_reserve = account.reserve_is is Reserve.OURS
     return MovedAccount(
         program,
         account.budget,
-        account.balance,
+        account.spent,
         account.unrecorded,
         account.covered,
         account.version,
         account.kept_s,
         dict(account.open),
-        account.reserve_version if has_reserve else 0,
     )
 
 
@@ -117,6 +111,3 @@
     account.covered = moved.covered
     account.version = moved.version
     account.kept_s = max(account.kept_s, moved.kept_s)
-    if moved.reserve_version:
-        account.reserve_is = Reserve.OURS
-        account.reserve_version = moved.reserve_version
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -13,7 +13,6 @@
 
 from ..background import background
 from ..errors import SettingsError
-from ..gateway.account_rows import RESERVES_TABLE
 from ..gateway.account_rows import TABLE as SPENDING_TABLE
 from ..gateway.accounts import GivenUp
 from ..gateway.broker import Broker
@@ -150,11 +149,7 @@
         }
         self._sweeper = RowSweeper(
             self._store,
-            {
-                TURNS_TABLE: turn_expiry,
-                SPENDING_TABLE: spending_expiry,
-                RESERVES_TABLE: spending_expiry,
-            },
+            {TURNS_TABLE: turn_expiry, SPENDING_TABLE: spending_expiry},
             log,
             gateways=lambda: 1 + len(self._membership.others()),
         )
