--- a/tests/homes.py
+++ b/tests/homes.py
@@ -44,7 +44,6 @@
         self.lose_answers = 0
         self.is_away_after_loss = False
         self.answer_s = 0.0
-        self.usual_s = 0.0
         self.silent_parts: set[str] = set()
         self.does_in_silence = False
 
@@ -112,7 +111,6 @@
                 self.may_be_lost,
                 self.may_grant_uncovered,
                 is_wait_in_vain=self.store.is_known_away,
-                usual_s=self.store.usual_s,
             ),
             log=DecisionLog(logging.getLogger("test")),
         )
--- a/tests/test_silent_parts.py
+++ b/tests/test_silent_parts.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Awaitable
 from unittest import TestCase
 
 from carobspur.gateway.partition import SHORTEST_SILENCE_S, part_of
@@ -22,7 +23,7 @@
 GOES_ON_WITHIN_S = SHORTEST_SILENCE_S + 0.15
 
 
-async def taken_s(turn: object) -> tuple[bool, float]:
+async def taken_s(turn: Awaitable[bool]) -> tuple[bool, float]:
     """Return whether a turn was granted, and after how many seconds."""
     loop = asyncio.get_running_loop()
     began = loop.time()
