Tests of two refinements of the wire that had none

A replica whose weights have another version refuses with 421: not run, another is asked. A version that changes inside a stream stands in the event and is passed on unchanged. Both hold without a change of the gateway; the stand-in can now do both.

--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -14,6 +14,11 @@
 """Pause between the bytes of a stalled stream: far below any limit on silence."""
 
 
+NEW_WEIGHTS_AT = 3
+"""Number of the event at which the weights change."""
+NEW_WEIGHTS_LINE = b"weight-versions: 8\n"
+
+
 class ReplicaFault(StrEnum):
     """What a replica does with one request instead of answering well."""
 
@@ -33,6 +38,10 @@
     """Sends a byte of a stream's first event now and then, and never ends it."""
     FULL = "full"
     """Refuses without running it."""
+    OTHER_WEIGHTS = "other_weights"
+    """Refuses without running it: its weights have another version."""
+    NEW_WEIGHTS = "new_weights"
+    """Changes its weights in the middle of a stream, which the event says."""
     UNSIGNED = "unsigned"
     """Answers without its proof of origin."""
     CLOSE = "close"
@@ -135,6 +144,9 @@
         if fault is ReplicaFault.FULL:
             writer.write(self._refusal("503 Service Unavailable\r\nNot-Executed: 1"))
             return True
+        if fault is ReplicaFault.OTHER_WEIGHTS:
+            writer.write(self._refusal("421 Misdirected Request"))
+            return True
         request.has_run = True
         self.running += 1
         watch = asyncio.ensure_future(reader.read(1))
@@ -223,6 +235,8 @@
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if fault is ReplicaFault.NEW_WEIGHTS and number == NEW_WEIGHTS_AT:
+                event = NEW_WEIGHTS_LINE + event
             if fault is ReplicaFault.CUT and number == self.events:
                 event = event[:7]
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,7 +11,7 @@
 from carobspur.gateway.turn_rows import CANDIDATES, turn_parts
 from carobspur.platform.gateway import LEAVE_NOTICE_S
 from carobspur.platform.registry import LAPSE_GRACE_S
-from carobspur_standins.platform_replica import ReplicaFault
+from carobspur_standins.platform_replica import NEW_WEIGHTS_LINE, ReplicaFault
 
 from .platform_world import ENGINES, TOOLS, World, call, configuration, route, world
 from .ports import HOST
@@ -175,6 +175,18 @@
         self.assertEqual(0, ran)
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
+    async def test_replica_with_other_weights_has_not_run_a_call(self) -> None:
+        async with world(tools=2) as made:
+            tools = [r for r in made.replicas.values() if r.service == TOOLS]
+            for tool in tools:
+                tool.faults.append(ReplicaFault.OTHER_WEIGHTS)
+            answers = [await made.call("/pay/a", body=b"x") for _ in range(2)]
+            ran = sum(len(tool.ran) for tool in tools)
+        served = sum(answer.status == 200 for answer in answers)
+        self.assertLessEqual({answer.status for answer in answers}, {200, 503})
+        self.assertEqual(served, ran)
+        self.assertGreater(served, 0)
+
     async def test_route_timeout_ends_a_call(self) -> None:
         async with world() as made:
             routes = [route("slow", "non_idempotent", TOOLS, timeoutMs=200)]
@@ -299,6 +311,15 @@
         self.assertEqual((200, True), (answer.status, answer.is_whole))
         self.assertEqual(STREAM, answer.body)
 
+    async def test_weights_that_change_in_a_stream_are_passed_on(self) -> None:
+        async with world() as made:
+            engine = next(r for r in made.replicas.values() if r.service == ENGINES)
+            engine.faults.append(ReplicaFault.NEW_WEIGHTS)
+            answer = await made.call("/walk/a", body=b"prompt")
+        third = STREAM.index(b"id: 3")
+        expected = STREAM[:third] + NEW_WEIGHTS_LINE + STREAM[third:]
+        self.assertEqual((expected, True), (answer.body, answer.is_whole))
+
     async def test_broken_stream_is_resumed_inside_its_answer(self) -> None:
         async with world() as made:
             engine = next(r for r in made.replicas.values() if r.service == ENGINES)
