--- a/tests/test_endless_endpoints.py
+++ b/tests/test_endless_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from unittest import IsolatedAsyncioTestCase
 
 from carobspur.endpoints import Endpoints, GenerateRequest, ToolOrder
@@ -18,6 +19,8 @@
 BODIES = (Flood.HEAD, Flood.VALUE, Flood.LENGTH, Flood.CHUNKS)
 STREAMS = (Flood.HEAD, Flood.VALUE, Flood.EVENT, Flood.EVENTS)
 
+Call = Callable[[Endpoints, str], Awaitable[object]]
+
 
 class EndlessEndpointsTest(IsolatedAsyncioTestCase):
     async def test_tool_call_ends(self) -> None:
@@ -39,7 +42,7 @@
                     endpoint,
                 )
 
-    async def _check_ends(self, call: object, endpoint: FloodingEndpoint) -> None:
+    async def _check_ends(self, call: Call, endpoint: FloodingEndpoint) -> None:
         loop = asyncio.get_running_loop()
         client = CurlClient(max_clients=10)
         started = loop.time()
