What counts as a failed request, and as what, is told in one place

Cause: program_losses repeated what failures says of a settled line: which status and event is a failure, and the cause without its details. Both now call failure_kind.

--- a/src/carobspur/gateway/failures.py
+++ b/src/carobspur/gateway/failures.py
@@ -68,26 +68,37 @@
             begun.setdefault(request, event)
             continue
         settled.add(request)
-        status = int(event.fields.get("status") or 0)
-        if event.event == "failed" or status >= FIRST_FAILURE_STATUS:
-            cause = str(event.fields.get("cause") or OWN_ANSWER)
-            _count(groups, status, cause, event)
+        kind = failure_kind(event)
+        if kind is not None:
+            _count(groups, kind, event)
     for request, event in begun.items():
         if request not in settled:
-            _count(groups, 0, UNSETTLED, event)
+            _count(groups, (0, UNSETTLED), event)
     return sorted(
         groups.values(), key=lambda group: (-group.requests, group.status, group.cause)
     )
 
 
+def failure_kind(event: LoggedEvent) -> tuple[int, str] | None:
+    """Return status and cause of a settled request that failed.
+
+    Returns:
+        ``None`` for one that did not. The status is 0 where there was no answer; the
+        cause is without what is told of the single case.
+    """
+    status = int(event.fields.get("status") or 0)
+    if event.event != "failed" and status < FIRST_FAILURE_STATUS:
+        return None
+    cause = str(event.fields.get("cause") or OWN_ANSWER)
+    return status, cause.partition(":")[0]
+
+
 def _count(
     groups: dict[tuple[int, str], FailureGroup],
-    status: int,
-    cause: str,
+    kind: tuple[int, str],
     event: LoggedEvent,
 ) -> None:
-    key = (status, cause.partition(":")[0])
-    if key not in groups:
+    if kind not in groups:
         request = str(event.fields["request"])
-        groups[key] = FailureGroup(*key, event.time, event.time, request)
-    groups[key].count(event)
+        groups[kind] = FailureGroup(*kind, event.time, event.time, request)
+    groups[kind].count(event)
--- a/src/carobspur/gateway/program_losses.py
+++ b/src/carobspur/gateway/program_losses.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from .explanation import SETTLING, LoggedEvent
-from .failures import FIRST_FAILURE_STATUS, OWN_ANSWER
+from .failures import failure_kind
 
 GROUP_S = 2.0
 """Programs that ended within so long of each other are told together."""
@@ -100,7 +100,7 @@
 def _note(programs: dict[str, _Program], name: str, event: LoggedEvent) -> None:
     """Take a settled request; lines of several gateways come in any order."""
     known = programs.setdefault(name, _Program(0, event))
-    has_failed = event.event == "failed" or _status(event) >= FIRST_FAILURE_STATUS
+    has_failed = failure_kind(event) is not None
     if event.time >= known.last.time:
         known.last = event
         known.failed = known.failed + 1 if has_failed else 0
@@ -114,8 +114,7 @@
     store: _StoreTimes,
 ) -> None:
     last = program.last
-    status = _status(last)
-    cause = str(last.fields.get("cause") or OWN_ANSWER).partition(":")[0]
+    status, cause = failure_kind(last)
     first = last.time // GROUP_S * GROUP_S
     example = str(last.fields.get("request") or "")
     group = groups.setdefault(
@@ -125,7 +124,3 @@
     group.requests += program.failed
     left_s = float(last.fields.get("left_ms") or 0) / 1000
     group.servable += store.returned_within(last.time, last.time + left_s)
-
-
-def _status(event: LoggedEvent) -> int:
-    return int(event.fields.get("status") or 0)
