--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -201,7 +201,10 @@
                 suspect.suspected_at = now
 
     def is_heard(self, name: str, within_s: float, now: float) -> bool:
-        """Return whether a member was heard lately; true where it is not watched."""
+        """Return whether a member was heard lately; true where it never was.
+
+        One that is not watched is heard while it is not ready, and then no more.
+        """
         if name == self._own.name:
             return True
         live = self._live.get(name)
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -8,12 +8,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from carobspur.gateway.answer_limits import AnswerLimits
+from carobspur.gateway.answer_limits import DEFAULT_LIMITS
 
 TRICKLE_S = 0.05
 """Pause between the bytes of a stalled stream: far below any limit on silence."""
-
-
 NEW_WEIGHTS_AT = 3
 """Number of the event at which the weights change."""
 NEW_WEIGHTS_LINE = b"weight-versions: 8\n"
@@ -214,7 +212,7 @@
                 kept = [line for line in lines if not line.startswith(b"Content-Len")]
                 writer.write(b"\r\n".join(kept) + body)
             case ReplicaFault.HUGE:
-                body = b"x" * (AnswerLimits().answer_bytes + 1)
+                body = b"x" * (DEFAULT_LIMITS.answer_bytes + 1)
                 writer.write(self._head(request.headers["request-id"], len(body)))
                 writer.write(body)
             case _:
--- a/tests/homes.py
+++ b/tests/homes.py
@@ -117,6 +117,11 @@
         self.homes[name] = home
         return home
 
+    def remove(self, home: SpendingHome) -> None:
+        """Let nobody reach a home any more; it may go on by itself."""
+        name = next(name for name, item in self.homes.items() if item is home)
+        del self.homes[name]
+
     async def turn(self, home: SpendingHome, *, budget: int = BUDGET) -> bool:
         """Run one turn that generates all it may; return whether it was granted."""
         turn = f"t{next(self.turns)}"
--- a/tests/test_silent_parts.py
+++ b/tests/test_silent_parts.py
@@ -72,8 +72,7 @@
         match rng.randrange(12):
             case 0:
                 victim = alive.pop(rng.randrange(len(alive)))
-                name = next(n for n, h in homes.homes.items() if h is victim)
-                del homes.homes[name]
+                homes.remove(victim)
                 asleep.append(victim)
                 alive.append(homes.start(next(names)))
             case 1 | 2:
@@ -110,5 +109,4 @@
         return taker is not None and taker.take_over(account)
 
     await leaver.move_all(move)
-    name = next(n for n, home in homes.homes.items() if home is leaver)
-    del homes.homes[name]
+    homes.remove(leaver)
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -396,8 +396,7 @@
                 match rng.randrange(12):
                     case 0:
                         victim = alive.pop(rng.randrange(len(alive)))
-                        name = next(n for n, h in homes.homes.items() if h is victim)
-                        del homes.homes[name]
+                        homes.remove(victim)
                         asleep.append(victim)
                         # Its uncovered grants are in doubt from now on.
                         homes.may_be_lost = True
