--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,15 +1,15 @@
-"""Long histories after a kill: is a turn found that was answered 55 s ago?"""
+"""A frozen account owner: how many tokens does a program get beyond its budget?"""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import signal
-import time
 from pathlib import Path
 
 from review.common import (
     ENGINES,
+    STRIDE,
     Answer,
     Deployment,
     Gateway,
@@ -20,63 +20,74 @@
     with_trouble,
 )
 
-RETENTION_S = 60
-INPUT_BYTES = 26_000
-"""Largest body of a turn in the small deployment."""
-PROGRAMS = 45
-SECOND_TURN_AT_S = 48.0
-KILL_AT_S = 100.0
-THIRD_TURN_AT_S = 102.0
-LIMIT_S = 118.0
+EVENTS = 17
+TURN_TOKENS = EVENTS * STRIDE
+"""Most tokens of one turn (289), and what each turn here generates."""
+BUDGET = 2312
+WIDTH = 5
+FREEZE_S = 4.0
+LIMIT_S = 100.0
 
 
 class Program:
-    """A program of three turns, on connections to one gateway while that runs.
+    """A program that loops: after its first turn it starts sub-agents until stopped.
 
     Args:
         world: The deployment.
-        number: Its number.
-        gateway: The gateway that it uses.
+        rng: Chooses the gateway of each attempt.
     """
 
-    def __init__(self, world: Deployment, number: int, gateway: Gateway) -> None:
+    def __init__(self, world: Deployment, rng: random.Random) -> None:
         self._world = world
-        self._name = f"p{number:04d}"
-        self.gateway = gateway
-        self.last = Answer("")
-        self.answered_at = 0.0
-        self.chain = b""
-
-    async def turn(self, number: int) -> Answer:
-        """Run the next turn, repeated twice if it fails."""
-        head = f"{self._name} turn {number};".encode()
-        text = head + b"x" * (INPUT_BYTES - len(head))
-        headers = {
-            "Program-Id": self._name,
-            "Session-Id": self._name,
-            "Program-Deadline-Ms": "120000",
-            "Token-Budget": "2312",
-            "Token-Usage": "1166,289",
-            "Model": "m",
-        }
-        if self.last.id:
-            headers["Previous-Turn"] = self.last.id
+        self._rng = rng
+        self.frozen: Gateway | None = None
+        self.tokens = 0
+        self.is_stopped = False
+
+    async def turn(self, previous: str, text: bytes) -> Answer:
+        """Run a turn, with the repeats that clients make."""
         answer = Answer("")
         for _ in range(3):
-            answer = await self._world.send(
-                self.gateway,
-                "/counter-quote/a",
-                text,
-                headers=headers,
-                note=f"of {self._name}",
-            )
-            if answer.is_success or answer.status in (402, 404):
+            deadline_ms = 3000
+            for _ in range(2):
+                answer = await self._attempt(previous, text, deadline_ms)
+                if answer.is_success or answer.status == 402:
+                    break
+                if answer.status not in (429, 503):
+                    break
+                wait_s = min(float(answer.headers.get("retry-after", 0)), 1.0)
+                await asyncio.sleep(wait_s)
+                deadline_ms = max(500, deadline_ms - int(1000 * wait_s) - 100)
+            if answer.is_success or answer.status == 402:
                 break
-            await asyncio.sleep(0.3)
-        if answer.is_success:
-            self.last = answer
-            self.answered_at = time.monotonic()
-            self.chain += text + answer.output
+            await asyncio.sleep(self._rng.uniform(0.1, 0.4))
+        if answer.status == 402:
+            self.is_stopped = True
+        return answer
+
+    async def _attempt(self, previous: str, text: bytes, deadline_ms: int) -> Answer:
+        world = self._world
+        gateway = self._rng.choice(
+            [item for item in world.gateways if item is not self.frozen]
+        )
+        headers = {
+            "Program-Id": "3fa81c",
+            "Session-Id": "77d20b",
+            "Program-Deadline-Ms": "60000",
+            "Token-Budget": str(BUDGET),
+            "Token-Usage": f"1166,{TURN_TOKENS}",
+            "Model": "m",
+        }
+        if previous:
+            headers["Previous-Turn"] = previous
+        answer = await world.send(
+            gateway,
+            "/counter-quote/a",
+            text,
+            deadline_ms=deadline_ms,
+            headers=headers,
+        )
+        self.tokens += answer.events * STRIDE
         return answer
 
 
@@ -88,65 +99,49 @@
             "streaming",
             ENGINES,
             keepsHistory=True,
-            retentionS=RETENTION_S,
+            retentionS=60,
             targetGapMs=150,
         )
     )
     for _ in range(5):
-        await world.add_replica(ENGINES, events=4, event_s=0.01, work_s=0.02)
-
-
-async def run_turns(programs: list[Program], number: int) -> list[Answer]:
-    """Run the same turn of all programs, a few at a time."""
-    answers = []
-    for start in range(0, len(programs), 9):
-        batch = programs[start : start + 9]
-        answers += await asyncio.gather(*(item.turn(number) for item in batch))
-    return answers
+        await world.add_replica(ENGINES, events=EVENTS, event_s=0.07, work_s=0.02)
 
 
 async def case(record: Record) -> str:
-    """Kill one gateway between the second and the third turns."""
-    async with deployment(record, gateways=3, prepare=prepare) as world:
-        start = time.monotonic()
-
-        async def until(moment_s: float) -> None:
-            await asyncio.sleep(start + moment_s - time.monotonic())
-
-        programs = [
-            Program(world, number, world.gateways[number % 3])
-            for number in range(PROGRAMS)
-        ]
-        first = await run_turns(programs, 1)
-        await until(SECOND_TURN_AT_S)
-        second = await run_turns(programs, 2)
-        if not all(item.is_success for item in first + second):
-            raise RuntimeError("a first or second turn failed")
-        await until(KILL_AT_S)
+    """Freeze the owner of the program's account after its first turn."""
+    rng = random.Random()
+    async with deployment(record, gateways=5, prepare=prepare) as world:
+        program = Program(world, rng)
+        first = await program.turn("", b"first input;")
+        if not first.is_success:
+            raise RuntimeError("the first turn failed")
+        await asyncio.sleep(0.15)
         if with_trouble():
-            victim = world.gateways[0]
-            victim.signal(signal.SIGKILL)
-            record.line(f"killed {victim.name}")
-            others = world.gateways[1:]
-            for program in programs:
-                if program.gateway is victim:
-                    program.gateway = random.choice(others)
-        await until(THIRD_TURN_AT_S)
-        lost = []
-        for program in programs:
-            age_s = time.monotonic() - program.answered_at
-            answer = await program.turn(3)
-            if answer.status in (404, 410) and age_s < RETENTION_S - 1:
-                lost.append(answer.id)
-                record.line(
-                    f"LOST: {answer.id} was answered {answer.status}; its previous "
-                    f"turn was answered whole {age_s:.1f} s before"
+            program.frozen = world.writer()
+            program.frozen.signal(signal.SIGSTOP)
+            record.line(f"froze {program.frozen.name}")
+            asyncio.get_running_loop().call_later(
+                FREEZE_S, program.frozen.signal, signal.SIGCONT
+            )
+        for number in range(8):
+            if program.is_stopped:
+                break
+            answers = await asyncio.gather(
+                *(
+                    program.turn(first.id, b"input %d of %d;" % (number, item))
+                    for item in range(WIDTH)
                 )
-        if lost:
+            )
+            record.line(
+                f"round {number}: statuses {[item.status for item in answers]}, "
+                f"{program.tokens} tokens so far"
+            )
+            await asyncio.sleep(0.15)
+        record.line(f"{program.tokens} tokens of {BUDGET} + {TURN_TOKENS}")
+        if program.tokens > BUDGET + TURN_TOKENS:
             return (
-                f"LOST: {len(lost)} of {PROGRAMS} third turns were answered 404, "
-                f"though their previous turns were answered less than {RETENTION_S} s "
-                "before"
+                f"BUDGET: {program.tokens} tokens were handed out, allowed are "
+                f"{BUDGET} + {TURN_TOKENS}"
             )
     return ""
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,15 +1,18 @@
-"""A stream breaks off on a resumable route with history: are runs joined?"""
+"""An account owner dies in an outage of the store: are its grants remembered?"""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import signal
 from pathlib import Path
 
 from review.common import (
     ENGINES,
+    STRIDE,
     Answer,
     Deployment,
+    Gateway,
     Record,
     deployment,
     route,
@@ -17,127 +20,144 @@
     with_trouble,
 )
 
-from carobspur_standins.platform_replica import (
-    ReplicaFault,
-    ReplicaStandin,
-    SeenRequest,
-)
-
-EVENTS = 4
-BREAK_SHARE = 0.03
-"""Largest share of answers that break off in the site's list of disruptions."""
-BREAK_S = 5.0
-"""Longest time of this disruption there."""
-BREAKING_ENGINES = 3
-"""Of five: the largest share of replicas there is 0.6."""
-PROGRAMS = 12
-TURNS = 60
+EVENTS = 17
+TURN_TOKENS = EVENTS * STRIDE
+"""Most tokens of one turn (289), and what each turn here generates."""
+BUDGET = 22 * TURN_TOKENS
+PROGRAMS = 40
+OUTAGE_S = 4.5
+"""Longest outage of the store in the site's list of disruptions."""
+FIRST_PROGRAM_AT_S = 0.6
+PROGRAM_SPREAD_S = 0.6
+KILL_AT_S = 1.4
+DOWN_S = 3.5
 LIMIT_S = 110.0
 
 
-class SamplingEngine(ReplicaStandin):
-    """An engine that samples: each run from the start gives other words.
+class Program:
+    """A program that runs one turn after the other until its budget is spent.
 
-    A run that goes on after ``Last-Event-Id`` continues the words that were sent
-    before, which the sender of the request knows to be those of the same request.
+    Args:
+        world: The deployment.
+        number: Its number.
+        rng: Chooses the gateway of each attempt.
     """
 
-    rng = random.Random()
-    breaks = False
-    words: dict[str, str] = {}
-
-    async def _stream(
-        self,
-        request: SeenRequest,
-        writer: asyncio.StreamWriter,
-        fault: ReplicaFault | None,
-    ) -> None:
-        request_id = request.headers["request-id"]
-        last = int(request.headers.get("last-event-id") or 0)
-        if not last or request_id not in self.words:
-            self.words[request_id] = f"{self.rng.randrange(16**6):06x}"
-        word = self.words[request_id]
-        is_broken = self.breaks and self.rng.random() < BREAK_SHARE
-        writer.write(self._head(request_id, None))
-        for number in range(last + 1, EVENTS + 1):
-            await asyncio.sleep(self.event_s)
-            if is_broken and number == EVENTS - 1:
-                writer.transport.abort()
+    def __init__(self, world: Deployment, number: int, rng: random.Random) -> None:
+        self._world = world
+        self._rng = rng
+        self.name = f"p{number:04d}"
+        self.dead: set[str] = set()
+        self.tokens = 0
+
+    async def run(self) -> None:
+        """Run turns until the program is told that its budget is spent."""
+        for number in range(2 * BUDGET // TURN_TOKENS):
+            text = f"{self.name} prompt {number};".encode()
+            for _ in range(12):
+                answer = await self._turn(text)
+                if answer.is_success or answer.status == 402:
+                    break
+                await asyncio.sleep(self._rng.uniform(0.1, 0.4))
+            if answer.status == 402:
                 return
-            event = b"id: %d\ndata: %s %d\n\n" % (number, word.encode(), number)
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
+            await asyncio.sleep(self._rng.uniform(0.02, 0.1))
+
+    async def _turn(self, text: bytes) -> Answer:
+        """Send a turn; a client that was refused comes back once."""
+        answer = await self._attempt(text, 3000)
+        if answer.status in (429, 503):
+            wait_s = min(float(answer.headers.get("retry-after", 0)), 1.0)
+            await asyncio.sleep(wait_s)
+            answer = await self._attempt(text, max(500, 2900 - int(1000 * wait_s)))
+        return answer
+
+    async def _attempt(self, text: bytes, deadline_ms: int) -> Answer:
+        gateway = self._choose()
+        headers = {
+            "Program-Id": self.name,
+            "Session-Id": self.name,
+            "Program-Deadline-Ms": "60000",
+            "Token-Budget": str(BUDGET),
+            "Token-Usage": f"839,{TURN_TOKENS}",
+            "Model": "m",
+        }
+        answer = await self._world.send(
+            gateway, "/lot-assay/a", text, deadline_ms=deadline_ms, headers=headers
+        )
+        if not answer.status:
+            # Clients leave out addresses that have failed them.
+            self.dead.add(gateway.name)
+        self.tokens += answer.events * STRIDE
+        return answer
+
+    def _choose(self) -> Gateway:
+        gateways = self._world.gateways
+        return self._rng.choice(
+            [item for item in gateways if item.name not in self.dead] or gateways
+        )
 
 
 async def prepare(world: Deployment) -> None:
     """Write the configuration and start the engines."""
     world.configure(
         route(
-            "counter-quote",
+            "lot-assay",
             "streaming",
             ENGINES,
-            keepsHistory=True,
             resumable=True,
             retentionS=60,
             targetGapMs=150,
+            priority=0,
         )
     )
-    for number in range(5):
-        engine = await world.add_replica(
-            ENGINES, kind=SamplingEngine, events=EVENTS, event_s=0.01, work_s=0.02
-        )
-        engine.breaks = with_trouble() and number < BREAKING_ENGINES
-
-
-async def run_program(world: Deployment, name: str, joined: list[str]) -> None:
-    """Run turns, each after the one before, and check where their events come from."""
-    previous = ""
-    for number in range(TURNS):
-        headers = {
-            "Program-Id": name,
-            "Session-Id": name,
-            "Program-Deadline-Ms": "60000",
-            "Token-Budget": "100000",
-            "Token-Usage": "1166,289",
-            "Model": "m",
-        }
-        if previous:
-            headers["Previous-Turn"] = previous
-        answer = Answer("")
-        for _ in range(3):
-            answer = await world.send(
-                random.choice(world.gateways),
-                "/counter-quote/a",
-                f"{name} turn {number};".encode(),
-                headers=headers,
-            )
-            if answer.is_success:
-                break
-            await asyncio.sleep(0.2)
-        words = {line.split()[0] for line in answer.output.splitlines()}
-        if len(words) > 1:
-            joined.append(answer.id)
-            world.record.line(f"ORDER: {answer.id} joins two runs: {answer.output!r}")
-        previous = answer.id if answer.is_success else ""
+    for _ in range(5):
+        await world.add_replica(ENGINES, events=EVENTS, event_s=0.004, work_s=0.02)
 
 
 async def case(record: Record) -> str:
-    """Let some engines break off some of their streams."""
-    async with deployment(record, gateways=3, prepare=prepare) as world:
-        joined: list[str] = []
-
-        def stop_breaking() -> None:
-            for engine in world.replicas.values():
-                engine.breaks = False
-            record.line("engines break off no more streams")
-
-        asyncio.get_running_loop().call_later(BREAK_S, stop_breaking)
-        await asyncio.gather(
-            *(run_program(world, f"p{item:04d}", joined) for item in range(PROGRAMS))
-        )
-        if joined:
-            return f"ORDER: {len(joined)} streams join the pieces of two runs"
+    """Kill one gateway while the store refuses all calls."""
+    rng = random.Random()
+    async with deployment(record, gateways=5, prepare=prepare) as world:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        programs = [Program(world, number, rng) for number in range(PROGRAMS)]
+        if with_trouble():
+            world.store.faults.status = 503
+            record.line("the store is down")
+
+            def kill() -> None:
+                world.gateways[0].signal(signal.SIGKILL)
+                record.line(f"killed {world.gateways[0].name}")
+
+            def heal() -> None:
+                world.store.faults.status = 0
+                record.line("the store is back")
+
+            def restart() -> None:
+                world.gateways[0].process.wait()
+                world.gateways[0].start()
+                record.line(f"started {world.gateways[0].name} again")
+
+            loop.call_at(start + KILL_AT_S, kill)
+            loop.call_at(start + OUTAGE_S, heal)
+            loop.call_at(start + KILL_AT_S + DOWN_S, restart)
+
+        async def run_later(program: Program) -> None:
+            await asyncio.sleep(FIRST_PROGRAM_AT_S + rng.uniform(0, PROGRAM_SPREAD_S))
+            await program.run()
+
+        await asyncio.gather(*map(run_later, programs))
+        over = []
+        for program in programs:
+            record.line(f"{program.name}: {program.tokens} tokens of {BUDGET}")
+            if program.tokens > BUDGET + TURN_TOKENS:
+                over.append(f"{program.name} {program.tokens}")
+        if over:
+            return (
+                f"BUDGET: {', '.join(over)} tokens were handed out, allowed are "
+                f"{BUDGET} + {TURN_TOKENS}"
+            )
     return ""
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,15 +1,15 @@
-"""A gateway wakes from a freeze: does it still use a replica that has gone?"""
+"""A stream breaks off on a resumable route with history: are runs joined?"""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import random
 from pathlib import Path
 
 from review.common import (
-    TOOLS,
+    ENGINES,
+    Answer,
     Deployment,
-    Gateway,
     Record,
     deployment,
     route,
@@ -17,110 +17,127 @@
     with_trouble,
 )
 
-from carobspur_standins.platform_replica import ReplicaStandin, SeenRequest
-
-FREEZE_S = 4.0
-ROUNDS = 8
-LEAVE_AFTER_S = 1.3
-"""Time from the wake-up to the removal of the replica's entry."""
-STABLE_S = 3.0
-"""``stableWindowMs``: from then on the machine is in touch again."""
-DRAIN_S = 2.0
-"""``drainMs``."""
-SERVES_ON_S = 2.5
-"""Time for which a replica still serves that has removed its entry."""
-CALLERS = 6
-LIMIT_S = 110.0
+from carobspur_standins.platform_replica import (
+    ReplicaFault,
+    ReplicaStandin,
+    SeenRequest,
+)
 
+EVENTS = 4
+BREAK_SHARE = 0.03
+"""Largest share of answers that break off in the site's list of disruptions."""
+BREAK_S = 5.0
+"""Longest time of this disruption there."""
+BREAKING_ENGINES = 3
+"""Of five: the largest share of replicas there is 0.6."""
+PROGRAMS = 12
+TURNS = 60
+LIMIT_S = 110.0
 
-class TimedReplica(ReplicaStandin):
-    """A replica that notes when requests reach it."""
 
-    async def _answer(self, request: SeenRequest, *more: object) -> bool:
-        now = asyncio.get_running_loop().time()
-        self.arrivals.append((now, request.headers.get("request-id", "-")))
-        return await super()._answer(request, *more)
+class SamplingEngine(ReplicaStandin):
+    """An engine that samples: each run from the start gives other words.
+
+    A run that goes on after ``Last-Event-Id`` continues the words that were sent
+    before, which the sender of the request knows to be those of the same request.
+    """
+
+    rng = random.Random()
+    breaks = False
+    words: dict[str, str] = {}
+
+    async def _stream(
+        self,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+        fault: ReplicaFault | None,
+    ) -> None:
+        request_id = request.headers["request-id"]
+        last = int(request.headers.get("last-event-id") or 0)
+        if not last or request_id not in self.words:
+            self.words[request_id] = f"{self.rng.randrange(16**6):06x}"
+        word = self.words[request_id]
+        is_broken = self.breaks and self.rng.random() < BREAK_SHARE
+        writer.write(self._head(request_id, None))
+        for number in range(last + 1, EVENTS + 1):
+            await asyncio.sleep(self.event_s)
+            if is_broken and number == EVENTS - 1:
+                writer.transport.abort()
+                return
+            event = b"id: %d\ndata: %s %d\n\n" % (number, word.encode(), number)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
 
 
 async def prepare(world: Deployment) -> None:
-    """Write the configuration and start the replicas."""
-    world.configure(route("price-lookup", "idempotent", TOOLS, timeoutMs=1200))
-    for _ in range(5):
-        await add_replica(world)
-
-
-async def add_replica(world: Deployment) -> TimedReplica:
-    """Start one more replica."""
-    replica = await world.add_replica(TOOLS, kind=TimedReplica, work_s=0.026, slots=6)
-    replica.arrivals = []
-    return replica
-
-
-async def call_repeatedly(
-    world: Deployment, gateway: Gateway, sent_at: dict[str, float], end: asyncio.Event
-) -> None:
-    """Send one call after the other through a gateway."""
-    loop = asyncio.get_running_loop()
-    while not end.is_set():
-        at = loop.time()
-        answer = await world.send(
-            gateway, "/price-lookup/a", method="GET", deadline_ms=1200
+    """Write the configuration and start the engines."""
+    world.configure(
+        route(
+            "counter-quote",
+            "streaming",
+            ENGINES,
+            keepsHistory=True,
+            resumable=True,
+            retentionS=60,
+            targetGapMs=150,
         )
-        sent_at[answer.id] = at
-        await asyncio.sleep(0.01)
-
-
-async def run_round(world: Deployment, gateway: Gateway) -> list[str]:
-    """Freeze a gateway, remove a replica; return the requests that came too late."""
-    loop = asyncio.get_running_loop()
-    record = world.record
-    leaving = next(iter(world.replicas.values()))
-    sent_at: dict[str, float] = {}
-    end = asyncio.Event()
-    callers = [
-        asyncio.ensure_future(call_repeatedly(world, gateway, sent_at, end))
-        for _ in range(CALLERS)
-    ]
-    if with_trouble():
-        record.line(f"froze {gateway.name}")
-        gateway.signal(signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_S)
-        gateway.signal(signal.SIGCONT)
-        record.line(f"{gateway.name} goes on")
-    woken_at = loop.time()
-    await asyncio.sleep(LEAVE_AFTER_S)
-    del world.replicas[leaving.id]
-    world.store.put("servers", leaving.id, None)
-    removed_at = loop.time()
-    record.line(f"the store acknowledges the removal of {leaving.id}")
-    await add_replica(world)
-    await asyncio.sleep(SERVES_ON_S)
-    end.set()
-    await asyncio.gather(*callers)
-    leaving.close()
-    late = []
-    for at, request in leaving.arrivals:
-        is_in_touch = sent_at.get(request, 0.0) > woken_at + STABLE_S
-        if at > removed_at + DRAIN_S and is_in_touch:
-            late.append(request)
-            record.line(
-                f"DRAIN: {request} reached {leaving.id} {at - removed_at:.3f} s after "
-                f"the removal, {at - woken_at:.3f} s after the end of the freeze"
+    )
+    for number in range(5):
+        engine = await world.add_replica(
+            ENGINES, kind=SamplingEngine, events=EVENTS, event_s=0.01, work_s=0.02
+        )
+        engine.breaks = with_trouble() and number < BREAKING_ENGINES
+
+
+async def run_program(world: Deployment, name: str, joined: list[str]) -> None:
+    """Run turns, each after the one before, and check where their events come from."""
+    previous = ""
+    for number in range(TURNS):
+        headers = {
+            "Program-Id": name,
+            "Session-Id": name,
+            "Program-Deadline-Ms": "60000",
+            "Token-Budget": "100000",
+            "Token-Usage": "1166,289",
+            "Model": "m",
+        }
+        if previous:
+            headers["Previous-Turn"] = previous
+        answer = Answer("")
+        for _ in range(3):
+            answer = await world.send(
+                random.choice(world.gateways),
+                "/counter-quote/a",
+                f"{name} turn {number};".encode(),
+                headers=headers,
             )
-    return late
+            if answer.is_success:
+                break
+            await asyncio.sleep(0.2)
+        words = {line.split()[0] for line in answer.output.splitlines()}
+        if len(words) > 1:
+            joined.append(answer.id)
+            world.record.line(f"ORDER: {answer.id} joins two runs: {answer.output!r}")
+        previous = answer.id if answer.is_success else ""
 
 
 async def case(record: Record) -> str:
-    """Run a few rounds, each with another gateway."""
-    async with deployment(record, gateways=4, prepare=prepare) as world:
-        late = []
-        for number in range(ROUNDS):
-            late += await run_round(world, world.gateways[number % len(world.gateways)])
-        if late:
-            return (
-                f"DRAIN: {len(late)} requests reached a replica over {DRAIN_S} s after "
-                "its entry had been removed"
-            )
+    """Let some engines break off some of their streams."""
+    async with deployment(record, gateways=3, prepare=prepare) as world:
+        joined: list[str] = []
+
+        def stop_breaking() -> None:
+            for engine in world.replicas.values():
+                engine.breaks = False
+            record.line("engines break off no more streams")
+
+        asyncio.get_running_loop().call_later(BREAK_S, stop_breaking)
+        await asyncio.gather(
+            *(run_program(world, f"p{item:04d}", joined) for item in range(PROGRAMS))
+        )
+        if joined:
+            return f"ORDER: {len(joined)} streams join the pieces of two runs"
     return ""
 
 
