A turn's history remains as long as the turn itself

Cause: a history above 45,875 bytes is not written whole; the row of a turn refers to the row of the turn before. Each row expired one retention after it was written, so a row was removed while later rows still referred to it. Evidence: the missing row is that of the first turn, which its writer had swept; gateways with the history in their cache answered.

--- a/src/carobspur/gateway/_futures.py
+++ b/src/carobspur/gateway/_futures.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 
 def consume_error(future: asyncio.Future) -> None:
@@ -13,3 +15,15 @@
     """
     if not future.cancelled():
         future.exception()
+
+
+@contextmanager
+def cancelled_at_exit() -> Iterator[set[asyncio.Task]]:
+    """Yield a set; tasks that the block adds to it are cancelled when it ends."""
+    tasks: set[asyncio.Task] = set()
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.add_done_callback(consume_error)
+            task.cancel()
--- a/src/carobspur/gateway/turn_lifecycle.py
+++ b/src/carobspur/gateway/turn_lifecycle.py
@@ -20,7 +20,7 @@
 from .rows import RowKey, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
-from .turn_store import TurnStore
+from .turn_store import TurnStore, row_lifetime_s
 from .turn_times import TurnTimes
 
 STATE_TIMEOUT_S = 1.1
@@ -54,7 +54,7 @@
         wait_reachable: Waits until a gateway reaches the store again, at most for the
             given number of seconds; may return early.
         on_committed: Called with the key of each row that may have been written, and
-            with the seconds for which the row must be kept.
+            with the seconds for which the row must remain.
     """
 
     __slots__ = (
@@ -89,7 +89,7 @@
 
     @property
     def max_turn_bytes(self) -> int:
-        """Largest size in bytes of a turn's output that can be stored."""
+        """Largest size in bytes of a turn's output."""
         return self._turn_store.max_turn_bytes
 
     async def prepare(self, turn: TurnState) -> None:
@@ -273,7 +273,7 @@
             )
             raise EndpointFailedError("the turn could not be stored") from error
         for key in keys:
-            self._on_committed(key, retention_s)
+            self._on_committed(key, row_lifetime_s(retention_s))
         taken_s = asyncio.get_running_loop().time() - turn.prepared_at
         self._times.record_duration(turn.route.name, taken_s)
 
--- a/src/carobspur/gateway/turn_rows.py
+++ b/src/carobspur/gateway/turn_rows.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 
-from ._futures import consume_error
+from ._futures import cancelled_at_exit
 from .decisions import DecisionLog
 from .partition import partition_of, partition_timeout_s
 from .rows import RowKey, RowStore, RowStoreError, RowWrite
@@ -78,7 +77,7 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout_s
         keys: list[RowKey] = []
-        with _cancelled_at_exit() as writing:
+        with cancelled_at_exit() as writing:
             for partition in turn_partitions(turn):
                 key = RowKey(TABLE, partition, turn)
                 keys.append(key)
@@ -111,7 +110,7 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout_s
         first, *spare = turn_partitions(turn)
-        with _cancelled_at_exit() as reading:
+        with cancelled_at_exit() as reading:
             reading.add(asyncio.ensure_future(self._read(first, turn, deadline)))
             if found := await self._first_success_in_time(reading):
                 return found
@@ -185,15 +184,3 @@
 def _remaining_s(deadline: float) -> float:
     """Return the seconds until a deadline in loop time; 0 if it has passed."""
     return max(0.0, deadline - asyncio.get_running_loop().time())
-
-
-@contextmanager
-def _cancelled_at_exit() -> Iterator[set[asyncio.Task]]:
-    """Yield a set; tasks that the block adds to it are cancelled when it ends."""
-    tasks: set[asyncio.Task] = set()
-    try:
-        yield tasks
-    finally:
-        for task in tasks:
-            task.add_done_callback(consume_error)
-            task.cancel()
