A resumed stream with history goes on with the run that the caller has

Cause: on such routes a broken stream was sent again without Last-Event-Id, because the whole output has to be stored, and as many events of the new run were skipped as the caller had. An engine that samples generates other words in a new run. Ruled out: resuming as such; on routes without history the engine gets Last-Event-Id and no stream was mixed.

A broken stream is now resumed after the caller's last event on every resumable route. The gateway forwarded the earlier events itself, so it still stores the whole turn, and what it stores is what the caller received.

Related: a caller that resumes such a turn with a request of its own was given a new run without its first events, and that was stored.

Before, with the tests on the old code: both tests of test_stream_resume fail, the first with "1 != 2: [run1 1, run1 2, run1 3, run3 4]". The engine stand-in can sample.

--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -46,6 +46,14 @@
     default_verdict = NOT_RUN
 
 
+class TurnNotResumableError(CarobspurError):
+    """The caller resumes a turn on a route that keeps history; nothing was sent."""
+
+    cause = "turn_not_resumable"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class EndpointFailedError(CarobspurError):
     """An endpoint may have run the request, but there is no complete answer."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -1,8 +1,8 @@
 """Handles calls on streaming routes: event streams of model engines.
 
 On resumable routes a stream that breaks off is resumed at the same or another engine,
-within the answer that the caller already receives. Turns of agent programs may also
-have a token budget and a history.
+after the last event that the caller has, within the answer that it already receives.
+Turns of agent programs may also have a token budget and a history.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from .context import GatewayContext
 from .endpoint_client import Exchange
 from .endpoints import Endpoint
-from .events import EventSplitter, StreamEvent, event_number
+from .events import EventSplitter, StreamEvent
 from .health import MeasuredTurn
 from .objectives import Served
 from .outcomes import MAX_SENDS
@@ -24,6 +24,7 @@
     DeadlineExceededUnsentError,
     EndpointFailedError,
     NoEndpointError,
+    TurnNotResumableError,
 )
 from .routes import Route
 from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
@@ -68,6 +69,12 @@
             CarobspurError: The stream could not be completed. The verdict of the error
                 says whether an engine may have run the call.
         """
+        if call.last_event_id and route.keeps_history and call.program is not None:
+            # The events before it are those of another request, so the output of this
+            # turn could not be stored whole.
+            raise TurnNotResumableError(
+                "a turn that is stored can only be run from its start"
+            )
         turn = TurnState(call, route, deadline, last_event_id=call.last_event_id)
         try:
             await self._turn_lifecycle.prepare(turn)
@@ -157,7 +164,6 @@
             the request.
         """
         loop = asyncio.get_running_loop()
-        last_event_id = "" if turn.replays_from_start else turn.last_event_id
         turn.may_be_running = True
         running = self._context.health.running(engine.key, loop.time())
         async with self._context.endpoint_client.exchange(
@@ -165,7 +171,7 @@
             turn.call,
             turn.body,
             deadline=turn.deadline,
-            last_event_id=last_event_id,
+            last_event_id=turn.last_event_id,
         ) as exchange:
             head = exchange.head
             if head.has_not_run:
@@ -206,12 +212,6 @@
         splitter = EventSplitter(max_bytes=limits.event_bytes)
         first_at = last_at = 0.0
         count = 0
-        # An engine that generates the stream from its start also sends events that
-        # the caller has received already.
-        skip_until = (
-            event_number(turn.last_event_id) if turn.replays_from_start else None
-        )
-        turn.reset_output()
         async for piece in exchange.pieces():
             for event in splitter.feed(piece):
                 count += 1
@@ -224,8 +224,6 @@
                 if count == 1:
                     first_at = last_at
                     self._observe_first_event(turn)
-                if skip_until is not None and (event.number or 0) <= skip_until:
-                    continue
                 await self._write_event(turn, event, exchange, responder)
         if splitter.rest.strip():
             raise LostAnswerError("the stream ended inside an event")
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -21,9 +21,7 @@
         deadline: Loop time after which an answer is of no use.
         history: Inputs and outputs of the program's earlier turns.
         reservation: Reserved tokens; ``None`` for programs without a budget.
-        output_events: Complete events of the turn's output, if the turn is stored.
-            They include events that the caller already has, if an engine generates
-            the stream from its start again.
+        output_events: Events that the caller has received, if the turn is stored.
         output_bytes: Size of ``output_events``.
         events: Number of events that were received.
         last_event_id: Id of the newest event that the caller has.
@@ -69,14 +67,6 @@
             return self.call.id
         return f"{self.call.id}/{self.prepare_attempts}"
 
-    @property
-    def replays_from_start(self) -> bool:
-        """Whether an engine that resumes the stream must generate all events again.
-
-        The whole output is needed if the turn is stored.
-        """
-        return self.route.keeps_history
-
     @property
     def body(self) -> bytes:
         """Body of the request to the engine: the history and the new input."""
@@ -90,13 +80,6 @@
             and self.widest_gap_s <= self.route.max_gap_s
         )
 
-    def reset_output(self) -> None:
-        """Discard the output of a lost stream if the next engine generates it again."""
-        if self.replays_from_start:
-            self.output_events.clear()
-            self.output_bytes = 0
-            self.events = 0
-
     def record_event(self, event: StreamEvent, now: float) -> None:
         """Add an event that was received at loop time ``now``."""
         self.events += 1
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -90,6 +90,8 @@
         event_s: Seconds between events.
         work_s: Seconds before an answer begins.
         slots: Capacity that it reports, as a number of concurrent requests.
+        samples: Whether each run from the start of a stream generates other words. A
+            run that is resumed continues the words of its request.
         is_leaving: Whether every answer says that the replica is draining.
         faults: Faults of the next requests, first one first; ``None`` for a correct
             answer.
@@ -104,6 +106,7 @@
     event_s: float = 0.005
     work_s: float = 0.002
     slots: int = 8
+    samples: bool = False
     is_leaving: bool = False
     faults: deque[ReplicaFault | None] = field(default_factory=deque)
     seen: list[SeenRequest] = field(default_factory=list)
@@ -112,6 +115,7 @@
     _server: asyncio.Server | None = None
     _numbers: itertools.count = field(default_factory=itertools.count)
     _last_answer: bytes = b""
+    _words: dict[str, str] = field(default_factory=dict)
 
     async def listen(self, host: str, port: int = 0) -> int:
         """Start to serve; port 0 picks a free one. Returns the port."""
@@ -240,12 +244,13 @@
     ) -> None:
         first = int(request.headers.get("last-event-id") or 0) + 1
         head = self._head(request.headers.get("request-id", ""), None)
+        word = self._word(request, is_new_run=first == 1)
         writer.write(head)
         if fault is ReplicaFault.TRICKLE:
             await self._trickle(writer)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            event = b"id: %d\ndata: %s %d\n\n" % (number, word, number)
             if fault is ReplicaFault.NEW_WEIGHTS and number == NEW_WEIGHTS_EVENT:
                 event = NEW_WEIGHTS_LINE + event
             if fault is ReplicaFault.CUT and number == self.events:
@@ -257,6 +262,15 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
+    def _word(self, request: SeenRequest, *, is_new_run: bool) -> bytes:
+        """Return the word that a run repeats."""
+        if not self.samples:
+            return b"token"
+        request_id = request.headers.get("request-id", "")
+        if is_new_run or request_id not in self._words:
+            self._words[request_id] = f"run{next(self._numbers)}"
+        return self._words[request_id].encode()
+
     async def _trickle(self, writer: asyncio.StreamWriter) -> None:
         while True:
             writer.write(b"1\r\n:\r\n")
--- /dev/null
+++ b/tests/test_stream_resume.py
@@ -0,0 +1,77 @@
+"""Streams that break off and are resumed: callers receive one run of an engine."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from carobspur_standins.platform_replica import ReplicaFault, ReplicaStandin
+
+from .platform_world import ENGINES, CallerAnswer, World, configuration, route, world
+
+
+async def _add_route_with_history(deployment: World) -> None:
+    """Configure ``/both/``, which keeps history and may be resumed."""
+    both = route(
+        "both",
+        "streaming",
+        ENGINES,
+        keepsHistory=True,
+        resumable=True,
+        retentionS=60,
+    )
+    routes = [*configuration()["routes"], both]
+    deployment.configure(configuration(2, routes=routes))
+    await asyncio.sleep(0.1)
+
+
+def _engine(deployment: World) -> ReplicaStandin:
+    return next(r for r in deployment.replicas.values() if r.service == ENGINES)
+
+
+def _output(answer: CallerAnswer) -> list[bytes]:
+    """Return the data of each event of a stream."""
+    lines = answer.body.split(b"\n")
+    return [line.removeprefix(b"data: ") for line in lines if line.startswith(b"data")]
+
+
+class HistoryTest(IsolatedAsyncioTestCase):
+    async def test_resumed_turn_is_one_run_and_stored_as_the_caller_received_it(
+        self,
+    ) -> None:
+        """Guards against events of two runs in one stream."""
+        async with world() as deployment:
+            await _add_route_with_history(deployment)
+            engine = _engine(deployment)
+            engine.samples = True
+            engine.faults.append(ReplicaFault.CUT)
+            answer = await deployment.call(
+                "/both/a", body=b"first;", program_id="p", request_id="t1"
+            )
+            await deployment.call(
+                "/both/a", body=b"second;", program_id="p", previous_turn="t1"
+            )
+            bodies = [request.body for request in engine.ran]
+            resumed_after = engine.ran[1].headers.get("last-event-id")
+        output = _output(answer)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual([b"1", b"2", b"3", b"4"], [item.split()[1] for item in output])
+        self.assertEqual(1, len({item.split()[0] for item in output}), output)
+        self.assertEqual("3", resumed_after)
+        stored = b"first;" + b"".join(item + b"\n" for item in output)
+        self.assertEqual([b"first;", b"first;", stored + b"second;"], bodies)
+
+    async def test_caller_that_resumes_a_stored_turn_is_refused_and_served_anew(
+        self,
+    ) -> None:
+        """Guards against a turn whose events belong to two requests."""
+        async with world() as deployment:
+            await _add_route_with_history(deployment)
+            engine = _engine(deployment)
+            refused = await deployment.call(
+                "/both/a", body=b"first;", program_id="p", last_event_id=2
+            )
+            sent = len(engine.seen)
+            served = await deployment.call("/both/a", body=b"first;", program_id="p")
+        self.assertEqual((503, 0), (refused.status, sent))
+        self.assertEqual((200, True), (served.status, served.is_whole))
