A second run of an engine is not forwarded behind the first

Callers would get events twice, from two runs, in one stream that ends as complete: if an engine ignores Last-Event-Id and starts again, or if events bear no ids, so that the request was resumed without one.

Cause: the gateway took any answer to a resumed request for the rest of the stream. It now checks the numbers of the events against the one it resumed after, and does not resume a stream whose newest event has no id. Both streams end as broken off, which is true.

Before: both tests of test_stream_resume.WithoutHistoryTest fail with "True is not false" (answer.is_whole).

--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -14,7 +14,7 @@
 from .context import GatewayContext
 from .endpoint_client import Exchange
 from .endpoints import Endpoint
-from .events import EventSplitter, StreamEvent
+from .events import EventSplitter, StreamEvent, event_number
 from .health import MeasuredTurn
 from .objectives import Served
 from .outcomes import MAX_SENDS
@@ -120,7 +120,7 @@
                 reason = error.message
                 self._record_failure(turn, engine, "lost", reason)
                 resumes += 1
-                if not turn.route.is_resumable or resumes > MAX_RESUMES:
+                if not turn.is_resumable or resumes > MAX_RESUMES:
                     break
                 # Resuming at the same engine does not count against the route's limit.
                 resume_at = engine
@@ -164,6 +164,7 @@
             the request.
         """
         loop = asyncio.get_running_loop()
+        resumed_after = event_number(turn.last_event_id)
         turn.may_be_running = True
         running = self._context.health.running(engine.key, loop.time())
         async with self._context.endpoint_client.exchange(
@@ -196,7 +197,13 @@
                     "the answer lacks the engine's signature or is content-encoded"
                 )
             self._log_sent(turn, engine, "streaming", "")
-            await self._forward(turn, exchange, responder, running=running)
+            await self._forward(
+                turn,
+                exchange,
+                responder,
+                running=running,
+                resumed_after=resumed_after,
+            )
             return head.status
 
     async def _forward(
@@ -206,7 +213,22 @@
         responder: Responder,
         *,
         running: int,
+        resumed_after: int | None,
     ) -> None:
+        """Forward the events of one answer.
+
+        Args:
+            turn: The request.
+            exchange: The answer.
+            responder: Sends the events to the caller.
+            running: Requests that the engine was processing when this one was sent.
+            resumed_after: Number of the event after which the engine was asked to go
+                on; ``None`` for a run from the start.
+
+        Raises:
+            LostAnswerError: The stream broke off, or began again at an event that the
+                caller has.
+        """
         loop = asyncio.get_running_loop()
         limits = self._context.answer_limits
         splitter = EventSplitter(max_bytes=limits.event_bytes)
@@ -217,6 +239,12 @@
                 count += 1
                 if count % EVENTS_PER_YIELD == 0:
                     await asyncio.sleep(0)
+                if (
+                    resumed_after is not None
+                    and event.number is not None
+                    and event.number <= resumed_after
+                ):
+                    raise LostAnswerError("the engine did not resume the stream")
                 last_at = loop.time()
                 turn.record_event(event, last_at)
                 if turn.output_bytes > self._turn_lifecycle.max_turn_bytes:
@@ -250,8 +278,7 @@
     ) -> None:
         if not responder.has_started:
             responder.start(exchange.head.status, exchange.head.headers)
-        if event.id:
-            turn.last_event_id = event.id
+        turn.record_forwarded(event)
         await responder.write(event.raw)
 
     def _record_failure(
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -25,6 +25,8 @@
         output_bytes: Size of ``output_events``.
         events: Number of events that were received.
         last_event_id: Id of the newest event that the caller has.
+        has_unnumbered_event: Whether the newest event that the caller has bears no id,
+            so that no engine can go on after it.
         prepare_attempts: How often the history and the reservation were requested.
         prepared_at: Loop time at which both were available; 0 before then.
         runs: Number of engines that may have run the request.
@@ -46,6 +48,7 @@
     output_bytes: int = 0
     events: int = 0
     last_event_id: str = ""
+    has_unnumbered_event: bool = False
     prepare_attempts: int = 0
     prepared_at: float = 0.0
     runs: int = 0
@@ -67,6 +70,11 @@
             return self.call.id
         return f"{self.call.id}/{self.prepare_attempts}"
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another run may go on where a lost stream has ended."""
+        return self.route.is_resumable and not self.has_unnumbered_event
+
     @property
     def body(self) -> bytes:
         """Body of the request to the engine: the history and the new input."""
@@ -80,6 +88,12 @@
             and self.widest_gap_s <= self.route.max_gap_s
         )
 
+    def record_forwarded(self, event: StreamEvent) -> None:
+        """Record that the caller has been sent an event."""
+        self.has_unnumbered_event = not event.id
+        if event.id:
+            self.last_event_id = event.id
+
     def record_event(self, event: StreamEvent, now: float) -> None:
         """Add an event that was received at loop time ``now``."""
         self.events += 1
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -92,6 +92,8 @@
         slots: Capacity that it reports, as a number of concurrent requests.
         samples: Whether each run from the start of a stream generates other words. A
             run that is resumed continues the words of its request.
+        restarts: Whether a request to resume a stream is run from the start.
+        numbers_events: Whether events have ids.
         is_leaving: Whether every answer says that the replica is draining.
         faults: Faults of the next requests, first one first; ``None`` for a correct
             answer.
@@ -107,6 +109,8 @@
     work_s: float = 0.002
     slots: int = 8
     samples: bool = False
+    restarts: bool = False
+    numbers_events: bool = True
     is_leaving: bool = False
     faults: deque[ReplicaFault | None] = field(default_factory=deque)
     seen: list[SeenRequest] = field(default_factory=list)
@@ -242,7 +246,8 @@
         writer: asyncio.StreamWriter,
         fault: ReplicaFault | None,
     ) -> None:
-        first = int(request.headers.get("last-event-id") or 0) + 1
+        last_event_id = "" if self.restarts else request.headers.get("last-event-id")
+        first = int(last_event_id or 0) + 1
         head = self._head(request.headers.get("request-id", ""), None)
         word = self._word(request, is_new_run=first == 1)
         writer.write(head)
@@ -250,7 +255,9 @@
             await self._trickle(writer)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_s)
-            event = b"id: %d\ndata: %s %d\n\n" % (number, word, number)
+            event = b"data: %s %d\n\n" % (word, number)
+            if self.numbers_events:
+                event = b"id: %d\n" % number + event
             if fault is ReplicaFault.NEW_WEIGHTS and number == NEW_WEIGHTS_EVENT:
                 event = NEW_WEIGHTS_LINE + event
             if fault is ReplicaFault.CUT and number == self.events:
--- a/tests/test_stream_resume.py
+++ b/tests/test_stream_resume.py
@@ -75,3 +75,29 @@
             served = await deployment.call("/both/a", body=b"first;", program_id="p")
         self.assertEqual((503, 0), (refused.status, sent))
         self.assertEqual((200, True), (served.status, served.is_whole))
+
+
+class WithoutHistoryTest(IsolatedAsyncioTestCase):
+    async def test_engine_that_starts_again_is_not_forwarded(self) -> None:
+        """Guards against events that come twice, from two runs."""
+        async with world() as deployment:
+            engine = _engine(deployment)
+            engine.restarts = True
+            engine.faults.append(ReplicaFault.CUT)
+            answer = await deployment.call("/walk/a", body=b"prompt")
+            log = deployment.gateways[0].events("sent")
+        self.assertFalse(answer.is_whole)
+        self.assertEqual([b"token 1", b"token 2", b"token 3"], _output(answer))
+        self.assertIn("the engine did not resume the stream", log[-1]["reason"])
+
+    async def test_stream_without_event_ids_is_not_resumed(self) -> None:
+        """Guards against a second run from the start behind events of the first."""
+        async with world() as deployment:
+            engine = _engine(deployment)
+            engine.numbers_events = False
+            engine.faults.append(ReplicaFault.CUT)
+            answer = await deployment.call("/walk/a", body=b"prompt")
+            runs = len(engine.ran)
+        self.assertFalse(answer.is_whole)
+        self.assertEqual([b"token 1", b"token 2", b"token 3"], _output(answer))
+        self.assertEqual(1, runs)
