The cancellation of a reservation ends no other one

Cause: a gateway that gives a silent owner up cancels its reservation there and asks the next candidate, under the same name. What the silent owner does not settle is passed on to the other candidates, because the account may have moved; so 0.5 s later the cancellation reached the next owner and ended the reservation of the turn that was running. Ruled out: grants of the frozen owner after its wake (within what the row counts as spent), and lost settlements (they leave the whole reservation spent).

Each owner is now asked under another name, so a cancellation ends only its own reservation wherever the account is by then. The request names the reservations that it replaces, which are cancelled first; otherwise an account that moves with the unused one would refuse programs near the end of their budgets.

Before, with the tests on the old code: both new tests of test_spending_client fail ("289 != 0", "{'t': 289} != {}").

--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -114,27 +114,42 @@
     ) -> Reservation:
         """Reserve a turn's tokens; see :meth:`AccountOwner.reserve`.
 
+        Each owner is asked for a reservation of another name, because the cancellation
+        of one that was not answered follows the account to its next owner.
+
+        Args:
+            program: The program.
+            turn: Name of the first reservation that is requested.
+            tokens: The most that the turn may generate.
+            budget: Tokens that all turns of the program may generate.
+            retention_s: How long after its last turn the program may return.
+
         Raises:
             BudgetSpentError: The turn does not fit into the budget.
             RowStoreAwayError: No owner answered, or the owner got no answer from the
                 store.
         """
-        request = ReserveRequest(program, turn, tokens, budget, retention_s)
         reason = "no owner answered"
+        replaced: list[str] = []
         for owner in self._candidate_owners(program):
+            name = f"{turn}@{len(replaced)}" if replaced else turn
+            request = ReserveRequest(
+                program, name, tokens, budget, retention_s, list(replaced)
+            )
             try:
                 answer = await self._send_while_alive(owner, request)
             except SendError as error:
                 reason = f"owner {owner}: {error.message}"
                 self._avoid(owner, reason)
-                self._cancel_reservation(owner, program, turn)
+                self._cancel_reservation(owner, program, name)
+                replaced.append(name)
                 continue
             except asyncio.CancelledError:
-                self._cancel_reservation(owner, program, turn)
+                self._cancel_reservation(owner, program, name)
                 raise
             match answer.outcome:
                 case "granted":
-                    return Reservation(owner, program, turn, tokens, answer.tokens)
+                    return Reservation(owner, program, name, tokens, answer.tokens)
                 case "spent":
                     raise BudgetSpentError(answer.reason)
                 case _:
--- a/src/carobspur/gateway/spending_protocol.py
+++ b/src/carobspur/gateway/spending_protocol.py
@@ -13,13 +13,24 @@
 
 
 class ReserveRequest(msgspec.Struct, frozen=True, tag="reserve"):
-    """Request to reserve tokens for a turn."""
+    """Request to reserve tokens for a turn.
+
+    Attributes:
+        program: The program.
+        turn: Name of the reservation.
+        tokens: The most that the turn may generate.
+        budget: Tokens that all turns of the program may generate.
+        retention_s: How long after its last turn the program may return.
+        replaced: Reservations of the same turn that were requested from owners that
+            did not answer. They are cancelled first.
+    """
 
     program: str
     turn: str
     tokens: int
     budget: int
     retention_s: float = msgspec.field(name="kept_s")
+    replaced: list[str] = []
 
 
 class SettleRequest(msgspec.Struct, frozen=True, tag="settle"):
@@ -89,7 +100,9 @@
 ) -> SpendingAnswer:
     """Return an owner's answer to a request of a gateway."""
     match request:
-        case ReserveRequest(program, turn, tokens, budget, retention_s):
+        case ReserveRequest(program, turn, tokens, budget, retention_s, replaced):
+            for former in replaced:
+                owner.settle(program, former, 0)
             try:
                 other_tokens = await owner.reserve(
                     program, turn, tokens, budget, retention_s=retention_s
--- a/tests/test_spending_client.py
+++ b/tests/test_spending_client.py
@@ -43,6 +43,7 @@
         self.membership = Membership(_member("own"))
         self.tasks: set[asyncio.Task] = set()
         self.silent: set[str] = set()
+        self.executes_while_silent = False
         self.client = SpendingClient(
             self.membership,
             self.owners.start("own"),
@@ -67,10 +68,12 @@
         owner = self.owners.by_name.get(name)
         if owner is None:
             raise NotSentError("refused")
+        request = msgspec.msgpack.decode(body, type=SpendingRequest)
         if name in self.silent:
+            if self.executes_while_silent:
+                await answer_spending(owner, request)
             await asyncio.sleep(timeout_s)
             raise LostAnswerError("no answer")
-        request = msgspec.msgpack.decode(body, type=SpendingRequest)
         answer = await answer_spending(owner, request)
         return SimpleNamespace(status=200, body=msgspec.msgpack.encode(answer))
 
@@ -125,6 +128,37 @@
         self.assertEqual(second, reservation.owner)
         self.assertLess(taken_s, 2 * PROBE_AFTER_S + 0.1)
 
+    async def reserve_past_a_silent_owner(self):
+        """Reserve while the first owner is silent, until it has been cancelled."""
+        self.peers.record_heartbeats()
+        await asyncio.sleep(RECENT_HEARTBEAT_S + 0.1)
+        first = self.peers.client._candidate_owners("p")[0]
+        self.peers.silent = {first}
+        reservation = await self.peers.client.reserve(
+            "p", "t", TOKENS, BUDGET, retention_s=60
+        )
+        # The cancellation finds the other owners alive when the silent one times out.
+        self.peers.record_heartbeats()
+        await self.peers.finish()
+        return reservation
+
+    async def test_cancellation_at_a_silent_owner_leaves_the_next_reservation(
+        self,
+    ) -> None:
+        """Guards against turns whose tokens count for nothing after a freeze."""
+        reservation = await self.reserve_past_a_silent_owner()
+        owner = self.peers.owners.by_name[reservation.owner]
+        self.assertEqual(TOKENS, sum((await owner.move_out("p")).open.values()))
+
+    async def test_cancellation_follows_the_account_of_a_silent_owner(self) -> None:
+        """Guards against tokens that stay reserved after their owner was frozen."""
+        self.peers.executes_while_silent = True
+        reservation = await self.reserve_past_a_silent_owner()
+        owner = self.peers.owners.by_name[reservation.owner]
+        moved = await owner.move_out("p")
+        self.assertEqual({reservation.turn: TOKENS}, moved.open)
+        self.assertEqual(TOKENS, moved.spent)
+
     async def test_settlement_reaches_the_owner_that_took_the_account_over(
         self,
     ) -> None:
