Lapsed endpoints are out of use before their replicas may end

Cause: a gateway that wakes from a freeze takes the store for unreachable. For 2.2 s from then on it took removed entries for lapsed, and kept each for another 2.2 s, counted from the removal instead of from the store's return. Ruled out: a late feed (the removal was applied at once, as lapsed) and requests held across the freeze (they do not count).

The grace now ends 2.2 s after the store's return, and at most 1.8 s after the endpoint was found missing; the return is the moment of the first answer. Gateways that were cut off and the ends of real outages take the same path. Related: one timer removed all lapsed endpoints when the first one's time was over, also while the store was away again.

--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -55,8 +55,8 @@
 )
 from .headers import PlatformWire
 from .ingress import Ingress
-from .registry import LAPSE_GRACE_S, Registry
 from .registry import TABLE as REGISTRY_TABLE
+from .registry import Registry
 from .store import PlatformRowStore
 
 BACKLOG_CONNECTIONS = 512
@@ -140,7 +140,7 @@
             endpoints,
             log,
             on_removed=self._drop_endpoint,
-            store_was_unreachable=lambda: self._store.was_unreachable(LAPSE_GRACE_S),
+            unreachable_until=lambda: self._store.unreachable_until,
         )
         self._member_rows = MemberRows(
             self._membership, self._store, log, loss_window_s=self._loss_window_s
--- a/src/carobspur/platform/registry.py
+++ b/src/carobspur/platform/registry.py
@@ -15,10 +15,18 @@
 
 TABLE = "servers"
 LAPSE_GRACE_S = 2.2
-"""Time for which endpoints stay in use whose entries lapsed during a store outage.
+"""Time after the store's return for which endpoints stay in use whose entries lapsed.
 
 Their replicas write the entries again within about 2 s.
 """
+MAX_LAPSED_USE_S = 1.8
+"""Longest use of an endpoint after its entry was found missing.
+
+The entry may have been removed on purpose, and its replica then serves for ``drainMs``,
+which is 2 s or more.
+"""
+LAPSE_POLL_S = 0.1
+"""Interval at which lapsed endpoints are checked."""
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -86,16 +94,18 @@
         log: Decision log.
         on_removed: Called with the key of an endpoint that was removed, or whose
             replica was restarted.
-        store_was_unreachable: Returns whether the store is or recently was unreachable.
+        unreachable_until: Returns the loop time until which the store was unreachable
+            as far as this gateway knows; the present while it still is.
     """
 
     __slots__ = (
         "_endpoints",
+        "_lapse_deadlines",
         "_lapse_timer",
         "_log",
         "_on_removed",
         "_sequences",
-        "_store_was_unreachable",
+        "_unreachable_until",
     )
 
     def __init__(
@@ -104,13 +114,15 @@
         log: DecisionLog,
         *,
         on_removed: Callable[[str], None],
-        store_was_unreachable: Callable[[], bool],
+        unreachable_until: Callable[[], float],
     ) -> None:
         self._endpoints = endpoints
         self._log = log
         self._on_removed = on_removed
-        self._store_was_unreachable = store_was_unreachable
+        self._unreachable_until = unreachable_until
         self._sequences: dict[str, int] = {}
+        # Loop time until which each lapsed endpoint stays in use.
+        self._lapse_deadlines: dict[str, float] = {}
         self._lapse_timer: asyncio.TimerHandle | None = None
 
     def apply(self, rows: list[Row], is_full_table: bool) -> None:
@@ -161,23 +173,47 @@
         current = self._endpoints.get(endpoint_id)
         if current is None:
             return
-        if self._store_was_unreachable() and not current.is_draining:
-            self._log.record("endpoint_lapsed", endpoint=endpoint_id)
-            self._endpoints.mark_lapsed(endpoint_id)
-            if self._lapse_timer is None:
-                loop = asyncio.get_running_loop()
-                self._lapse_timer = loop.call_later(LAPSE_GRACE_S, self._remove_lapsed)
+        now = asyncio.get_running_loop().time()
+        deadline = min(
+            self._unreachable_until() + LAPSE_GRACE_S, now + MAX_LAPSED_USE_S
+        )
+        if deadline <= now or current.is_draining:
+            self._remove(endpoint_id)
             return
-        self._remove(endpoint_id)
-
-    def _remove_lapsed(self) -> None:
+        self._log.record(
+            "endpoint_lapsed", endpoint=endpoint_id, kept_s=round(deadline - now, 2)
+        )
+        self._endpoints.mark_lapsed(endpoint_id)
+        self._lapse_deadlines[endpoint_id] = deadline
+        if self._lapse_timer is None:
+            self._schedule_lapse_check()
+
+    def _schedule_lapse_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._lapse_timer = loop.call_later(LAPSE_POLL_S, self._check_lapsed)
+
+    def _check_lapsed(self) -> None:
+        """Remove lapsed endpoints whose time is over, unless the store is away again.
+
+        While it is away, their replicas cannot write their entries.
+        """
         self._lapse_timer = None
-        for endpoint_id in self._endpoints.lapsed_ids():
-            self._remove(endpoint_id)
+        now = asyncio.get_running_loop().time()
+        lapsed = self._endpoints.lapsed_ids()
+        self._lapse_deadlines = {
+            endpoint_id: self._lapse_deadlines[endpoint_id] for endpoint_id in lapsed
+        }
+        if self._unreachable_until() < now:
+            for endpoint_id in lapsed:
+                if self._lapse_deadlines[endpoint_id] <= now:
+                    self._remove(endpoint_id)
+        if self._lapse_deadlines:
+            self._schedule_lapse_check()
 
     def _remove(self, endpoint_id: str) -> None:
         current = self._endpoints.get(endpoint_id)
         self._sequences.pop(endpoint_id, None)
+        self._lapse_deadlines.pop(endpoint_id, None)
         if current is not None:
             self._endpoints.remove(endpoint_id)
             self._on_removed(current.key)
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -227,14 +227,16 @@
         """Loop time of the direct connection's loss; ``None`` while it works."""
         return self._direct_lost_at
 
-    def was_unreachable(self, within_s: float) -> bool:
-        """Return whether the store is unreachable, or was in the last ``within_s``.
+    @property
+    def unreachable_until(self) -> float:
+        """Loop time until which the store was unreachable; now if it still is.
 
         A gateway that is the only one cut off still receives changes through its peers,
         so the store does not count as unreachable for it.
         """
-        now = asyncio.get_running_loop().time()
-        return self.is_unreachable or now - self._last_unreachable_at < within_s
+        if self.is_unreachable:
+            return asyncio.get_running_loop().time()
+        return self._last_unreachable_at
 
     async def write(
         self,
@@ -561,6 +563,7 @@
         if self._direct_lost_at is None:
             return
         now = asyncio.get_running_loop().time()
+        self._last_unreachable_at = self.unreachable_until
         self._log.record("store_regained", after_s=round(now - self._direct_lost_at, 2))
         self._direct_lost_at = None
         self._regained.set()
