Odd registry entries name no endpoint and stop no feed

An entry of another writer, nested 1,000 levels deep in a field we do not know, ended the registry's feed with RecursionError. The feed was restarted every 0.5 s, read the same entry and ended again: replicas that left stayed in use and new ones were never found.

Cause: the decoder bounds the depth with an exception other than its own, and the values of an entry were checked for their types only. Port 0, host names (whose look-up would block the process), hosts with a NUL, slots and times of any size, and ids that no header can carry made endpoints on which requests failed. Ports above 65,535 were refused before.

Such an entry is now logged as damaged and the others hold. Configurations and the rows of gateways nested as deep are refused in the same way.

--- a/src/carobspur/gateway/host_port.py
+++ b/src/carobspur/gateway/host_port.py
@@ -12,7 +12,9 @@
         ValueError: The text has no host or no port from 0 to 65535.
     """
     host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise ValueError(address)
     number = int(port)
-    if not host or not 0 <= number <= MAX_PORT:
+    if number > MAX_PORT:
         raise ValueError(address)
     return host, number
--- a/src/carobspur/gateway/member_rows.py
+++ b/src/carobspur/gateway/member_rows.py
@@ -95,7 +95,7 @@
                 continue
             try:
                 member = msgspec.json.decode(row.value, type=Member)
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 self._log.record("member_damaged", row=row.key.key, reason=str(error))
                 continue
             if member.name == self._membership.own.name:
--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -90,7 +90,7 @@
     try:
         wire = _decoder.decode(value)
         routes = tuple(_route(item) for item in wire.routes)
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (msgspec.MsgspecError, KeyError, RecursionError) as error:
         raise ConfigurationError(f"damaged configuration: {error}") from error
     return Configuration(
         version=wire.version,
--- a/src/carobspur/platform/registry.py
+++ b/src/carobspur/platform/registry.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 
@@ -29,18 +31,25 @@
 """Interval at which lapsed endpoints are checked."""
 
 
+MAX_SLOTS = 1_000_000
+"""Most slots of a replica; an entry with more is not one of a replica."""
+MAX_INT64 = 2**63 - 1
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
+
+
 class _Entry(msgspec.Struct, rename="camel"):
     service: str
-    # HOST:PORT of the replica.
+    # IP:PORT of the replica.
     address: str
     zone: str
     # Requests that the replica processes at the same time.
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: str
     # Number of this entry among those that the replica has written since its start.
-    sequence: int = 0
+    sequence: _Count = 0
     # Start of the replica in Unix milliseconds; distinguishes two starts with one id.
-    born: int = 0
+    born: _Count = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -63,13 +72,16 @@
     """Decode a registry entry.
 
     Returns:
-        ``None`` if the entry is damaged, has no service, or has a state other than
-        ``ready`` and ``draining``.
+        ``None`` if the entry is damaged or out of range, has no service, has a state
+        other than ``ready`` and ``draining``, or has an id that no header can carry.
     """
     try:
         wire = _decoder.decode(value)
         host, port = split_address(wire.address)
-    except (msgspec.MsgspecError, ValueError, UnicodeDecodeError):
+        IPv4Address(host)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+    if not port or not _is_header_value(endpoint_id):
         return None
     if wire.state not in ("ready", "draining") or not wire.service:
         return None
@@ -86,6 +98,11 @@
     return DecodedEntry(endpoint, wire.sequence)
 
 
+def _is_header_value(text: str) -> bool:
+    """Return whether a text can be sent as the value of a header field."""
+    return text.isascii() and text.isprintable() and text == text.strip() != ""
+
+
 class Registry:
     """Applies registry entries to the endpoints that may be used.
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -181,7 +181,11 @@
 
     def register(self, replica: ReplicaStandin, **more: object) -> None:
         """Write a replica's registry entry, with some fields replaced or added."""
-        entry = {
+        self.store.put("servers", replica.id, _encode(self.entry(replica) | more))
+
+    def entry(self, replica: ReplicaStandin) -> dict:
+        """Return the content of a replica's registry entry."""
+        return {
             "service": replica.service,
             "address": f"{HOST}:{self.replica_ports[replica.id]}",
             "zone": "east",
@@ -191,9 +195,7 @@
             "coldRemainingMs": 0,
             "sequence": 1,
             "born": 1,
-            **more,
         }
-        self.store.put("servers", replica.id, _encode(entry))
 
     def unregister(self, replica: ReplicaStandin) -> None:
         """Remove a replica's registry entry."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -11,6 +11,7 @@
 from carobspur.platform.headers import PlatformWire, decode_call
 from carobspur.platform.registry import decode_entry
 
+from .odd_entries import odd_entries
 from .platform_world import configuration, route
 
 ENTRY = {
@@ -28,6 +29,9 @@
     return json.dumps({**ENTRY, **more}).encode()
 
 
+ODD_ENTRIES = odd_entries(ENTRY)
+
+
 class EntryTest(unittest.TestCase):
     def test_valid_entry_with_unknown_field_is_decoded(self) -> None:
         found = decode_entry("i", entry(unknown=1))
@@ -47,10 +51,16 @@
             entry(service=None),
             entry(service=""),
             json.dumps({"service": "s"}).encode(),
+            *ODD_ENTRIES,
         ):
-            with self.subTest(value):
+            with self.subTest(value[:80]):
                 self.assertIsNone(decode_entry("i", value))
 
+    def test_entry_whose_id_no_header_can_carry_gives_none(self) -> None:
+        for endpoint_id in ("", "i\r\nHold: x", "i\u20ac", " i", "\x7f"):
+            with self.subTest(endpoint_id):
+                self.assertIsNone(decode_entry(endpoint_id, entry()))
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_decodes_routes_limits_and_engines(self) -> None:
@@ -74,8 +84,10 @@
         self.assertAlmostEqual(900, chosen.count("a"), delta=50)
 
     def test_damaged_content_is_refused(self) -> None:
-        for value in (b"", b"{}", json.dumps(configuration(version="x")).encode()):
-            with self.subTest(value), self.assertRaises(ConfigurationError):
+        nested = b'{"extra":' + b"[" * 5000 + b"]" * 5000 + b"}"
+        wrong_type = json.dumps(configuration(version="x")).encode()
+        for value in (b"", b"{}", wrong_type, nested):
+            with self.subTest(value[:80]), self.assertRaises(ConfigurationError):
                 decode_configuration(value)
         unknown_kind = configuration()
         unknown_kind["routes"][0]["kind"] = "sometimes"
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import unittest
+from base64 import b64encode
 from unittest import IsolatedAsyncioTestCase
 
 from carobspur.gateway.decisions import DecisionLog
@@ -13,6 +14,7 @@
 from carobspur.gateway.rows import Row, RowKey
 from carobspur.platform.registry import TABLE, Registry
 
+from .odd_entries import odd_entries
 from .platform_world import TOOLS, world
 from .virtual import run_virtual
 
@@ -135,6 +137,32 @@
         run_virtual(scenario)
 
 
+class OddEntriesTest(IsolatedAsyncioTestCase):
+    async def test_odd_entries_neither_stop_the_feed_nor_get_requests(self) -> None:
+        """Guards against gateways that stop following the registry or end."""
+        async with world() as deployment:
+            known = next(r for r in deployment.replicas.values() if r.service == TOOLS)
+            for number, value in enumerate(odd_entries(deployment.entry(known))):
+                name = f"odd-{number}"
+                deployment.store.put("servers", name, b64encode(value).decode())
+            await asyncio.sleep(0.2)
+            added = await deployment.add_replica(TOOLS)
+            await asyncio.sleep(0.2)
+            # Also where the whole table is read at the start.
+            deployment.start_gateway()
+            await deployment.until_ready()
+            deployment.unregister(known)
+            await asyncio.sleep(0.2)
+            answers = [
+                await deployment.call("/pay/a", via=via, body=b"x")
+                for via in (0, 0, 0, 1, 1, 1)
+            ]
+            lines = [line for item in deployment.gateways for line in item.lines]
+        self.assertEqual([200] * 6, [answer.status for answer in answers])
+        self.assertEqual(6, len(added.ran))
+        self.assertEqual([], [x for x in lines if x["event"] == "background_failed"])
+
+
 class RemovalTest(IsolatedAsyncioTestCase):
     async def test_replica_that_leaves_after_an_outage_gets_no_late_request(
         self,
