A refusal without an id is no answer on a reused connection

Reported by another operator; not seen here before. A faulty replica writes an earlier refusal once more on a kept connection. If the copy names no request, callers were told "not run" for a request that the replica runs, or the request was run by a second replica.

Cause: an answer without a request id was taken for that of the present request. Copies with an id were skipped before, as was anything that arrives on an idle connection.

Such an answer now counts only on a connection that has carried no other request; on a reused one the request may have run, so run-once requests get 502 and are not sent again.

Before, on the old code: both tests of test_repeated_refusals fail for refusals without an id, plain and streaming ("502 != 503", "1 != 2" runs). After: they pass, with 81 tests of the path, decoding and endless answers.

--- a/src/carobspur/gateway/endpoint_client.py
+++ b/src/carobspur/gateway/endpoint_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Protocol
 
 from .answer_limits import BufferedAnswers
@@ -41,11 +42,10 @@
                 start from the beginning.
         """
 
-    def is_answer_to(self, call: Call, headers: dict[str, str]) -> bool:
-        """Return whether an answer belongs to a request.
+    def request_id(self, headers: dict[str, str]) -> str:
+        """Return the id of the request that an answer names; empty if it names none.
 
         Args:
-            call: The caller's request.
             headers: Header fields of the answer, by name in lower case.
         """
 
@@ -178,7 +178,8 @@
         Raises:
             NotSentError: No byte of the request was sent.
             LostAnswerError: The connection ended before the head of the answer, or the
-                answer was invalid or exceeded a size limit.
+                answer was invalid, exceeded a size limit or may be that of an earlier
+                request.
         """
         loop = asyncio.get_running_loop()
         self._health.begin(endpoint.key)
@@ -200,7 +201,7 @@
                 )
             )
             message = await connection.head(
-                lambda headers: self._codec.is_answer_to(call, headers)
+                partial(self._is_answer, call, is_reused=connection.is_reused)
             )
             head = self._codec.decode(message.status, message.raw_headers)
             self._health.record_load(endpoint.key, head.load, loop.time())
@@ -226,3 +227,21 @@
                 self._pool.release(endpoint.key, connection)
             elif connection is not None:
                 connection.close()
+
+    def _is_answer(
+        self, call: Call, headers: dict[str, str], *, is_reused: bool
+    ) -> bool:
+        """Return whether an answer belongs to a request.
+
+        An answer that names no request can only be trusted to be the request's own if
+        the connection has carried no other.
+
+        Raises:
+            LostAnswerError: It names no request, and the connection was used before.
+        """
+        request_id = self._codec.request_id(headers)
+        if not request_id and is_reused:
+            raise LostAnswerError(
+                "an answer without a request id arrived on a reused connection"
+            )
+        return request_id in ("", call.id)
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -52,6 +52,7 @@
 
     Attributes:
         idle_since: Monotonic time in seconds at which the last request ended.
+        is_reused: Whether it has carried a request before the present one.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "_stream",
         "_pending_write",
         "idle_since",
+        "is_reused",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._is_broken = False
         self.idle_since = 0.0
+        self.is_reused = False
 
     @classmethod
     async def open(
@@ -203,6 +206,7 @@
             self.close()
             return False
         self.idle_since = time.monotonic()
+        self.is_reused = True
         return not self._stream.closed()
 
     async def _next_message(self) -> Message:
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -124,9 +124,9 @@
             headers.append((LAST_EVENT_HEADER, last_event_id))
         return encode_request(call.method, call.target, headers, body)
 
-    def is_answer_to(self, call: Call, headers: dict[str, str]) -> bool:
-        """Return whether an answer echoes the request's id, or has none."""
-        return headers.get("request-id", call.id) == call.id
+    def request_id(self, headers: dict[str, str]) -> str:
+        """Return the request id that an answer echoes; empty without one."""
+        return headers.get("request-id", "")
 
     def decode(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
         """Decode the head of an answer.
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -20,6 +20,8 @@
 NEW_WEIGHTS_EVENT = 3
 """Number of the event at which the replica's weights change."""
 NEW_WEIGHTS_LINE = b"weight-versions: 8\n"
+NOT_EXECUTED = "503 Service Unavailable\r\nNot-Executed: 1"
+"""Status and field of a refusal of a request that has not run."""
 
 
 class ReplicaFault(StrEnum):
@@ -41,6 +43,10 @@
     """Sends single bytes of a stream's first event and never completes it."""
     FULL = "full"
     """Refuses the request with 503, marked as not executed."""
+    FULL_UNNAMED = "full_unnamed"
+    """The same without the id of the request."""
+    REFUSED_AGAIN = "refused_again"
+    """Sends its last refusal again before the right answer."""
     OTHER_WEIGHTS = "other_weights"
     """Refuses the request with 421, not executed: its weights have another version."""
     NEW_WEIGHTS = "new_weights"
@@ -119,6 +125,7 @@
     _server: asyncio.Server | None = None
     _numbers: itertools.count = field(default_factory=itertools.count)
     _last_answer: bytes = b""
+    _last_refusal: bytes = b""
     _words: dict[str, str] = field(default_factory=dict)
 
     async def listen(self, host: str, port: int = 0) -> int:
@@ -154,15 +161,20 @@
         request = await _read_request(reader)
         self.seen.append(request)
         fault = self.faults.popleft() if self.faults else None
+        request_id = request.headers.get("request-id", "")
         if request.headers.get("target-instance", self.id) != self.id:
-            writer.write(self._refusal("421 Misdirected Request"))
-            return True
-        if fault is ReplicaFault.FULL:
-            writer.write(self._refusal("503 Service Unavailable\r\nNot-Executed: 1"))
-            return True
-        if fault is ReplicaFault.OTHER_WEIGHTS:
-            writer.write(self._refusal("421 Misdirected Request"))
+            writer.write(self._refusal("421 Misdirected Request", request_id))
             return True
+        match fault:
+            case ReplicaFault.FULL:
+                writer.write(self._refusal(NOT_EXECUTED, request_id))
+                return True
+            case ReplicaFault.FULL_UNNAMED:
+                writer.write(self._refusal(NOT_EXECUTED, ""))
+                return True
+            case ReplicaFault.OTHER_WEIGHTS:
+                writer.write(self._refusal("421 Misdirected Request", request_id))
+                return True
         request.has_run = True
         self.running += 1
         watch = asyncio.ensure_future(reader.read(1))
@@ -200,6 +212,11 @@
                 writer.write(self._head("other-id", 4) + b"else")
             case ReplicaFault.LATE_COPY:
                 writer.write(self._last_answer)
+            case ReplicaFault.REFUSED_AGAIN:
+                writer.write(self._last_refusal)
+                # So that the two answers are received one after the other.
+                await writer.drain()
+                await asyncio.sleep(self.work_s)
         if self.events:
             await self._stream(request, writer, fault)
         else:
@@ -284,9 +301,12 @@
             await writer.drain()
             await asyncio.sleep(TRICKLE_INTERVAL_S)
 
-    def _refusal(self, status: str) -> bytes:
-        leaving = self._leaving_line
-        return f"HTTP/1.1 {status}\r\n{leaving}Content-Length: 0\r\n\r\n".encode()
+    def _refusal(self, status: str, request_id: str) -> bytes:
+        name = f"Request-Id: {request_id}\r\n" if request_id else ""
+        self._last_refusal = (
+            f"HTTP/1.1 {status}\r\n{name}{self._leaving_line}Content-Length: 0\r\n\r\n"
+        ).encode()
+        return self._last_refusal
 
     @property
     def _leaving_line(self) -> str:
