A failed resumption neither enters a stream nor completes it

A stream breaks off, and the engine that is asked to go on answers with a failure. If that was a signed 2xx answer, callers got a stream that ended as complete without its last events (204, empty answers, error texts), or found blocks of the text, or of a head, as events in their stream.

Cause: any signed 2xx answer was taken for the rest of the stream. Error statuses, unsigned answers, refusals and bytes that are no HTTP were told apart before.

After a break, the answer must now be an event stream whose events are numbered above the one it was resumed after (or comments). Anything else is a lost answer.

--- a/src/carobspur/gateway/calls.py
+++ b/src/carobspur/gateway/calls.py
@@ -90,6 +90,7 @@
             encoding. Only then may a 2xx answer count as a success.
         has_not_run: Whether the endpoint promises that the request has not run and
             never will.
+        is_event_stream: Whether its body is a stream of events.
         load: Load of the endpoint, if reported.
         is_draining: Whether the endpoint announces that it accepts no new requests.
     """
@@ -98,6 +99,7 @@
     headers: Headers
     is_genuine: bool
     has_not_run: bool
+    is_event_stream: bool = False
     load: EndpointLoad | None = None
     is_draining: bool = False
 
--- a/src/carobspur/gateway/events.py
+++ b/src/carobspur/gateway/events.py
@@ -35,6 +35,17 @@
         """The id as a number, or ``None`` if it is not one."""
         return event_number(self.id)
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event is only a comment, which keeps the connection open."""
+        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+
+    def follows(self, number: int) -> bool:
+        """Return whether the event may come after the one with a number."""
+        if self.number is None:
+            return self.is_comment
+        return self.number > number
+
 
 class EventTooLongError(LostAnswerError):
     """An event exceeds the size limit; the stream is treated as faulty."""
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -196,6 +196,8 @@
                 raise LostAnswerError(
                     "the answer lacks the engine's signature or is content-encoded"
                 )
+            if responder.has_started and not head.is_event_stream:
+                raise LostAnswerError("the engine did not resume with a stream")
             self._log_sent(turn, engine, "streaming", "")
             await self._forward(
                 turn,
@@ -226,8 +228,8 @@
                 on; ``None`` for a run from the start.
 
         Raises:
-            LostAnswerError: The stream broke off, or began again at an event that the
-                caller has.
+            LostAnswerError: The stream broke off, or does not go on after the events
+                that the caller has.
         """
         loop = asyncio.get_running_loop()
         limits = self._context.answer_limits
@@ -239,11 +241,7 @@
                 count += 1
                 if count % EVENTS_PER_YIELD == 0:
                     await asyncio.sleep(0)
-                if (
-                    resumed_after is not None
-                    and event.number is not None
-                    and event.number <= resumed_after
-                ):
+                if resumed_after is not None and not event.follows(resumed_after):
                     raise LostAnswerError("the engine did not resume the stream")
                 last_at = loop.time()
                 turn.record_event(event, last_at)
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -27,6 +27,7 @@
 # name not the tokens that were used.
 _TOKENS_HEADER = "token-usage"
 _MISDIRECTED_STATUS = 421
+_EVENT_STREAM = "text/event-stream"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -135,6 +136,7 @@
         """
         by_name = {name.lower(): value for name, value in headers}
         encoding = by_name.get("content-encoding", "identity").lower()
+        media_type = by_name.get("content-type", "").partition(";")[0].strip().lower()
         return AnswerHead(
             status=status,
             headers=[
@@ -145,6 +147,7 @@
             is_genuine=bool(by_name.get(_SIGNATURE_HEADER)) and encoding == "identity",
             has_not_run=_NOT_EXECUTED_HEADER in by_name
             or status == _MISDIRECTED_STATUS,
+            is_event_stream=media_type == _EVENT_STREAM,
             load=_decode_load(by_name.get(_LOAD_HEADER, "")),
             is_draining=by_name.get(_LEAVING_HEADER, "") == "1",
         )
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -17,6 +19,8 @@
 TRICKLE_INTERVAL_S = 0.05
 """Pause between the bytes of a stalled stream: far below any limit on the time
 without data."""
+RESET_DELAY_S = 0.05
+"""Time between the last byte of an answer and the reset of its connection."""
 NEW_WEIGHTS_EVENT = 3
 """Number of the event at which the replica's weights change."""
 NEW_WEIGHTS_LINE = b"weight-versions: 8\n"
@@ -63,6 +67,27 @@
     """Begins to execute the request and never answers."""
 
 
+class AnswerEnd(StrEnum):
+    """What a replica does with the connection behind a scripted answer."""
+
+    KEEP = "keep"
+    CLOSE = "close"
+    RESET = "reset"
+
+
+@dataclass(frozen=True, slots=True)
+class ScriptedAnswer:
+    """An answer that a replica writes instead of its own.
+
+    Attributes:
+        text: Its bytes; ``{id}`` stands for the id of the request.
+        end: What becomes of the connection behind it.
+    """
+
+    text: bytes
+    end: AnswerEnd = AnswerEnd.KEEP
+
+
 @dataclass(slots=True)
 class SeenRequest:
     """A request as the replica received it.
@@ -103,6 +128,7 @@
         is_leaving: Whether every answer says that the replica is draining.
         faults: Faults of the next requests, first one first; ``None`` for a correct
             answer.
+        scripts: Answers to the next requests that are executed, first one first.
         seen: All requests in order of arrival.
         running: Requests that are executed at present.
         connections: Connections accepted so far.
@@ -119,6 +145,7 @@
     numbers_events: bool = True
     is_leaving: bool = False
     faults: deque[ReplicaFault | None] = field(default_factory=deque)
+    scripts: deque[ScriptedAnswer | None] = field(default_factory=deque)
     seen: list[SeenRequest] = field(default_factory=list)
     running: int = 0
     connections: int = 0
@@ -202,6 +229,9 @@
         if fault is ReplicaFault.HANG:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.work_s)
+        script = self.scripts.popleft() if self.scripts else None
+        if script is not None:
+            return await self._follow_script(script, request, writer)
         match fault:
             case ReplicaFault.LOST:
                 return False
@@ -230,6 +260,24 @@
             ReplicaFault.UNFRAMED,
         )
 
+    async def _follow_script(
+        self,
+        script: ScriptedAnswer,
+        request: SeenRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request_id = request.headers.get("request-id", "").encode()
+        writer.write(script.text.replace(b"{id}", request_id))
+        await writer.drain()
+        if script.end is AnswerEnd.RESET:
+            # So that the bytes are read before the connection breaks.
+            await asyncio.sleep(RESET_DELAY_S)
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        return script.end is AnswerEnd.KEEP
+
     def _plain(
         self,
         request: SeenRequest,
--- a/tests/test_stream_resume.py
+++ b/tests/test_stream_resume.py
@@ -5,10 +5,48 @@
 import asyncio
 from unittest import IsolatedAsyncioTestCase
 
-from carobspur_standins.platform_replica import ReplicaFault, ReplicaStandin
+from carobspur_standins.platform_replica import (
+    ReplicaFault,
+    ReplicaStandin,
+    ScriptedAnswer,
+)
 
 from .platform_world import ENGINES, CallerAnswer, World, configuration, route, world
 
+SIGNED = b"Request-Id: {id}\r\nResponse-Signature: s\r\n"
+STREAM = b"Content-Type: text/event-stream\r\n"
+FAILURES = {
+    "error": b"HTTP/1.1 500 Error\r\n" + SIGNED + b"Content-Length: 6\r\n\r\noops\n\n",
+    "error that looks like events": b"HTTP/1.1 500 Error\r\n"
+    + SIGNED
+    + STREAM
+    + b"Content-Length: 22\r\n\r\nid: 4\ndata: token 4\n\n",
+    "not found": b"HTTP/1.1 404 Not Found\r\n" + SIGNED + b"Content-Length: 0\r\n\r\n",
+    "redirection": b"HTTP/1.1 302 Found\r\n" + SIGNED + b"Content-Length: 0\r\n\r\n",
+    "no content": b"HTTP/1.1 204 No Content\r\n" + SIGNED + b"\r\n",
+    "error text with a good status": b"HTTP/1.1 200 OK\r\n"
+    + SIGNED
+    + b"Content-Type: text/plain\r\nContent-Length: 12\r\n\r\nout of mem\n\n",
+    "empty text with a good status": b"HTTP/1.1 200 OK\r\n"
+    + SIGNED
+    + b"Content-Length: 0\r\n\r\n",
+    "error text in a stream": b"HTTP/1.1 200 OK\r\n"
+    + SIGNED
+    + STREAM
+    + b"Content-Length: 19\r\n\r\nerror: no memory.\n\n",
+    "head in a stream": b"HTTP/1.1 200 OK\r\n"
+    + SIGNED
+    + STREAM
+    + b"Content-Length: 30\r\n\r\nHTTP/1.1 500 Error\nX: y\n\noops\n",
+    "unsigned stream": b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
+    + STREAM
+    + b"Content-Length: 22\r\n\r\nid: 4\ndata: token 4\n\n",
+    "refusal": b"HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 5\r\n\r\nfull\n",
+    "no answer in the protocol": b"oops\r\n\r\n",
+}
+"""Answers of a replica that fails to resume a stream, by what they are."""
+
 
 async def _add_route_with_history(deployment: World) -> None:
     """Configure ``/both/``, which keeps history and may be resumed."""
@@ -101,3 +139,30 @@
         self.assertFalse(answer.is_whole)
         self.assertEqual([b"token 1", b"token 2", b"token 3"], _output(answer))
         self.assertEqual(1, runs)
+
+    async def test_failure_to_resume_is_not_forwarded_into_the_stream(self) -> None:
+        """Guards against error texts in a stream, or a stream that looks complete."""
+        for name, failure in FAILURES.items():
+            with self.subTest(name):
+                async with world() as deployment:
+                    engine = _engine(deployment)
+                    engine.faults.append(ReplicaFault.CUT)
+                    engine.scripts.extend([None, *[ScriptedAnswer(failure)] * 3])
+                    answer = await deployment.call("/walk/a", body=b"prompt")
+                self.assertFalse(answer.is_whole)
+                self.assertEqual(
+                    b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in (1, 2, 3)),
+                    answer.body,
+                )
+
+    async def test_comment_in_a_resumed_stream_is_forwarded(self) -> None:
+        async with world() as deployment:
+            engine = _engine(deployment)
+            engine.faults.append(ReplicaFault.CUT)
+            rest = b": wait\n\nid: 4\ndata: token 4\n\n"
+            head = b"HTTP/1.1 200 OK\r\n" + SIGNED + STREAM
+            length = b"Content-Length: %d\r\n\r\n" % len(rest)
+            engine.scripts.extend([None, ScriptedAnswer(head + length + rest)])
+            answer = await deployment.call("/walk/a", body=b"prompt")
+        self.assertTrue(answer.is_whole)
+        self.assertTrue(answer.body.endswith(rest))
