A stream whose connection ends before its first event has broken off

Callers were sent an empty stream as complete when an engine closed such a connection in order before its first event, as one that crashes may do.

Cause: an orderly close ends an unframed body, and no event was asked for. Such a stream is now a lost answer: resumed where it may be, 502 elsewhere. All other cases held before: resets, ends inside an event, behind the first event, chunked and not, plain and streaming.

--- a/src/carobspur/gateway/answer_parser.py
+++ b/src/carobspur/gateway/answer_parser.py
@@ -22,6 +22,7 @@
         chunks: Pieces of the body that have not been read yet.
         has_head: Whether the head is complete.
         is_complete: Whether the whole answer is complete.
+        ended_with_connection: Whether only the close of the connection ended it.
         keeps_alive: Whether the connection may carry another request.
     """
 
@@ -31,6 +32,7 @@
     chunks: deque[bytes] = field(default_factory=deque)
     has_head: bool = False
     is_complete: bool = False
+    ended_with_connection: bool = False
     keeps_alive: bool = False
 
     @property
--- a/src/carobspur/gateway/endpoint_client.py
+++ b/src/carobspur/gateway/endpoint_client.py
@@ -86,6 +86,11 @@
         self._buffered = buffered
         self._message = message
 
+    @property
+    def ended_with_connection(self) -> bool:
+        """Whether the body, read to its end, was ended by the connection's close."""
+        return self._message.ended_with_connection
+
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body piece by piece; ends normally only if it is complete.
 
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -184,7 +184,7 @@
             if message.is_complete:
                 return
             if not await self._receive(may_end_at_close=message.is_close_delimited):
-                message.is_complete = True
+                message.is_complete = message.ended_with_connection = True
                 self._is_broken = True
 
     def finish_request(self, message: Message) -> bool:
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -253,6 +253,8 @@
                 await self._write_event(turn, event, exchange, responder)
         if splitter.rest.strip():
             raise LostAnswerError("the stream ended inside an event")
+        if not count and exchange.ended_with_connection:
+            raise LostAnswerError("the connection ended before the first event")
         if not responder.has_started:
             responder.start(exchange.head.status, exchange.head.headers)
         turn.has_ended = True
