Grants of an owner that does not answer count before its death is known

Cause: an owner grants a new program 15 % of its budget without a row. The next owner allows for that once the death is known, from heartbeats that are missed for 1 s; but a gateway whose connection to the owner is refused asks the next one at once, which opened the account with nothing spent and kept it so. Ruled out: the share that is assumed, which is twice what one owner grants.

A request now says whether a gateway that the sender would rather ask did not answer, and the owner looks at its own order. If the store was unreachable within the loss window, such an account begins with the assumed share and gets no grant without a row. A candidate that does not answer a pull counts likewise; before, its silence meant that it has no account.

Nothing changes where the store was not unreachable (test_new_program_uses_its_whole_budget_...).

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -87,6 +87,8 @@
         is_row_uncertain: Whether the row may count more than ``allowance``, because
             a write was not answered.
         turn_tokens: Most tokens that the newest turn may generate.
+        may_lack_grants: Whether an owner that does not answer may have granted tokens
+            that neither a row nor this account counts.
     """
 
     budget: int
@@ -101,6 +103,7 @@
     opened_serial: int = 0
     is_row_uncertain: bool = False
     turn_tokens: int = 0
+    may_lack_grants: bool = False
 
     @property
     def spent(self) -> int:
@@ -218,6 +221,7 @@
         self.allowance = tokens
         self.version = version
         self.is_row_uncertain = False
+        self.may_lack_grants = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/allowances.py
+++ b/src/carobspur/gateway/allowances.py
@@ -22,6 +22,7 @@
 from .rows import Row, RowConflictError, RowStoreAwayError
 from .spending_records import (
     MovedAccount,
+    OwnerSilentError,
     SpendingRow,
     StoreState,
     fill_account,
@@ -38,7 +39,10 @@
 """
 
 Pull = Callable[[str], Awaitable[MovedAccount | None]]
-"""Asks the gateways that may have owned a program's account to hand it over."""
+"""Asks the gateways that may have owned a program's account to hand it over.
+
+Raises ``OwnerSilentError`` if none of them has it, but not all answered.
+"""
 
 
 class Allowances:
@@ -170,6 +174,7 @@
         unrecorded_limit = int(account.budget * UNRECORDED_SHARE)
         if (
             not store_state.may_grant_unrecorded
+            or account.may_lack_grants
             or account.spent + tokens > account.spent_before + unrecorded_limit
         ):
             return False
@@ -179,7 +184,12 @@
 
     async def _pull_account(self, program: str, account: Account) -> bool:
         """Pull the account from a likely former owner; return whether one had it."""
-        moved = await self._pull(program)
+        try:
+            moved = await self._pull(program)
+        except OwnerSilentError as error:
+            account.may_lack_grants = True
+            self._log.record("not_pulled", program=program, reason=error.message)
+            return False
         if moved is None:
             return False
         fill_account(account, moved)
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -132,7 +132,7 @@
             self._membership.others() if to_everyone else self._membership.watchers()
         )
         self._send_to(recipients, data)
-        self._log_peer_changes(now)
+        self.record_peer_changes(now)
 
     def send_load_report(self, report: LoadReport) -> int:
         """Send a load report to its recipients; returns how many there are."""
@@ -146,7 +146,8 @@
         for member in members:
             self._transport.sendto(data, split_address(member.heartbeats))
 
-    def _log_peer_changes(self, now: float) -> None:
+    def record_peer_changes(self, now: float) -> None:
+        """Log which members have become alive or silent, and record the silent ones."""
         alive = {member.name for member in self._membership.alive(now)}
         for name in alive - self._alive:
             self._log.record("peer_alive", peer=name)
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -57,6 +57,8 @@
         request_release: Asks another gateway to release an account.
         pull: Asks likely former owners for an account while the store does not answer.
         store_state: Returns the state of the store as known to this gateway.
+        is_first_choice: Returns whether this gateway is the first of all that should
+            own a program's account.
         log: Decision log.
     """
 
@@ -65,6 +67,7 @@
         "_allowances",
         "_early_settlements",
         "_idle_writes",
+        "_is_first_choice",
         "_locks",
         "_log",
         "_released_accounts",
@@ -80,9 +83,11 @@
         request_release: RequestRelease,
         pull: Pull,
         store_state: Callable[[], StoreState],
+        is_first_choice: Callable[[str], bool],
         log: DecisionLog,
     ) -> None:
         self._rows = AccountRows(name, store, log)
+        self._is_first_choice = is_first_choice
         self._store_state = store_state
         self._log = log
         self._accounts: dict[str, Account] = {}
@@ -104,7 +109,14 @@
         self._idle_writes: dict[str, asyncio.Task] = {}
 
     async def reserve(
-        self, program: str, turn: str, tokens: int, budget: int, *, retention_s: float
+        self,
+        program: str,
+        turn: str,
+        tokens: int,
+        budget: int,
+        *,
+        retention_s: float,
+        is_passed_over: bool = False,
     ) -> int:
         """Reserve a turn's tokens.
 
@@ -114,6 +126,8 @@
             tokens: The most that the turn may generate.
             budget: Tokens that all turns of the program may generate.
             retention_s: How long after its last turn the program may return.
+            is_passed_over: Whether the sender would rather have asked a gateway that
+                did not answer.
 
         Returns:
             The tokens that the program's other turns have spent or reserved.
@@ -126,7 +140,9 @@
         async with self._exclusive(program):
             account = self._accounts.get(program)
             if account is None:
-                account = self._open(program, budget, tokens)
+                account = self._open(
+                    program, budget, tokens, is_passed_over=is_passed_over
+                )
             account.retention_s = max(account.retention_s, retention_s)
             account.used_at = asyncio.get_running_loop().time()
             other_tokens = await self._grant(program, account, turn, tokens)
@@ -363,16 +379,22 @@
                     await self._rows.drop(program, account)
             self._released_accounts.sweep(now)
 
-    def _open(self, program: str, budget: int, tokens: int) -> Account:
+    def _open(
+        self, program: str, budget: int, tokens: int, *, is_passed_over: bool
+    ) -> Account:
         """Open an account; if it has a row already, the first write finds it.
 
         Where owners may have died with unrecorded grants, a share of the budget counts
-        as spent, unless the turn is too large to have been granted without a row.
+        as spent, unless the turn is too large to have been granted without a row. An
+        owner that does not answer may be dead before its heartbeats are missed.
         """
         account = Account(budget, opened_serial=self._rows.serial)
-        if self._store_state().may_have_lost_grants and tokens <= int(
-            budget * UNRECORDED_SHARE
-        ):
+        store_state = self._store_state()
+        account.may_lack_grants = store_state.was_unreachable and (
+            is_passed_over or not self._is_first_choice(program)
+        )
+        may_lack_grants = account.may_lack_grants or store_state.may_have_lost_grants
+        if may_lack_grants and tokens <= int(budget * UNRECORDED_SHARE):
             account.spent_before = int(budget * ASSUMED_SPENT_SHARE)
         self._accounts[program] = account
         return account
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -28,7 +28,7 @@
     SpendingRequest,
     answer_spending,
 )
-from .spending_records import BudgetSpentError, MovedAccount
+from .spending_records import BudgetSpentError, MovedAccount, OwnerSilentError
 
 OWNER_TIMEOUT_S = ROW_WRITE_TIMEOUT_S + 0.15
 """Longest wait for an owner that is alive: its store call and the round trip."""
@@ -131,10 +131,17 @@
         """
         reason = "no owner answered"
         replaced: list[str] = []
+        first_choice = self._first_choice(program)
         for owner in self._candidate_owners(program):
             name = f"{turn}@{len(replaced)}" if replaced else turn
             request = ReserveRequest(
-                program, name, tokens, budget, retention_s, list(replaced)
+                program,
+                name,
+                tokens,
+                budget,
+                retention_s,
+                list(replaced),
+                is_passed_over=owner != first_choice,
             )
             try:
                 answer = await self._send_while_alive(owner, request)
@@ -209,18 +216,30 @@
         return answer.given_up
 
     async def pull(self, program: str) -> MovedAccount | None:
-        """Pull an account from the first other candidate that still owns it, if any."""
+        """Pull an account from the first other candidate that still owns it, if any.
+
+        Raises:
+            OwnerSilentError: None of those that answered has the account, but not all
+                answered.
+        """
         own = self._membership.own.name
-        for owner in self._candidate_owners(program):
+        silent = ""
+        for owner in self._candidate_owners(program, with_avoided=True):
             if owner == own:
                 continue
+            if self._is_avoided(owner):
+                silent = owner
+                continue
             try:
                 answer = await self._send_while_alive(owner, PullRequest(program))
             except SendError as error:
                 self._avoid(owner, error.message)
+                silent = owner
                 continue
             if answer.moved is not None:
                 return answer.moved
+        if silent:
+            raise OwnerSilentError(f"{silent} may own the account and did not answer")
         return None
 
     async def move(self, account: MovedAccount) -> bool:
@@ -247,18 +266,41 @@
             return answer.outcome == "granted"
         return False
 
-    def _candidate_owners(self, program: str) -> list[str]:
+    def is_first_choice(self, program: str) -> bool:
+        """Return whether this gateway is the first that should own an account.
+
+        Otherwise a gateway that may have owned it did not answer, unless the sender of
+        a request does not know that gateway yet.
+        """
+        return self._first_choice(program) == self._membership.own.name
+
+    def _first_choice(self, program: str) -> str:
+        return self._candidate_owners(program, with_avoided=True)[0]
+
+    def _candidate_owners(
+        self, program: str, *, with_avoided: bool = False
+    ) -> list[str]:
+        """Return the gateways that may own an account, the best one first.
+
+        Args:
+            program: The program.
+            with_avoided: Whether to include those that have just not answered.
+        """
         now = asyncio.get_running_loop().time()
         names = [
             member.name
             for member in self._membership.alive(now)
-            if self._avoid_until.get(member.name, 0.0) <= now
+            if with_avoided or not self._is_avoided(member.name)
         ]
         own = self._membership.own.name
         if self._accepts_accounts():
             names.append(own)
         return first_of(program, names, MAX_OWNERS_TRIED) or [own]
 
+    def _is_avoided(self, owner: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._avoid_until.get(owner, 0.0) > now
+
     def _avoid(self, owner: str, reason: str) -> None:
         now = asyncio.get_running_loop().time()
         self._avoid_until[owner] = now + AVOID_OWNER_S
--- a/src/carobspur/gateway/spending_protocol.py
+++ b/src/carobspur/gateway/spending_protocol.py
@@ -23,6 +23,8 @@
         retention_s: How long after its last turn the program may return.
         replaced: Reservations of the same turn that were requested from owners that
             did not answer. They are cancelled first.
+        is_passed_over: Whether a gateway that the sender would rather ask, and that it
+            does not know to be dead, did not answer.
     """
 
     program: str
@@ -31,6 +33,7 @@
     budget: int
     retention_s: float = msgspec.field(name="kept_s")
     replaced: list[str] = []
+    is_passed_over: bool = False
 
 
 class SettleRequest(msgspec.Struct, frozen=True, tag="settle"):
@@ -100,12 +103,17 @@
 ) -> SpendingAnswer:
     """Return an owner's answer to a request of a gateway."""
     match request:
-        case ReserveRequest(program, turn, tokens, budget, retention_s, replaced):
-            for former in replaced:
+        case ReserveRequest(program, turn, tokens, budget, retention_s):
+            for former in request.replaced:
                 owner.settle(program, former, 0)
             try:
                 other_tokens = await owner.reserve(
-                    program, turn, tokens, budget, retention_s=retention_s
+                    program,
+                    turn,
+                    tokens,
+                    budget,
+                    retention_s=retention_s,
+                    is_passed_over=request.is_passed_over,
                 )
             except BudgetSpentError as error:
                 return SpendingAnswer("spent", reason=error.message)
--- a/src/carobspur/gateway/spending_records.py
+++ b/src/carobspur/gateway/spending_records.py
@@ -19,6 +19,14 @@
     default_verdict = NOT_RUN
 
 
+class OwnerSilentError(CarobspurError):
+    """A gateway that may own an account did not answer."""
+
+    cause = "owner_silent"
+    status = 503
+    default_verdict = NOT_RUN
+
+
 class SpendingRow(msgspec.Struct, frozen=True, array_like=True):
     """Content of a program's row in the store.
 
@@ -49,6 +57,8 @@
         may_have_lost_grants: Whether owners may have died with grants that no row
             records.
         may_grant_unrecorded: Whether this owner may now grant tokens without a row.
+        was_unreachable: Whether the store was unreachable at some time since the
+            oldest grants that may still matter.
         should_fail_fast: Whether the outage of the store is confirmed, so that requests
             no longer wait for it.
         usual_s: How long the store usually takes to answer.
@@ -58,6 +68,7 @@
     may_have_lost_grants: bool
     may_grant_unrecorded: bool
     should_fail_fast: bool
+    was_unreachable: bool = False
     usual_s: float = 0.0
 
 
@@ -111,4 +122,5 @@
     account.open = dict(moved.open)
     account.allowance = moved.allowance
     account.version = moved.version
+    account.may_lack_grants = False
     account.retention_s = max(account.retention_s, moved.retention_s)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -175,6 +175,7 @@
             request_release=self._request_release,
             pull=self._pull,
             store_state=self._store_state,
+            is_first_choice=lambda program: self._spending.is_first_choice(program),
             log=log,
         )
         self._spending = SpendingClient(
@@ -318,6 +319,8 @@
 
     def _store_state(self) -> StoreState:
         now = asyncio.get_running_loop().time()
+        # A crash that has just become known must count from now on.
+        self._heartbeats.record_peer_changes(now)
         last_crash_at = self._membership.last_crash_at
         store_lost_at = self._store.direct_lost_at
         crashed_recently = now - last_crash_at < self._loss_window_s()
@@ -327,6 +330,7 @@
             may_grant_unrecorded=store_lost_at is not None
             and last_crash_at < store_lost_at,
             should_fail_fast=is_outage_confirmed(self._store.away_s),
+            was_unreachable=now - self._store.unreachable_until < self._loss_window_s(),
             usual_s=self._store.usual_s,
         )
 
--- a/tests/account_owners.py
+++ b/tests/account_owners.py
@@ -19,6 +19,7 @@
 from carobspur.gateway.spending_records import (
     BudgetSpentError,
     MovedAccount,
+    OwnerSilentError,
     StoreState,
 )
 from carobspur.verdict import NOT_RUN
@@ -110,6 +111,10 @@
         turns: Iterator over the numbers of new turns.
         may_have_lost_grants: Field of the store state that every owner gets.
         may_grant_unrecorded: The same.
+        was_unreachable: The same.
+        first_choices: Names of owners that are the first choice for the program; all
+            others have been passed over. All are if it is empty.
+        silent: Names of owners that do not answer when an account is pulled.
     """
 
     def __init__(self) -> None:
@@ -119,6 +124,9 @@
         self.turns = itertools.count()
         self.may_have_lost_grants = False
         self.may_grant_unrecorded = True
+        self.was_unreachable = False
+        self.first_choices: set[str] = set()
+        self.silent: set[str] = set()
 
     def start(self, name: str) -> AccountOwner:
         owner = AccountOwner(
@@ -131,6 +139,10 @@
                 self.may_have_lost_grants,
                 self.may_grant_unrecorded,
                 should_fail_fast=self.store.is_known_unreachable,
+                was_unreachable=self.was_unreachable,
+            ),
+            is_first_choice=lambda _: (
+                not self.first_choices or name in self.first_choices
             ),
             log=DecisionLog(logging.getLogger("test")),
         )
@@ -142,11 +154,24 @@
         name = next(name for name, item in self.by_name.items() if item is owner)
         del self.by_name[name]
 
-    async def turn(self, owner: AccountOwner, *, budget: int = BUDGET) -> bool:
+    async def turn(
+        self,
+        owner: AccountOwner,
+        *,
+        budget: int = BUDGET,
+        is_passed_over: bool = False,
+    ) -> bool:
         """Run a turn that generates all its tokens; return whether it was granted."""
         turn = f"t{next(self.turns)}"
         try:
-            await owner.reserve("p", turn, TOKENS, budget, retention_s=60)
+            await owner.reserve(
+                "p",
+                turn,
+                TOKENS,
+                budget,
+                retention_s=60,
+                is_passed_over=is_passed_over,
+            )
         except (BudgetSpentError, RowStoreAwayError):
             return False
         self.granted_tokens += TOKENS
@@ -171,6 +196,8 @@
         for other, owner in self.by_name.items():
             if other != name and (moved := await owner.move_out(program)) is not None:
                 return moved
+        if self.silent - {name}:
+            raise OwnerSilentError("an owner did not answer")
         return None
 
     async def _request_release(
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -200,6 +200,53 @@
             continue
         self.assertLessEqual(owners.granted_tokens, BUDGET)
 
+    async def test_grants_of_a_dead_owner_count_before_its_death_is_known(
+        self,
+    ) -> None:
+        """Guards against budgets that begin anew as an owner dies in an outage."""
+        for is_passed_over in (True, False):
+            for is_back in (True, False):
+                with self.subTest(is_passed_over=is_passed_over, is_back=is_back):
+                    owners = AccountOwners()
+                    first, second = owners.start("a"), owners.start("b")
+                    owners.store.is_unreachable = owners.was_unreachable = True
+                    while await owners.turn(first):
+                        continue
+                    granted = owners.granted_tokens
+                    self.assertGreater(granted, 0)
+                    owners.remove(first)
+                    # Either the sender of the request has noticed, or the next owner.
+                    owners.first_choices = set() if is_passed_over else {"a"}
+                    owners.store.is_unreachable = not is_back
+                    while await owners.turn(second, is_passed_over=is_passed_over):
+                        continue
+                    if not is_back:
+                        self.assertEqual(granted, owners.granted_tokens)
+                    owners.store.is_unreachable = False
+                    while await owners.turn(second, is_passed_over=is_passed_over):
+                        continue
+                    self.assertLessEqual(owners.granted_tokens, BUDGET)
+
+    async def test_owner_that_does_not_answer_a_pull_may_have_granted(self) -> None:
+        """Guards against two owners that both begin a program without a row."""
+        owners = AccountOwners()
+        first, second = owners.start("a"), owners.start("b")
+        owners.store.is_unreachable = owners.was_unreachable = True
+        while await owners.turn(first):
+            continue
+        granted = owners.granted_tokens
+        owners.remove(first)
+        owners.silent = {"a"}
+        self.assertFalse(await owners.turn(second))
+        self.assertEqual(granted, owners.granted_tokens)
+
+    async def test_new_program_uses_its_whole_budget_without_an_outage(self) -> None:
+        owners = AccountOwners()
+        owner = owners.start("b")
+        owners.first_choices = {"a"}
+        granted = [await owners.turn(owner, is_passed_over=True) for _ in range(11)]
+        self.assertEqual(10, sum(granted))
+
     async def test_cancelled_reservation_does_not_count(self) -> None:
         owners = AccountOwners()
         owner = owners.start("a")
--- a/tests/test_spending_client.py
+++ b/tests/test_spending_client.py
@@ -20,7 +20,11 @@
     SpendingClient,
 )
 from carobspur.gateway.spending_protocol import SpendingRequest, answer_spending
-from carobspur.gateway.spending_records import BudgetSpentError, MovedAccount
+from carobspur.gateway.spending_records import (
+    BudgetSpentError,
+    MovedAccount,
+    OwnerSilentError,
+)
 
 from .account_owners import AccountOwners
 
@@ -159,6 +163,34 @@
         self.assertEqual({reservation.turn: TOKENS}, moved.open)
         self.assertEqual(TOKENS, moved.spent)
 
+    async def test_next_owner_is_told_that_another_was_passed_over(self) -> None:
+        told = []
+        owner_type = type(self.peers.owners.by_name["a"])
+        reserve = owner_type.reserve
+
+        async def record(owner, *arguments, is_passed_over: bool, **more):
+            told.append(is_passed_over)
+            return await reserve(owner, *arguments, **more)
+
+        with (
+            patch.object(owner_type, "reserve", record),
+            patch(f"{__name__}.BUDGET", 10 * TOKENS),
+        ):
+            await self.reserve("s")
+            await self.reserve_past_a_silent_owner()
+            # The silent owner is not asked again at once.
+            await self.reserve("u")
+        self.assertEqual([False, True, True], told)
+
+    async def test_pull_that_a_candidate_does_not_answer_proves_nothing(self) -> None:
+        self.peers.record_heartbeats()
+        self.assertIsNone(await self.peers.client.pull("p"))
+        first = self.peers.client._candidate_owners("p")[0]
+        del self.peers.owners.by_name[first]
+        for _ in range(2):
+            with self.assertRaises(OwnerSilentError):
+                await self.peers.client.pull("p")
+
     async def test_settlement_reaches_the_owner_that_took_the_account_over(
         self,
     ) -> None:
