A row that cannot be read counts if its owner has died

An owner that died before an outage of the store leaves rows that the next owner cannot read during it. The next one took every program without an account for new and granted it 15 % of its budget: a program of 22 turns that had used 22 could get 3 more.

Cause: crashes before the outage were held to be harmless, because all grants were recorded by then; but the record is in the store. A gateway now grants nothing without a row where a member that died within the loss window stands before it in the order of the program's candidates. Other programs are not concerned (one in seven a death at seven gateways).

Before: with the new condition off, test_row_of_a_dead_owner_counts_although_it_cannot_be_ read fails ("True is not false": a turn beyond the budget is granted). After: 39 tests of spending, 9 of its client, 25 of members, 63 of the path and 15 of the fleet pass.

--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -87,8 +87,8 @@
         is_row_uncertain: Whether the row may count more than ``allowance``, because
             a write was not answered.
         turn_tokens: Most tokens that the newest turn may generate.
-        may_lack_grants: Whether an owner that does not answer may have granted tokens
-            that neither a row nor this account counts.
+        may_lack_grants: Whether an owner that does not answer, or that died, may have
+            granted tokens that this account does not count.
     """
 
     budget: int
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -155,7 +155,7 @@
             is_leaving = self._membership.is_leaving(name)
             self._log.record("peer_silent", peer=name, is_leaving=is_leaving)
             if not is_leaving:
-                self._membership.record_silence(now)
+                self._membership.record_silence(name, now)
         self._alive = alive
 
     async def _send_forever(self) -> None:
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -108,6 +108,7 @@
 
     __slots__ = (
         "_crashed_names",
+        "_ended_at",
         "_live",
         "_members",
         "_own",
@@ -124,6 +125,8 @@
         self._live: dict[str, _Liveness] = {}
         # Names of processes that ended without leaving, oldest first.
         self._crashed_names: dict[str, None] = {}
+        # Loop time at which a process was found silent or ended, oldest first.
+        self._ended_at: dict[str, float] = {}
 
     @property
     def own(self) -> Member:
@@ -174,11 +177,26 @@
         """Record that a process ended without leaving, unless that is known already."""
         if name in self._crashed_names:
             return
-        self.last_crash_at = now
+        self._record_end(name, now)
         self._crashed_names[name] = None
         while len(self._crashed_names) > MAX_CRASHED_NAMES:
             del self._crashed_names[next(iter(self._crashed_names))]
 
+    def _record_end(self, name: str, now: float) -> None:
+        self.last_crash_at = now
+        self._ended_at.pop(name, None)
+        self._ended_at[name] = now
+        while len(self._ended_at) > MAX_CRASHED_NAMES:
+            del self._ended_at[next(iter(self._ended_at))]
+
+    def ended_since(self, moment: float) -> list[str]:
+        """Return the members found silent or ended, without having left, since then.
+
+        Args:
+            moment: Loop time.
+        """
+        return [name for name, at in self._ended_at.items() if at >= moment]
+
     def _keeps_known(self, known: Member, new: Member, now: float) -> bool:
         """Return whether a known member is kept when a row of another start arrives.
 
@@ -266,9 +284,9 @@
         live = self._live.get(name)
         return live is None or not live.is_ready
 
-    def record_silence(self, now: float) -> None:
+    def record_silence(self, name: str, now: float) -> None:
         """Record that a member stopped sending heartbeats without having left."""
-        self.last_crash_at = now
+        self._record_end(name, now)
 
     def suspects(self, now: float) -> list[str]:
         """Return the names of the watched members that this gateway suspects."""
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -59,6 +59,8 @@
         store_state: Returns the state of the store as known to this gateway.
         is_first_choice: Returns whether this gateway is the first of all that should
             own a program's account.
+        may_have_lost_owner: Returns whether a gateway that died recently may have owned
+            a program's account.
         log: Decision log.
     """
 
@@ -70,6 +72,7 @@
         "_is_first_choice",
         "_locks",
         "_log",
+        "_may_have_lost_owner",
         "_released_accounts",
         "_rows",
         "_store_state",
@@ -84,10 +87,12 @@
         pull: Pull,
         store_state: Callable[[], StoreState],
         is_first_choice: Callable[[str], bool],
+        may_have_lost_owner: Callable[[str], bool],
         log: DecisionLog,
     ) -> None:
         self._rows = AccountRows(name, store, log)
         self._is_first_choice = is_first_choice
+        self._may_have_lost_owner = may_have_lost_owner
         self._store_state = store_state
         self._log = log
         self._accounts: dict[str, Account] = {}
@@ -386,12 +391,14 @@
 
         Where owners may have died with unrecorded grants, a share of the budget counts
         as spent, unless the turn is too large to have been granted without a row. An
-        owner that does not answer may be dead before its heartbeats are missed.
+        owner that does not answer may be dead before its heartbeats are missed. One
+        that died before the store was lost may have left a row that cannot be read.
         """
         account = Account(budget, opened_serial=self._rows.serial)
         store_state = self._store_state()
-        account.may_lack_grants = store_state.was_unreachable and (
-            is_passed_over or not self._is_first_choice(program)
+        account.may_lack_grants = self._may_have_lost_owner(program) or (
+            store_state.was_unreachable
+            and (is_passed_over or not self._is_first_choice(program))
         )
         may_lack_grants = account.may_lack_grants or store_state.may_have_lost_grants
         if may_lack_grants and tokens <= int(budget * UNRECORDED_SHARE):
--- a/src/carobspur/gateway/spending_client.py
+++ b/src/carobspur/gateway/spending_client.py
@@ -274,6 +274,17 @@
         """
         return self._first_choice(program) == self._membership.own.name
 
+    def may_have_lost_owner(self, program: str, *, since: float) -> bool:
+        """Return whether a gateway that has died may have owned an account.
+
+        Args:
+            program: The program.
+            since: Loop time of the oldest death that may matter.
+        """
+        own = self._membership.own.name
+        names = [own, *self._membership.ended_since(since)]
+        return first_of(program, names, 1) != [own]
+
     def _first_choice(self, program: str) -> str:
         return self._candidate_owners(program, with_avoided=True)[0]
 
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -176,6 +176,7 @@
             pull=self._pull,
             store_state=self._store_state,
             is_first_choice=lambda program: self._spending.is_first_choice(program),
+            may_have_lost_owner=self._may_have_lost_owner,
             log=log,
         )
         self._spending = SpendingClient(
@@ -334,6 +335,10 @@
             usual_s=self._store.usual_s,
         )
 
+    def _may_have_lost_owner(self, program: str) -> bool:
+        since = asyncio.get_running_loop().time() - self._loss_window_s()
+        return self._spending.may_have_lost_owner(program, since=since)
+
     def _loss_window_s(self) -> float:
         """Return how many seconds after a crash grants of tokens may still be lost."""
         return self._longest_retention_s() + LOSS_WINDOW_MARGIN_S
--- a/tests/account_owners.py
+++ b/tests/account_owners.py
@@ -115,6 +115,7 @@
         first_choices: Names of owners that are the first choice for the program; all
             others have been passed over. All are if it is empty.
         silent: Names of owners that do not answer when an account is pulled.
+        may_have_lost_owner: Whether an owner that died may have owned the account.
     """
 
     def __init__(self) -> None:
@@ -127,6 +128,7 @@
         self.was_unreachable = False
         self.first_choices: set[str] = set()
         self.silent: set[str] = set()
+        self.may_have_lost_owner = False
 
     def start(self, name: str) -> AccountOwner:
         owner = AccountOwner(
@@ -144,6 +146,7 @@
             is_first_choice=lambda _: (
                 not self.first_choices or name in self.first_choices
             ),
+            may_have_lost_owner=lambda _: self.may_have_lost_owner,
             log=DecisionLog(logging.getLogger("test")),
         )
         self.by_name[name] = owner
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -240,6 +240,23 @@
         self.assertFalse(await owners.turn(second))
         self.assertEqual(granted, owners.granted_tokens)
 
+    async def test_row_of_a_dead_owner_counts_although_it_cannot_be_read(self) -> None:
+        """Guards against grants beyond a row whose owner died before an outage."""
+        budget = 22 * TOKENS
+        owners = AccountOwners()
+        first, second = owners.start("a"), owners.start("b")
+        while await owners.turn(first, budget=budget):
+            continue
+        self.assertEqual(budget, owners.granted_tokens)
+        owners.remove(first)
+        owners.may_have_lost_owner = owners.may_have_lost_grants = True
+        owners.store.is_unreachable = owners.was_unreachable = True
+        self.assertFalse(await owners.turn(second, budget=budget))
+        owners.store.is_unreachable = False
+        while await owners.turn(second, budget=budget):
+            continue
+        self.assertLessEqual(owners.granted_tokens, budget + TOKENS)
+
     async def test_new_program_uses_its_whole_budget_without_an_outage(self) -> None:
         owners = AccountOwners()
         owner = owners.start("b")
--- a/tests/test_spending_client.py
+++ b/tests/test_spending_client.py
@@ -25,6 +25,7 @@
     MovedAccount,
     OwnerSilentError,
 )
+from carobspur.placement import rank
 
 from .account_owners import AccountOwners
 
@@ -182,6 +183,25 @@
             await self.reserve("u")
         self.assertEqual([False, True, True], told)
 
+    async def test_only_a_better_owner_that_died_may_have_owned_an_account(
+        self,
+    ) -> None:
+        client, membership = self.peers.client, self.peers.membership
+        names = ["own", "a", "b", "c"]
+        died = "a"
+        membership.record_silence(died, 100.0)
+        concerned = 0
+        for number in range(200):
+            program = f"p{number}"
+            is_better = rank(program, names).index(died) < rank(program, names).index(
+                "own"
+            )
+            concerned += is_better
+            self.assertEqual(is_better, client.may_have_lost_owner(program, since=99.0))
+            self.assertFalse(client.may_have_lost_owner(program, since=101.0))
+        self.assertLess(50, concerned)
+        self.assertLess(concerned, 150)
+
     async def test_pull_that_a_candidate_does_not_answer_proves_nothing(self) -> None:
         self.peers.record_heartbeats()
         self.assertIsNone(await self.peers.client.pull("p"))
