Known red: a look-up without an address to give is refused

An instance of the daemons that reports ready once answered /v1/addresses with 200 and an empty list (set-up of test_frozen_scheduler_wakes_after_takeover, KNOWN-RED.txt), on which a caller cannot act.

Cause: the list holds instances whose schedulers have a live session, stay and send heartbeats; where there is none it was sent as it was. What emptied it in that run is not traced (1 of many runs, on a busy machine with a lease of 1 s); a poll of all instances every 10 ms during a start shows 503 and whole lists only.

Before, on the old code: test_addresses_are_refused_while_no_instance_can_be_used fails with 200 and {"addresses":[]}.

--- a/src/carobspur/callers.py
+++ b/src/carobspur/callers.py
@@ -186,7 +186,11 @@
     """Returns the addresses of the instances that a caller should use."""
 
     def get(self) -> None:
-        """Return addresses; the program's owner, if given, comes first."""
+        """Return addresses; the program's owner, if given, comes first.
+
+        Raises:
+            NotReadyError: No instance is known yet to which callers may be directed.
+        """
         self._authenticate()
         view = self._entry.view
         program = self.get_query_argument("program", "")
@@ -197,6 +201,10 @@
             rotation=self._entry.rotation,
             data_centre=self.get_query_argument("data_centre", ""),
         )
+        if not found:
+            raise NotReadyError(
+                "no instance with a scheduler is known yet", retry_after_s=1.0
+            )
         self.send_json(AddressDocument(found, self._entry.keep_addresses_s))
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -41,6 +41,21 @@
 
         run_virtual(scenario)
 
+    def test_addresses_are_refused_while_no_instance_can_be_used(self) -> None:
+        """Guards against an empty list of addresses that looks like an answer."""
+
+        async def scenario() -> None:
+            world = await World().start(3)
+            for number in (1, 2, 3):
+                await world.nodes[number].control.announce(leaving=True)
+            await asyncio.sleep(LIMIT_S)
+            for number in (1, 2, 3):
+                reply = await world.ask("GET", "/v1/addresses", node=number)
+                self.assertEqual(503, reply.status, reply.body)
+                self.assertEqual("not_run", reply.json["verdict"])
+
+        run_virtual(scenario)
+
     def test_an_instance_out_of_contact_accepts_no_change(self) -> None:
         async def scenario() -> None:
             world = await World().start(3)
