Rows of budgets remain while programs that ran within them may return

A program's budget could begin anew: its row expired one retention after it was written, but a turn that runs within the allowance does not write it. With a retention above 300 s (after which orphans are removed), the row of a program that is still allowed to return could be removed, and if its owner died, the next one found nothing spent.

Rows of budgets now live as long as rows of turns: two retentions and 30 s. At most one turn of an idle program runs between two writes of its row, so that covers its return.

Before, on the old line: test_row_remains_while_a_program_that_ran_within_it_may_return fails (the row expires 59 s too soon). The lifetime of rows moved to row_sweep, which removes them.

--- a/src/carobspur/gateway/account_rows.py
+++ b/src/carobspur/gateway/account_rows.py
@@ -12,6 +12,7 @@
 from .accounts import Account
 from .decisions import DecisionLog
 from .partition import partition_of
+from .row_sweep import row_lifetime_s
 from .rows import RowConflictError, RowKey, RowStore, RowStoreAwayError, RowWrite
 from .spending_records import SpendingRow
 
@@ -122,7 +123,7 @@
         self, program: str, account: Account, tokens: int, holder: str
     ) -> RowWrite:
         self.serial += 1
-        expires_at = time.time() + account.retention_s
+        expires_at = time.time() + row_lifetime_s(account.retention_s)
         row = SpendingRow(tokens, holder, self.serial, expires_at)
         return RowWrite(_key(program), msgspec.msgpack.encode(row))
 
--- a/src/carobspur/gateway/row_sweep.py
+++ b/src/carobspur/gateway/row_sweep.py
@@ -1,6 +1,6 @@
 """Removes rows that have expired.
 
-A gateway removes the rows that it wrote soon after their retention. Rows whose gateway
+A gateway removes the rows that it wrote soon after their lifetime. Rows whose gateway
 has died since are orphans, which any gateway finds by reading partitions at random.
 """
 
@@ -28,6 +28,13 @@
 gateways make more reads than two tables have partitions."""
 ORPHAN_MARGIN_S = 300.0
 """Time after its expiry from which a row is an orphan: far above any clock jump."""
+LIFETIME_FACTOR = 2.0
+"""Lifetime of a row in multiples of the retention that it serves. What comes within one
+retention may rely on the row without writing it again: a turn that continues a history
+or that runs within an allowance."""
+CLOCK_MARGIN_S = 30.0
+"""Added to the lifetime of a row, and required beyond the retention of a turn that
+refers to it: well above the difference between the clocks of two instances."""
 MAX_ROWS_PER_WRITE = 100
 TIMEOUT_S = 2.0
 
@@ -35,6 +42,15 @@
 """Returns the Unix time in seconds at which a row of a table expires."""
 
 
+def row_lifetime_s(retention_s: float) -> float:
+    """Return how long a row remains in the store.
+
+    Args:
+        retention_s: How long the turn or account must be kept after its last use.
+    """
+    return LIFETIME_FACTOR * retention_s + CLOCK_MARGIN_S
+
+
 def sweep_period_s(gateways: int) -> float:
     """Return the period in which a gateway sweeps its own rows of all partitions."""
     return OWN_SWEEP_S * max(1.0, gateways / GATEWAYS_AT_OWN_SWEEP_S)
@@ -67,18 +83,18 @@
         # Loop time of removal and key of each row, by partition.
         self._own: defaultdict[str, deque[tuple[float, RowKey]]] = defaultdict(deque)
 
-    def record(self, key: RowKey, retention_s: float) -> None:
+    def record(self, key: RowKey, lifetime_s: float) -> None:
         """Schedule the removal of a row that this gateway has written just now.
 
         Args:
             key: The row.
-            retention_s: How long it must be kept.
+            lifetime_s: How long it must remain.
         """
-        due = asyncio.get_running_loop().time() + retention_s
+        due = asyncio.get_running_loop().time() + lifetime_s
         self._own[key.partition].append((due, key))
 
     async def sweep_own_forever(self) -> None:
-        """Remove rows of this gateway after their retention."""
+        """Remove rows of this gateway after their lifetime."""
         partitions = all_partitions()
         while True:
             for partition in partitions:
--- a/src/carobspur/gateway/turn_lifecycle.py
+++ b/src/carobspur/gateway/turn_lifecycle.py
@@ -17,10 +17,11 @@
     retry_after_s,
 )
 from .refusals import EndpointFailedError, StateUnavailableError
+from .row_sweep import row_lifetime_s
 from .rows import RowKey, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
-from .turn_store import TurnStore, row_lifetime_s
+from .turn_store import TurnStore
 from .turn_times import TurnTimes
 
 STATE_TIMEOUT_S = 1.1
--- a/src/carobspur/gateway/turn_store.py
+++ b/src/carobspur/gateway/turn_store.py
@@ -18,6 +18,7 @@
 
 from ..errors import NotFoundError
 from ._futures import cancelled_at_exit
+from .row_sweep import CLOCK_MARGIN_S, row_lifetime_s
 from .rows import RowKey
 from .turn_rows import TurnRows
 
@@ -26,22 +27,6 @@
 MAX_TEXT_SHARE = 0.7
 """Share of a row's largest size that its text may fill: base64 makes the text a third
 longer."""
-LIFETIME_FACTOR = 2.0
-"""Lifetime of a row in multiples of the turn's retention. A turn that follows within
-one retention may refer to the row, so a long history is written again at most once in
-this time."""
-CLOCK_MARGIN_S = 30.0
-"""Added to the lifetime of a row, and required beyond the retention of a turn that
-refers to it: well above the difference between the clocks of two instances."""
-
-
-def row_lifetime_s(retention_s: float) -> float:
-    """Return how long the rows of a turn remain in the store.
-
-    Args:
-        retention_s: How long the turn must be kept.
-    """
-    return LIFETIME_FACTOR * retention_s + CLOCK_MARGIN_S
 
 
 class NoSuchTurnError(NotFoundError):
--- a/tests/account_owners.py
+++ b/tests/account_owners.py
@@ -26,6 +26,7 @@
 
 BUDGET = 1000
 TOKENS = 100
+RETENTION_S = 60
 
 
 class RowStoreFake:
@@ -172,7 +173,7 @@
                 turn,
                 TOKENS,
                 budget,
-                retention_s=60,
+                retention_s=RETENTION_S,
                 is_passed_over=is_passed_over,
             )
         except (BudgetSpentError, RowStoreAwayError):
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -10,13 +10,18 @@
 import itertools
 import random
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from carobspur.gateway.accounts import ReleasedAccount
 from carobspur.gateway.rows import RowStoreAwayError
 from carobspur.gateway.spending import AccountOwner
-from carobspur.gateway.spending_records import BudgetSpentError, MovedAccount
+from carobspur.gateway.spending_records import (
+    BudgetSpentError,
+    MovedAccount,
+    spending_expiry,
+)
 
-from .account_owners import BUDGET, TOKENS, AccountOwners
+from .account_owners import BUDGET, RETENTION_S, TOKENS, AccountOwners
 
 
 class SpendingTest(IsolatedAsyncioTestCase):
@@ -227,6 +232,23 @@
                         continue
                     self.assertLessEqual(owners.granted_tokens, BUDGET)
 
+    async def test_row_remains_while_a_program_that_ran_within_it_may_return(
+        self,
+    ) -> None:
+        """Guards against a budget that begins anew after its row was removed."""
+        owners = AccountOwners()
+        owner = owners.start("a")
+        with patch("time.time", return_value=1000.0):
+            await owners.turn(owner)
+            await owner.write_idle(idle_s=0.0)
+        writes = owners.store.version
+        last_turn_at = 1000.0 + RETENTION_S - 1
+        with patch("time.time", return_value=last_turn_at):
+            await owners.turn(owner)
+        self.assertEqual(writes, owners.store.version)
+        ((row, _),) = owners.store.rows.values()
+        self.assertGreaterEqual(spending_expiry(row), last_turn_at + RETENTION_S)
+
     async def test_owner_that_does_not_answer_a_pull_may_have_granted(self) -> None:
         """Guards against two owners that both begin a program without a row."""
         owners = AccountOwners()
--- a/tests/test_turn_store.py
+++ b/tests/test_turn_store.py
@@ -9,14 +9,13 @@
 from unittest import mock
 
 from carobspur.gateway.decisions import DecisionLog
-from carobspur.gateway.row_sweep import RowSweeper
+from carobspur.gateway.row_sweep import RowSweeper, row_lifetime_s
 from carobspur.gateway.rows import RowStoreError
 from carobspur.gateway.turn_rows import TABLE, TurnRows, turn_partitions
 from carobspur.gateway.turn_store import (
     EMPTY_HISTORY,
     NoSuchTurnError,
     TurnStore,
-    row_lifetime_s,
     turn_expiry,
 )
 
