Numbers in headers and event ids that int refuses are ignored

Cause: str.isdigit accepts more than int. All such numbers now go through parse_decimal.

Before, on the old code: 2 of 5 values of test_values_that_are_not_numbers_are_ignored end with ValueError. After: they pass, with 87 tests of decoding, settings, the path and resuming.

--- a/src/carobspur/gateway/events.py
+++ b/src/carobspur/gateway/events.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from .answer_limits import DEFAULT_LIMITS
+from .decimals import parse_decimal
 from .send_errors import LostAnswerError
 
 _EVENT_END = b"\n\n"
@@ -13,7 +14,7 @@
 
 def event_number(event_id: str) -> int | None:
     """Return an event id as a number, or ``None`` if it is not one."""
-    return int(event_id) if event_id.isdigit() else None
+    return parse_decimal(event_id)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/host_port.py
+++ b/src/carobspur/gateway/host_port.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from .decimals import parse_decimal
+
 MAX_PORT = 65535
 
 
@@ -12,9 +14,7 @@
         ValueError: The text has no host or no port from 0 to 65535.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        raise ValueError(address)
-    number = int(port)
-    if number > MAX_PORT:
+    number = parse_decimal(port)
+    if not host or number is None or number > MAX_PORT:
         raise ValueError(address)
     return host, number
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -19,6 +19,7 @@
 from ._futures import consume_error
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 from .answer_parser import AnswerParser, Message
+from .decimals import parse_decimal
 from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 
 CONNECT_TIMEOUT_S = 0.3
@@ -282,6 +283,7 @@
     """Return the timeout that a ``Keep-Alive`` header states, in seconds."""
     for item in headers.get("keep-alive", "").split(","):
         name, _, value = item.strip().partition("=")
-        if name == "timeout" and value.strip().isdigit():
-            return float(value)
+        timeout_s = parse_decimal(value.strip())
+        if name == "timeout" and timeout_s is not None:
+            return float(timeout_s)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..gateway.calls import AnswerHead, Call, EndpointLoad, ProgramInfo
+from ..gateway.decimals import parse_decimal
 from ..gateway.endpoint_client import EndpointCodec
 from ..gateway.endpoints import Endpoint
 from ..gateway.http_pool import encode_request
@@ -175,7 +176,7 @@
     budget = by_name.get("token-budget", "")
     return ProgramInfo(
         id=program,
-        token_budget=int(budget) if budget.isdigit() else None,
+        token_budget=parse_decimal(budget),
         previous_turn=by_name.get("previous-turn", ""),
     )
 
@@ -183,14 +184,14 @@
 def _decode_number_pair(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     return (
-        int(first) if first.strip().isdigit() else 0,
-        int(second) if second.strip().isdigit() else 0,
+        parse_decimal(first.strip()) or 0,
+        parse_decimal(second.strip()) or 0,
     )
 
 
 def _decode_load(text: str) -> EndpointLoad | None:
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+    numbers = [parse_decimal(item.strip()) for item in text.split(",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    running, waiting, slots = (int(item) for item in numbers)
+    running, waiting, slots = numbers
     return EndpointLoad(running, waiting, slots)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -6,6 +6,7 @@
 import unittest
 
 from carobspur.gateway.endpoints import Endpoint
+from carobspur.gateway.events import event_number
 from carobspur.gateway.routes import RouteKind
 from carobspur.platform.configuration import ConfigurationError, decode_configuration
 from carobspur.platform.headers import PlatformWire, decode_call
@@ -115,9 +116,20 @@
         self.assertEqual("t0", call.program.previous_turn)
 
     def test_values_that_are_not_numbers_are_ignored(self) -> None:
-        call = self._call(("Deadline-Ms", "soon"), ("Token-Usage", "x"))
-        self.assertIsNone(call.deadline)
-        self.assertEqual(0, call.max_tokens)
+        for text in ("x", "\u00b2", "-1", "1.5", "9" * 5000):
+            with self.subTest(text[:8]):
+                call = self._call(
+                    ("Deadline-Ms", "soon"),
+                    ("Token-Usage", f"{text},{text}"),
+                    ("Program-Id", "p"),
+                    ("Token-Budget", text),
+                )
+                self.assertIsNone(call.deadline)
+                self.assertEqual((0, 0), (call.prompt_tokens, call.max_tokens))
+                self.assertIsNone(call.program.token_budget)
+                load = [("Instance-Load", f"1,{text},8")]
+                self.assertIsNone(PlatformWire().decode(200, load).load)
+                self.assertIsNone(event_number(text))
 
     def test_internal_headers_of_callers_are_not_forwarded(self) -> None:
         call = self._call(
