A stream that breaks off behind a comment is resumed

Before: test_stream_that_breaks_off_behind_a_comment_is_resumed fails ("False is not true"). After: 7 of 7 tests of test_stream_resume pass.

--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -89,7 +89,13 @@
         )
 
     def record_forwarded(self, event: StreamEvent) -> None:
-        """Record that the caller has been sent an event."""
+        """Record that the caller has been sent an event.
+
+        A comment is no part of the engine's output, so a stream may be resumed behind
+        it.
+        """
+        if event.is_comment:
+            return
         self.has_unnumbered_event = not event.id
         if event.id:
             self.last_event_id = event.id
--- a/tests/test_stream_resume.py
+++ b/tests/test_stream_resume.py
@@ -6,6 +6,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from carobspur_standins.platform_replica import (
+    AnswerEnd,
     ReplicaFault,
     ReplicaStandin,
     ScriptedAnswer,
@@ -155,6 +156,16 @@
                     answer.body,
                 )
 
+    async def test_stream_that_breaks_off_behind_a_comment_is_resumed(self) -> None:
+        async with world() as deployment:
+            engine = _engine(deployment)
+            begun = b"id: 1\ndata: token 1\n\n: wait\n\n"
+            head = b"HTTP/1.1 200 OK\r\n" + SIGNED + STREAM + b"\r\n"
+            engine.scripts.append(ScriptedAnswer(head + begun, AnswerEnd.RESET))
+            answer = await deployment.call("/walk/a", body=b"prompt")
+        self.assertTrue(answer.is_whole)
+        self.assertEqual([b"token %d" % n for n in range(1, 5)], _output(answer))
+
     async def test_comment_in_a_resumed_stream_is_forwarded(self) -> None:
         async with world() as deployment:
             engine = _engine(deployment)
