An entry that is found missing again gives its endpoint no more time

Each read of the whole registry (after a lost history or a restart of the feed) found the same entry missing again and set the endpoint's deadline anew: within 2.2 s of an outage's end it could be used for up to 2.2 s after its removal, where its replica serves for 2.0 s.

The deadline of the first time now stays.

Before: test_missing_entry_that_is_found_missing_again_is_given_no_more_time fails (the endpoint is still in use after 2.0 s).

--- a/src/carobspur/platform/registry.py
+++ b/src/carobspur/platform/registry.py
@@ -29,8 +29,6 @@
 """
 LAPSE_POLL_S = 0.1
 """Interval at which lapsed endpoints are checked."""
-
-
 MAX_SLOTS = 1_000_000
 """Most slots of a replica; an entry with more is not one of a replica."""
 MAX_INT64 = 2**63 - 1
@@ -197,6 +195,9 @@
         if deadline <= now or current.is_draining:
             self._remove(endpoint_id)
             return
+        if endpoint_id in self._endpoints.lapsed_ids():
+            # Found missing before; its time has begun.
+            return
         self._log.record(
             "endpoint_lapsed", endpoint=endpoint_id, kept_s=round(deadline - now, 2)
         )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -124,6 +124,23 @@
 
         run_virtual(scenario)
 
+    def test_missing_entry_that_is_found_missing_again_is_given_no_more_time(
+        self,
+    ) -> None:
+        """Guards against a longer use after each read of the whole registry."""
+
+        async def scenario() -> None:
+            deployment = _Deployment()
+            deployment.add("i")
+            await deployment.outage(1.0)
+            deployment.registry.apply([], True)
+            await asyncio.sleep(1.0)
+            deployment.registry.apply([], True)
+            await asyncio.sleep(DRAIN_S - 1.0)
+            self.assertEqual(set(), deployment.usable)
+
+        run_virtual(scenario)
+
     def test_draining_endpoint_is_removed_at_once_after_an_outage(self) -> None:
         async def scenario() -> None:
             deployment = _Deployment()
