--- a/src/carobspur/gateway/call_dispatcher.py
+++ b/src/carobspur/gateway/call_dispatcher.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from ..errors import CarobspurError
 from ..verdict import verdict_name
 from .calls import Call, Responder
 from .context import GatewayContext
+from .customers.authentication import authenticate
+from .gates import RequestGate
 from .objectives import Served, objective_of
 from .plain_calls import PlainCallHandler
 from .refusals import NoConfigurationError, NoRouteError, refusal_headers
@@ -28,7 +31,8 @@
         stream_calls: Handles calls on streaming routes.
         is_configuration_current: Returns whether the configuration is known to be
             the newest version. Only then is a path without a route answered with
-            404; otherwise with 503.
+            404, and an unknown API key with 401; otherwise with 503.
+        gates: Decisions that a request passes in this order before it is served.
 
     Attributes:
         in_flight: Number of requests being handled.
@@ -36,6 +40,7 @@
 
     __slots__ = (
         "_context",
+        "_gates",
         "_is_configuration_current",
         "_plain_calls",
         "_stream_calls",
@@ -48,12 +53,14 @@
         plain_calls: PlainCallHandler,
         stream_calls: StreamCallHandler,
         *,
-        is_configuration_current,
+        is_configuration_current: Callable[[], bool],
+        gates: Sequence[RequestGate] = (),
     ) -> None:
         self._context = context
         self._plain_calls = plain_calls
         self._stream_calls = stream_calls
         self._is_configuration_current = is_configuration_current
+        self._gates = tuple(gates)
         self.in_flight = 0
 
     async def handle(self, call: Call, responder: Responder) -> None:
@@ -67,7 +74,7 @@
             route = None
             try:
                 route = self._route(call)
-                served = await self._serve(call, route, responder)
+                served = await self._admit_and_serve(call, route, responder)
             except CarobspurError as error:
                 self._refuse(call, route, responder, error)
             except asyncio.CancelledError:
@@ -89,7 +96,7 @@
                 )
 
     @contextmanager
-    def _count_in_flight(self):
+    def _count_in_flight(self) -> Iterator[None]:
         self.in_flight += 1
         self._context.telemetry.in_flight.set(self.in_flight)
         try:
@@ -118,6 +125,27 @@
             f"no route matches in configuration version {configuration.version}"
         )
 
+    async def _admit_and_serve(
+        self, call: Call, route: Route, responder: Responder
+    ) -> Served:
+        customer = authenticate(
+            call,
+            route,
+            self._context.configuration,
+            is_current=self._is_configuration_current(),
+        )
+        passed: list[RequestGate] = []
+        served = None
+        try:
+            for gate in self._gates:
+                await gate.admit(call, route, customer)
+                passed.append(gate)
+            served = await self._serve(call, route, responder)
+            return served
+        finally:
+            for gate in passed:
+                gate.finished(call, route, served)
+
     async def _serve(self, call: Call, route: Route, responder: Responder) -> Served:
         deadline = call.arrived_at + route.timeout_s
         if call.deadline is not None:
@@ -183,6 +211,7 @@
             program=program.id if program else "",
             previous=program.previous_turn if program else "",
             route=route.name if route else "",
+            customer=call.customer,
             configuration=version,
             status=status,
             cause=cause,
--- a/src/carobspur/gateway/calls.py
+++ b/src/carobspur/gateway/calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 Headers = list[tuple[str, str]]
@@ -17,11 +17,30 @@
         token_budget: Most tokens that all turns of the program may generate together;
             ``None`` if not stated.
         previous_turn: Request id of the turn that this one continues; empty for none.
+        session: Id of the line of turns that the request belongs to; empty if not
+            stated.
+        deadline: Event loop time at which the whole program should have finished;
+            ``None`` if not stated.
     """
 
     id: str
     token_budget: int | None = None
     previous_turn: str = ""
+    session: str = ""
+    deadline: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """One part of a prompt; requests with equal leading parts share cached tokens.
+
+    Attributes:
+        id: Id of the part.
+        tokens: Its length.
+    """
+
+    id: str
+    tokens: int
 
 
 @dataclass(slots=True)
@@ -43,6 +62,19 @@
         max_tokens: Most tokens that the call may generate; 0 if not stated.
         last_event_id: Id of the last stream event that the caller has received;
             empty for none.
+        prompt_parts: Parts of the prompt in order; empty if not stated.
+        expected_tokens: The caller's estimate of the tokens that the call generates;
+            0 if not stated.
+        affinity_key: Identifies the object that the request is about; empty if not
+            stated.
+        key_digest: Digest of the API key that the caller presented; empty for none.
+        credential_headers: Header fields about the caller's identity, forwarded only
+            where the configuration has no customers.
+        customer: Name of the customer whose key was presented; empty for an anonymous
+            request, ``None`` where the configuration has no customers.
+        priority: Priority of the request, 0 is the highest; set once it is routed.
+        engine_priority: Priority among the requests of an engine, from 0, the first,
+            to 9; ``None`` to leave it to the engine.
     """
 
     id: str
@@ -57,6 +89,14 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     last_event_id: str = ""
+    prompt_parts: tuple[PromptPart, ...] = ()
+    expected_tokens: int = 0
+    affinity_key: str = ""
+    key_digest: bytes = field(default=b"", repr=False)
+    credential_headers: Headers = field(default_factory=list, repr=False)
+    customer: str | None = None
+    priority: int = 0
+    engine_priority: int | None = None
 
     @property
     def path(self) -> str:
@@ -72,11 +112,14 @@
         running: Requests that it is processing.
         waiting: Requests in its queue.
         slots: Requests that it can process at the same time.
+        slowdown: How long work takes on its machine at this moment, as a multiple of
+            the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -9,6 +9,7 @@
 from ..errors import CarobspurError
 from ..verdict import MAY_HAVE_RUN, NOT_RUN, NotRun
 
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -30,6 +31,30 @@
     default_verdict = NOT_RUN
 
 
+class UnknownKeyError(CarobspurError):
+    """No customer holds the API key, and the configuration is known to be current."""
+
+    cause = "unknown_key"
+    status = 401
+    default_verdict = NOT_RUN
+
+
+class OverLimitError(CarobspurError):
+    """The customer has used up its rate limit; nothing was sent."""
+
+    cause = "over_limit"
+    status = TOO_MANY_REQUESTS
+    default_verdict = NOT_RUN
+
+
+class OverloadedError(CarobspurError):
+    """The service could not serve the request in time, so it was not sent."""
+
+    cause = "overloaded"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class NoEndpointError(CarobspurError):
     """No endpoint can take the request, and none has run it."""
 
--- a/src/carobspur/gateway/routes.py
+++ b/src/carobspur/gateway/routes.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .customers.customer import Customer
+
 
 class RouteKind(StrEnum):
     """Kind of a route: whether its requests may be repeated, or are streams.
@@ -50,6 +52,10 @@
             their new input.
         retention_s: How long turns and spent tokens of programs are stored.
         max_gap_s: Longest gap between events with which a stream is on time.
+        allows_anonymous: Whether requests without an API key are accepted where the
+            configuration has customers.
+        is_sticky: Whether an endpoint that has handled the same object, or has the same
+            prompt cached, answers faster.
     """
 
     name: str
@@ -65,6 +71,8 @@
     keeps_history: bool = False
     retention_s: float = 60.0
     max_gap_s: float = 1.0
+    allows_anonymous: bool = False
+    is_sticky: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -97,9 +105,14 @@
 
     Attributes:
         tokens_per_event: Tokens in one event of a stream.
+        slots: Requests that an engine processes at the same time; 0 if not stated.
+        cache_tokens: Tokens that an engine's memory holds, of running requests and
+            cached prompts together; 0 if not stated.
     """
 
     tokens_per_event: int
+    slots: int = 0
+    cache_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,12 +153,17 @@
         routes: All routes; of two with the same host and prefix the first is used.
         services: Services by name.
         limits: Limits on callers.
+        customers: Customers; without any, requests need no API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    customers: tuple[Customer, ...] = ()
+    _by_key: dict[bytes, Customer] = field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
     _by_prefix: dict[tuple[str, str], Route] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
@@ -154,9 +172,20 @@
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_prefix.setdefault((route.host, route.prefix), route)
+        for customer in self.customers:
+            for digest in customer.key_digests:
+                self._by_key.setdefault(digest, customer)
         longest = max((len(route.prefix) for route in self.routes), default=0)
         object.__setattr__(self, "_longest_prefix", longest)
 
+    def customer_of(self, key_digest: bytes) -> Customer | None:
+        """Return the customer that holds an API key, ``None`` if none does.
+
+        Args:
+            key_digest: Digest of the key; see :func:`~.customers.customer.key_digest`.
+        """
+        return self._by_key.get(key_digest)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that the path begins with.
 
--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import CarobspurError
+from ..gateway.customers.customer import Customer, key_digest
 from ..gateway.routes import (
     CallerLimits,
     Configuration,
@@ -53,11 +54,15 @@
     retention_s: float = msgspec.field(default=60.0, name="retentionS")
     # Longest pause between two events of a stream that counts as on time.
     target_gap_ms: float = 1000
+    allow_anonymous: bool = False
+    sticky_sessions: bool = False
 
 
 class _Engine(msgspec.Struct, rename="camel"):
     # Tokens in each event of a stream.
     stride: int = 1
+    slots: int = 0
+    kv_cache_tokens: int = 0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -71,11 +76,20 @@
     idle_timeout_ms: float = 60_000
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = msgspec.field(default=0.0, name="ratePerS")
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, rename="camel"):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 _decoder = msgspec.json.Decoder(_Config, strict=False)
@@ -101,6 +115,7 @@
             max_body_bytes=wire.limits.max_body_bytes,
             idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
         ),
+        customers=tuple(_customer(item) for item in wire.tenants),
     )
 
 
@@ -120,11 +135,27 @@
         keeps_history=wire.keeps_history,
         retention_s=wire.retention_s,
         max_gap_s=wire.target_gap_ms / 1000,
+        allows_anonymous=wire.allow_anonymous,
+        is_sticky=wire.sticky_sessions,
     )
 
 
 def _service(wire: _Service) -> Service:
     engine = None
     if wire.engine is not None:
-        engine = EngineTraits(wire.engine.stride)
+        engine = EngineTraits(
+            wire.engine.stride,
+            slots=wire.engine.slots,
+            cache_tokens=wire.engine.kv_cache_tokens,
+        )
     return Service(wire.name, engine)
+
+
+def _customer(wire: _Tenant) -> Customer:
+    return Customer(
+        name=wire.name,
+        key_digests=tuple(key_digest(key) for key in wire.api_keys),
+        priority=wire.priority,
+        rate_per_s=wire.rate_per_s,
+        burst=wire.burst,
+    )
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from ..gateway.calls import AnswerHead, Call, EndpointLoad, ProgramInfo
+from ..gateway.calls import (
+    AnswerHead,
+    Call,
+    EndpointLoad,
+    Headers,
+    ProgramInfo,
+    PromptPart,
+)
+from ..gateway.customers.customer import key_digest
 from ..gateway.decimals import parse_decimal
 from ..gateway.endpoint_client import EndpointCodec
 from ..gateway.endpoints import Endpoint
@@ -19,7 +27,8 @@
 _SIGNATURE_HEADER = "response-signature"
 # With any value: the request has not run and never will.
 _NOT_EXECUTED_HEADER = "not-executed"
-# Requests running, requests waiting and slots of the replica, separated by commas.
+# Requests running, requests waiting and slots of the replica, separated by commas; at
+# some services also how long work takes there now, in percent of the usual.
 _LOAD_HEADER = "instance-load"
 # "1" in all answers of a replica that shuts down, even if its registry entry says
 # "ready".
@@ -27,6 +36,12 @@
 # Prompt tokens and the maximum of output tokens, separated by a comma; despite the
 # name not the tokens that were used.
 _TOKENS_HEADER = "token-usage"
+# Name of the customer whose key the caller presented, as the system has found it.
+_CUSTOMER_HEADER = "Tenant"
+# From 0, the first, to 9.
+_PRIORITY_HEADER = "Request-Priority"
+_KEY_SCHEME = "bearer"
+_CREDENTIAL_FIELDS = frozenset({"authorization", "tenant"})
 _MISDIRECTED_STATUS = 421
 _EVENT_STREAM = "text/event-stream"
 
@@ -94,10 +109,15 @@
         body=b"",
         arrived_at=arrived_at,
         deadline=_decode_deadline(by_name.get("deadline-ms", ""), arrived_at),
-        program=_decode_program(by_name),
+        program=_decode_program(by_name, arrived_at),
         prompt_tokens=_decode_number_pair(by_name.get(_TOKENS_HEADER, ""))[0],
         max_tokens=_decode_number_pair(by_name.get(_TOKENS_HEADER, ""))[1],
         last_event_id=by_name.get("last-event-id", ""),
+        prompt_parts=_decode_prompt_parts(by_name.get("prompt-prefix", "")),
+        expected_tokens=parse_decimal(by_name.get("length-hint", "")) or 0,
+        affinity_key=by_name.get("affinity-key", ""),
+        key_digest=_decode_key(fields),
+        credential_headers=_select_credentials(fields, by_name.get("connection", "")),
     )
 
 
@@ -119,9 +139,12 @@
         headers = [
             ("Host", call.host),
             *call.headers,
+            *_credentials(call),
             (DEADLINE_HEADER, str(max(1, int(remaining_s * 1000)))),
             (TARGET_HEADER, endpoint.id),
         ]
+        if call.engine_priority is not None:
+            headers.append((_PRIORITY_HEADER, str(call.engine_priority)))
         if last_event_id:
             headers.append((LAST_EVENT_HEADER, last_event_id))
         return encode_request(call.method, call.target, headers, body)
@@ -157,11 +180,51 @@
 def _select_forwarded(
     fields: list[tuple[str, str]], connection: str
 ) -> list[tuple[str, str]]:
-    named = {item.strip().lower() for item in connection.split(",")}
-    dropped = _HOP_BY_HOP | _SET_BY_GATEWAY | named
+    dropped = _HOP_BY_HOP | _SET_BY_GATEWAY | _CREDENTIAL_FIELDS | _named(connection)
     return [(name, value) for name, value in fields if name.lower() not in dropped]
 
 
+def _select_credentials(fields: list[tuple[str, str]], connection: str) -> Headers:
+    kept = _CREDENTIAL_FIELDS - _named(connection)
+    return [(name, value) for name, value in fields if name.lower() in kept]
+
+
+def _named(connection: str) -> set[str]:
+    """Return the header fields that concern only the connection, in lower case."""
+    return {item.strip().lower() for item in connection.split(",")}
+
+
+def _credentials(call: Call) -> Headers:
+    """Return the header fields about the caller's identity that a replica receives."""
+    if call.customer is None:
+        return call.credential_headers
+    return [(_CUSTOMER_HEADER, call.customer)] if call.customer else []
+
+
+def _decode_key(fields: list[tuple[str, str]]) -> bytes:
+    """Return the digest of the API key; empty without exactly one well-formed key."""
+    values = [value for name, value in fields if name.lower() == "authorization"]
+    if len(values) != 1:
+        return b""
+    scheme, _, key = values[0].strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != _KEY_SCHEME or not key:
+        return b""
+    return key_digest(key)
+
+
+def _decode_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; none if any of them is malformed."""
+    parts = []
+    for item in text.split(",") if text else ():
+        part, _, length = item.strip().rpartition(":")
+        tokens = parse_decimal(length)
+        if not part or tokens is None:
+            return ()
+        parts.append(PromptPart(part, tokens))
+    return tuple(parts)
+
+
 def _decode_deadline(text: str, arrived_at: float) -> float | None:
     try:
         return arrived_at + float(text) / 1000
@@ -169,7 +232,7 @@
         return None
 
 
-def _decode_program(by_name: dict[str, str]) -> ProgramInfo | None:
+def _decode_program(by_name: dict[str, str], arrived_at: float) -> ProgramInfo | None:
     program = by_name.get("program-id", "")
     if not program:
         return None
@@ -178,6 +241,8 @@
         id=program,
         token_budget=parse_decimal(budget),
         previous_turn=by_name.get("previous-turn", ""),
+        session=by_name.get("session-id", ""),
+        deadline=_decode_deadline(by_name.get("program-deadline-ms", ""), arrived_at),
     )
 
 
@@ -191,7 +256,7 @@
 
 def _decode_load(text: str) -> EndpointLoad | None:
     numbers = [parse_decimal(item.strip()) for item in text.split(",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    running, waiting, slots = numbers
-    return EndpointLoad(running, waiting, slots)
+    running, waiting, slots, *slowdown = numbers
+    return EndpointLoad(running, waiting, slots, slowdown[0] / 100 if slowdown else 1.0)
