--- a/src/carobspur/platform/directory.py
+++ b/src/carobspur/platform/directory.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from ..gateway.addresses import addresses_for
+from ..gateway.decimals import parse_decimal
 from ..gateway.members import Membership
 from ..gateway.spending import AccountOwner
 from ..gateway.spending_protocol import (
@@ -87,12 +88,19 @@
 
 
 class _SnapshotHandler(tornado.web.RequestHandler):
-    def initialize(self, snapshot: Callable[[], bytes]) -> None:
+    def initialize(self, snapshot: Callable[[dict[str, int] | None], bytes]) -> None:
         self._snapshot = snapshot
 
     def get(self) -> None:
-        """Return this gateway's snapshot for one that has just started."""
-        self.finish(self._snapshot())
+        """Return this gateway's snapshot for one that has just started.
+
+        The query has the version of the newest row that it has, by feed.
+        """
+        after = {
+            name: parse_decimal(values[-1].decode("latin-1")) or 0
+            for name, values in self.request.query_arguments.items()
+        }
+        self.finish(self._snapshot(after or None))
 
 
 class _MetricsHandler(tornado.web.RequestHandler):
@@ -134,14 +142,15 @@
 def peer_application(
     store: PlatformRowStore,
     account_owner: AccountOwner,
-    snapshot: Callable[[], bytes],
+    snapshot: Callable[[dict[str, int] | None], bytes],
 ) -> tornado.web.Application:
     """Return the application that serves other gateways.
 
     Args:
         store: Makes the store calls of peers.
         account_owner: Answers requests about token accounts.
-        snapshot: Returns the encoded snapshot of the followed tables.
+        snapshot: Returns the encoded snapshot of the rows of the followed tables that
+            are newer than the given versions; all without any.
     """
     return _create_application(
         [
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import uuid
 from collections.abc import AsyncIterator
@@ -343,9 +344,9 @@
         """Return how many seconds after a crash grants of tokens may still be lost."""
         return self._longest_retention_s() + LOSS_WINDOW_MARGIN_S
 
-    def _snapshot(self) -> bytes:
+    def _snapshot(self, after: dict[str, int] | None) -> bytes:
         members = [self._membership.own, *self._membership.others()]
-        return encode_snapshot(self._feeds, members=members)
+        return encode_snapshot(self._feeds, members=members, after=after)
 
     def _record_background_error(self, job: str, error: Exception) -> None:
         self._log.record("background_failed", work=job, reason=repr(error))
@@ -356,8 +357,15 @@
         )
 
     def _bootstrap_peers(self) -> list[str]:
-        peers = [member.peers for member in self._membership.others()]
-        return peers or self._seeds()
+        """Return the peers to load tables from: those of the data centre first.
+
+        The order is random otherwise, so that gateways that start together do not all
+        load from the same peer.
+        """
+        members = list(self._membership.others())
+        random.shuffle(members)
+        members.sort(key=lambda item: item.data_centre != self._context.data_centre)
+        return [member.peers for member in members] or self._seeds()
 
     def _longest_retention_s(self) -> float:
         configuration = self._context.configuration
