--- a/src/carobspur/gateway/account_rows.py
+++ b/src/carobspur/gateway/account_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .accounts import Account
+from .customers.ownership import unscoped_name
 from .decisions import DecisionLog
 from .partition import partition_of
 from .row_sweep import row_lifetime_s
@@ -57,16 +58,22 @@
     ) -> None:
         """Write to the program's row how many tokens count as spent.
 
+        Until the row exists, the write also fails if the program has a row from before
+        the configuration had customers that the account does not count. Both rows are
+        in one partition, so this takes no further call.
+
         Raises:
-            RowConflictError: The row has another version than the account expects.
+            RowConflictError: A row has another version than the account expects.
             RowStoreAwayError: The store did not answer; the row may have been written.
         """
         account.is_row_uncertain = True
         write = self._row_write(program, account, tokens, self._owner)
+        expected = {write.key: account.version}
+        unscoped = unscoped_name(program)
+        if unscoped and not account.version:
+            expected[row_key(unscoped)] = account.unscoped_version
         version = await self._store.write(
-            [write],
-            expected={write.key: account.version},
-            timeout_s=ROW_WRITE_TIMEOUT_S,
+            [write], expected=expected, timeout_s=ROW_WRITE_TIMEOUT_S
         )
         account.allowance, account.version = tokens, version
         account.is_row_uncertain = False
@@ -80,7 +87,7 @@
         partitions: defaultdict[str, list[tuple[str, Account]]] = defaultdict(list)
         for program, account in accounts.items():
             if account.is_row_uncertain or account.spent != account.allowance:
-                partitions[partition_of(program)].append((program, account))
+                partitions[row_key(program).partition].append((program, account))
         batches = [
             items[start : start + MAX_ROWS_PER_WRITE]
             for items in partitions.values()
@@ -109,7 +116,7 @@
         """Remove the row of a program that can no longer return."""
         if not account.version:
             return
-        key = _key(program)
+        key = row_key(program)
         try:
             await self._store.write(
                 [RowWrite(key, None)],
@@ -125,8 +132,13 @@
         self.serial += 1
         expires_at = time.time() + row_lifetime_s(account.retention_s)
         row = SpendingRow(tokens, holder, self.serial, expires_at)
-        return RowWrite(_key(program), msgspec.msgpack.encode(row))
+        return RowWrite(row_key(program), msgspec.msgpack.encode(row))
+
 
+def row_key(program: str) -> RowKey:
+    """Return the key of a program's row.
 
-def _key(program: str) -> RowKey:
-    return RowKey(TABLE, partition_of(program), program)
+    The row of a customer's program is in the same partition as the row that the program
+    would have without customers.
+    """
+    return RowKey(TABLE, partition_of(unscoped_name(program) or program), program)
--- a/src/carobspur/gateway/accounts.py
+++ b/src/carobspur/gateway/accounts.py
@@ -89,6 +89,10 @@
         turn_tokens: Most tokens that the newest turn may generate.
         may_lack_grants: Whether an owner that does not answer, or that died, may have
             granted tokens that this account does not count.
+        unscoped_version: Version of the row that the program had before the
+            configuration had customers; 0 if there is none.
+        unscoped_tokens: Tokens spent according to that row, counted in
+            ``spent_before``.
     """
 
     budget: int
@@ -104,6 +108,8 @@
     is_row_uncertain: bool = False
     turn_tokens: int = 0
     may_lack_grants: bool = False
+    unscoped_version: int = 0
+    unscoped_tokens: int = 0
 
     @property
     def spent(self) -> int:
@@ -206,6 +212,17 @@
         self.settled += min(tokens, self.open.pop(turn))
         return True
 
+    def count_unscoped(self, tokens: int, version: int) -> None:
+        """Count the tokens of the row from before the configuration had customers.
+
+        Args:
+            tokens: Tokens spent according to it; replaces what it counted before.
+            version: Version of the row.
+        """
+        self.spent_before += tokens - self.unscoped_tokens
+        self.unscoped_tokens = tokens
+        self.unscoped_version = version
+
     def adopt(self, tokens: int, version: int, open_turns: dict[str, int]) -> None:
         """Continue from a row that was found in the store.
 
--- a/src/carobspur/gateway/allowances.py
+++ b/src/carobspur/gateway/allowances.py
@@ -15,6 +15,7 @@
 
 from .account_rows import AccountRows
 from .accounts import UNRECORDED_SHARE, Account, ReleasedAccount
+from .customers.ownership import unscoped_name
 from .decisions import DecisionLog
 from .early_settlements import EarlySettlements
 from .partition import partition_timeout_s
@@ -225,7 +226,9 @@
             account: Its account here.
             rows: Current rows, as the conflict error lists them.
         """
-        found = next((item for item in rows if item.value is not None), None)
+        found = _find_row(program, rows)
+        if found is None and await self._count_unscoped(program, account, rows):
+            return
         if found is None:
             # The row was removed as unused; the account here remains valid.
             account.version = 0
@@ -254,6 +257,37 @@
         self._early_settlements.settle(account)
         account.allowance = 0
 
+    async def _count_unscoped(
+        self, program: str, account: Account, rows: list[Row]
+    ) -> bool:
+        """Count the row from before the configuration had customers, if found.
+
+        Returns:
+            Whether there is such a row that the account did not count yet.
+        """
+        unscoped = unscoped_name(program)
+        found = _find_row(unscoped, rows) if unscoped else None
+        if found is None:
+            # It may have been removed since; the next write expects none.
+            account.unscoped_version = 0
+            return False
+        if found.version == account.unscoped_version:
+            return False
+        row = msgspec.msgpack.decode(found.value, type=SpendingRow)
+        released = await self._ask_former_owner(row, unscoped, found.version)
+        spent = released.spent_with_row(row.tokens) if released else row.tokens
+        account.count_unscoped(spent, found.version)
+        account.is_row_uncertain = False
+        self._log.record(
+            "account_adopted",
+            program=program,
+            holder=row.holder,
+            covered=row.tokens,
+            spent=spent,
+            row_version=found.version,
+        )
+        return True
+
     async def _ask_former_owner(
         self, row: SpendingRow, program: str, version: int
     ) -> ReleasedAccount | None:
@@ -265,6 +299,13 @@
         return await self._request_release(row.holder, program, version, row.serial)
 
 
+def _find_row(program: str, rows: list[Row]) -> Row | None:
+    """Return a program's row if it exists and is listed."""
+    return next(
+        (row for row in rows if row.key.key == program and row.value is not None), None
+    )
+
+
 async def _first_of(*tasks: asyncio.Task, timeout_s: float) -> None:
     """Wait until one of the tasks that still run ends, at most ``timeout_s``."""
     pending = [task for task in tasks if not task.done()]
--- a/src/carobspur/gateway/explanation.py
+++ b/src/carobspur/gateway/explanation.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from .customers.ownership import scoped_name
+
 BELIEF_WINDOW_S = 3.0
 """Time before a request's last event in which changed beliefs may have affected it."""
 BELIEF_EVENTS = frozenset(
@@ -52,6 +54,13 @@
     event: str
     fields: dict[str, object]
 
+    @property
+    def program_name(self) -> str:
+        """Name of the program among those of all customers; empty for none."""
+        customer = self.fields.get("customer")
+        program = str(self.fields.get("program") or "")
+        return scoped_name(None if customer is None else str(customer), program)
+
     def text(self, start: float) -> str:
         """Return the event as a line of text.
 
@@ -156,17 +165,22 @@
         events: Events of all instances, in any order.
     """
     ordered = sorted(events, key=lambda item: item.time)
-    own = [item for item in ordered if item.fields.get("request") == request]
-    if not own:
+    named = [item for item in ordered if item.fields.get("request") == request]
+    if not named:
         return Explanation(request, [], [], [], None)
+    # Lines about token accounts have the names under which these are stored.
+    customers = {item.fields.get("customer") for item in named} | {None}
+    requests = {scoped_name(customer, request) for customer in customers}
+    own = [item for item in ordered if item.fields.get("request") in requests]
     end = own[-1].time
     instances = {item.instance for item in own}
-    programs = {item.fields.get("program") for item in own} - {None, ""}
+    ids = {item.fields.get("program") for item in named} - {None, ""}
+    programs = {scoped_name(customer, item) for item in ids for customer in customers}
     program_events = [
         item
         for item in ordered
         if item.fields.get("program") in programs
-        and item.fields.get("request") != request
+        and item.fields.get("request") not in requests
         and item.time <= end
     ]
     beliefs = [
--- a/src/carobspur/gateway/failures.py
+++ b/src/carobspur/gateway/failures.py
@@ -26,7 +26,7 @@
         last: Unix time of the last request in seconds.
         example: Id of the first request.
         requests: Number of requests.
-        programs: Ids of the programs that they belong to.
+        programs: Names of the programs that they belong to.
     """
 
     status: int
@@ -44,9 +44,8 @@
         """
         self.requests += 1
         self.last = event.time
-        program = event.fields.get("program")
-        if program:
-            self.programs.add(str(program))
+        if event.program_name:
+            self.programs.add(event.program_name)
 
     def as_dict(self) -> dict[str, object]:
         """Return the group as a dictionary for JSON output."""
--- a/src/carobspur/gateway/program_losses.py
+++ b/src/carobspur/gateway/program_losses.py
@@ -100,7 +100,7 @@
     store = _StoreOutages()
     for event in events:
         store.record(event)
-        name = str(event.fields.get("program") or "")
+        name = event.program_name
         if name and event.event in FINAL_EVENTS:
             _record(programs, name, event)
     groups: dict[tuple[float, int, str], LossGroup] = {}
--- a/src/carobspur/gateway/spending_records.py
+++ b/src/carobspur/gateway/spending_records.py
@@ -84,6 +84,8 @@
         version: Version of the row; 0 if there is none.
         retention_s: How long after its last turn the program may return.
         open: Running turns with the most tokens of each, counted in ``spent``.
+        unscoped_version: See :class:`.accounts.Account`.
+        unscoped_tokens: The same.
     """
 
     program: str
@@ -94,6 +96,8 @@
     version: int
     retention_s: float = msgspec.field(name="kept_s")
     open: dict[str, int]
+    unscoped_version: int = 0
+    unscoped_tokens: int = 0
 
 
 def moved_account(program: str, account: Account) -> MovedAccount:
@@ -107,6 +111,8 @@
         account.version,
         account.retention_s,
         dict(account.open),
+        account.unscoped_version,
+        account.unscoped_tokens,
     )
 
 
@@ -122,5 +128,7 @@
     account.open = dict(moved.open)
     account.allowance = moved.allowance
     account.version = moved.version
+    account.unscoped_version = moved.unscoped_version
+    account.unscoped_tokens = moved.unscoped_tokens
     account.may_lack_grants = False
     account.retention_s = max(account.retention_s, moved.retention_s)
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -12,6 +12,7 @@
 from ..errors import CarobspurError
 from .calls import Call, Responder
 from .context import GatewayContext
+from .customers.ownership import program_name
 from .endpoint_client import Exchange
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent, event_number
@@ -134,7 +135,7 @@
 
     def _choose(self, turn: TurnState, resume_at: Endpoint | None) -> Endpoint | None:
         context = self._context
-        call, program = turn.call, turn.call.program
+        call = turn.call
         if resume_at is not None:
             known = context.endpoints.get(resume_at.id)
             is_same_start = known is not None and known.key == resume_at.key
@@ -143,7 +144,7 @@
             turn.refused.add(resume_at.key)
         if turn.runs and turn.runs >= turn.route.max_attempts and resume_at is None:
             return None
-        affinity = program.id if program else call.id
+        affinity = program_name(call) or call.id
         usable = context.endpoints.usable(
             turn.route.service_for(affinity),
             affinity=affinity,
--- a/src/carobspur/gateway/turn_lifecycle.py
+++ b/src/carobspur/gateway/turn_lifecycle.py
@@ -9,6 +9,7 @@
 
 from ._futures import consume_error
 from .context import GatewayContext
+from .customers.ownership import previous_turn_names, program_name, turn_name
 from .outages import (
     commit_wait_s,
     is_outage_confirmed,
@@ -21,7 +22,7 @@
 from .rows import RowKey, RowStoreAwayError, RowStoreError
 from .spending_client import SpendingClient
 from .turn_state import TurnState
-from .turn_store import TurnStore
+from .turn_store import NoSuchTurnError, TurnStore
 from .turn_times import TurnTimes
 
 STATE_TIMEOUT_S = 1.1
@@ -130,7 +131,7 @@
         if turn.route.keeps_history:
             steps.append(self._await_store())
             if program.previous_turn:
-                steps.append(self._read_history(turn, program.previous_turn))
+                steps.append(self._read_history(turn))
         await _run_concurrently(steps, timeout_s=self._state_timeout_s(turn))
 
     async def _hold(self, turn: TurnState, error: RowStoreAwayError) -> None:
@@ -210,7 +211,7 @@
         """
         call = turn.call
         turn.reservation = await self._spending.reserve(
-            call.program.id,
+            program_name(call),
             turn.reservation_id,
             call.max_tokens,
             budget,
@@ -239,9 +240,26 @@
                 )
             await asyncio.sleep(STORE_POLL_S)
 
-    async def _read_history(self, turn: TurnState, previous_turn: str) -> None:
-        turn.history = await self._turn_store.history(
-            previous_turn, timeout_s=STATE_TIMEOUT_S
+    async def _read_history(self, turn: TurnState) -> None:
+        """Read the history up to the turn that this one continues.
+
+        A turn of another customer is looked up in the same rows as one that does not
+        exist, so that neither the answer nor its time tells them apart.
+
+        Raises:
+            NoSuchTurnError: The customer has no such turn.
+            RowStoreAwayError: The store could not be read.
+        """
+        for name in previous_turn_names(turn.call):
+            try:
+                turn.history = await self._turn_store.history(
+                    name, timeout_s=STATE_TIMEOUT_S
+                )
+            except NoSuchTurnError:
+                continue
+            return
+        raise NoSuchTurnError(
+            f"the store has no turn {turn.call.program.previous_turn}"
         )
 
     async def commit(self, turn: TurnState) -> None:
@@ -260,7 +278,7 @@
         try:
             keys = await self._turn_store.commit(
                 turn.history,
-                turn.call.id,
+                turn_name(turn.call),
                 turn.call.body + output,
                 retention_s=retention_s,
                 timeout_s=commit_wait_s(turn.route, self._remaining_s(turn)),
@@ -283,7 +301,7 @@
         if not turn.runs:
             return 0
         service = self._context.configuration.services.get(
-            turn.route.service_for(turn.call.program.id)
+            turn.route.service_for(program_name(turn.call))
         )
         if service is None or service.engine is None:
             return turn.reservation.tokens
--- a/src/carobspur/gateway/turn_state.py
+++ b/src/carobspur/gateway/turn_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from .calls import Call
+from .customers.ownership import turn_name
 from .events import StreamEvent
 from .routes import Route
 from .spending_client import Reservation
@@ -66,9 +67,10 @@
         The cancellation of an earlier attempt's reservation may still reach the owner;
         with the same id it would cancel the new reservation.
         """
+        name = turn_name(self.call)
         if self.prepare_attempts <= 1:
-            return self.call.id
-        return f"{self.call.id}/{self.prepare_attempts}"
+            return name
+        return f"{name}/{self.prepare_attempts}"
 
     @property
     def is_resumable(self) -> bool:
