--- a/src/carobspur/gateway/customers/authentication.py
+++ b/src/carobspur/gateway/customers/authentication.py
@@ -32,7 +32,7 @@
         NoConfigurationError: The same, but a newer configuration may hold the key.
     """
     call.priority = route.priority
-    if not configuration.customers:
+    if not configuration.has_customers:
         return None
     customer = configuration.customer_of(call.key_digest) if call.key_digest else None
     if customer is not None:
--- a/src/carobspur/gateway/customers/customer.py
+++ b/src/carobspur/gateway/customers/customer.py
@@ -37,4 +37,5 @@
 
 def key_digest(key: str) -> bytes:
     """Return the digest by which an API key is looked up."""
-    return hashlib.blake2b(key.encode(), digest_size=DIGEST_BYTES).digest()
+    encoded = key.encode(errors="surrogatepass")
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
--- a/src/carobspur/gateway/routes.py
+++ b/src/carobspur/gateway/routes.py
@@ -154,6 +154,8 @@
         services: Services by name.
         limits: Limits on callers.
         customers: Customers; without any, requests need no API key.
+        damaged_customers: Entries of customers that could not be decoded. They admit
+            nobody, but requests need an API key as if they were whole.
     """
 
     version: int
@@ -161,6 +163,7 @@
     services: dict[str, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
     customers: tuple[Customer, ...] = ()
+    damaged_customers: tuple[str, ...] = ()
     _by_key: dict[bytes, Customer] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
@@ -178,9 +181,16 @@
         longest = max((len(route.prefix) for route in self.routes), default=0)
         object.__setattr__(self, "_longest_prefix", longest)
 
+    @property
+    def has_customers(self) -> bool:
+        """Whether requests are identified by an API key."""
+        return bool(self.customers or self.damaged_customers)
+
     def customer_of(self, key_digest: bytes) -> Customer | None:
         """Return the customer that holds an API key, ``None`` if none does.
 
+        Of several customers with the same key, the first in the configuration holds it.
+
         Args:
             key_digest: Digest of the key; see :func:`~.customers.customer.key_digest`.
         """
--- a/src/carobspur/platform/bootstrap.py
+++ b/src/carobspur/platform/bootstrap.py
@@ -17,6 +17,7 @@
 from ..gateway.members import Member
 from ..gateway.rows import Row, RowKey
 from ..gateway.send_errors import SendError
+from . import configuration
 
 SNAPSHOT_PATH = "/snapshot"
 PEER_QUERY_DELAY_S = 0.3
@@ -79,7 +80,11 @@
         if feed is not None:
             feed.load(
                 [
-                    Row(RowKey(feed.table, "", row.key), row.value, row.version)
+                    Row(
+                        RowKey(feed.table, "", row.key),
+                        _without_keys(feed.table, row),
+                        row.version,
+                    )
                     for row in rows
                 ]
             )
@@ -121,6 +126,13 @@
         await asyncio.sleep(RETRY_DELAY_S)
 
 
+def _without_keys(table: str, row: _SnapshotRow) -> bytes:
+    """Return a row's value; peers of older versions send the customers' API keys."""
+    if (table, row.key) == (configuration.TABLE, configuration.KEY):
+        return configuration.replace_keys(row.value)
+    return row.value
+
+
 def _rows_of(feed: TableFeed) -> list[_SnapshotRow]:
     rows = feed.rows.items()
     return [_SnapshotRow(key, row.value, row.version) for key, row in rows]
--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import math
+
 import msgspec
 
 from ..errors import CarobspurError
@@ -19,6 +22,12 @@
 TABLE = "op"
 KEY = "config"
 
+_KEYS_FIELD = "apiKeys"
+_DIGESTS_FIELD = "keyDigests"
+_FIRST_PRINTABLE = " "
+_DELETE = "\x7f"
+_SPACE = " \t\r\n"
+
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.ONCE,
@@ -78,10 +87,11 @@
 
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
-    api_keys: list[str] = []
+    # Hexadecimal; replace the keys themselves, see ``replace_keys``.
+    key_digests: list[str] | None = None
     priority: int | None = None
-    rate_per_s: float = msgspec.field(default=0.0, name="ratePerS")
-    burst: float = 0.0
+    rate_per_s: float | None = msgspec.field(default=None, name="ratePerS")
+    burst: float | None = None
 
 
 class _Config(msgspec.Struct, rename="camel"):
@@ -89,23 +99,82 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    tenants: list[msgspec.Raw] | None = None
 
 
 _decoder = msgspec.json.Decoder(_Config, strict=False)
+_tenant_decoder = msgspec.json.Decoder(_Tenant, strict=False)
+
+
+def replace_keys(value: bytes) -> bytes:
+    """Return the content of the row with digests in place of the customers' API keys.
+
+    Gateways apply it to the row as soon as they have read it, so that no key is kept in
+    memory, logged or sent to another gateway. It changes nothing the second time.
+    """
+    try:
+        # Unlike msgspec it accepts text and numbers that only one entry may have.
+        content = json.loads(value)
+    except (ValueError, RecursionError):
+        # Decoding it fails as well, so nothing of it is needed.
+        return b""
+    tenants = content.get("tenants") if isinstance(content, dict) else None
+    if not isinstance(tenants, list):
+        return value if tenants is None else _without_tenants(content)
+    content["tenants"] = [_replace_keys_of(tenant) for tenant in tenants]
+    return json.dumps(content).encode()
+
+
+def _without_tenants(content: dict) -> bytes:
+    """Return a configuration whose tenants are no list; decoding it fails."""
+    return json.dumps(content | {"tenants": False}).encode()
+
+
+def _replace_keys_of(tenant: object) -> object:
+    """Return a tenant's entry with digests; ``None`` if it is damaged."""
+    if not isinstance(tenant, dict):
+        return None
+    if not _is_encodable(tenant):
+        return None
+    keys = tenant.get(_KEYS_FIELD)
+    # Fields that gateways do not know are dropped: a misspelt one may hold keys.
+    known = {
+        name: tenant[name]
+        for name in _Tenant.__struct_encode_fields__
+        if name in tenant
+    }
+    if keys is None:
+        return known
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        return None
+    stripped = [key.strip(_SPACE) for key in keys]
+    digests = [key_digest(key).hex() for key in stripped if key]
+    return known | {_DIGESTS_FIELD: digests}
+
+
+def _is_encodable(tenant: dict) -> bool:
+    """Return whether an entry has neither infinite numbers nor half characters."""
+    try:
+        json.dumps(tenant, allow_nan=False, ensure_ascii=False).encode()
+    except (ValueError, RecursionError):
+        return False
+    return True
 
 
 def decode_configuration(value: bytes) -> Configuration:
     """Return the configuration that is stored as a row's value.
 
+    An entry of a customer that is damaged costs that entry only.
+
     Raises:
         ConfigurationError: The value is damaged, or a route has an unknown kind.
     """
     try:
-        wire = _decoder.decode(value)
+        wire = _decoder.decode(replace_keys(value))
         routes = tuple(_route(item) for item in wire.routes)
     except (msgspec.MsgspecError, KeyError, RecursionError) as error:
         raise ConfigurationError(f"damaged configuration: {error}") from error
+    customers, damaged = _customers(wire.tenants or [])
     return Configuration(
         version=wire.version,
         routes=routes,
@@ -115,7 +184,8 @@
             max_body_bytes=wire.limits.max_body_bytes,
             idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
         ),
-        customers=tuple(_customer(item) for item in wire.tenants),
+        customers=customers,
+        damaged_customers=damaged,
     )
 
 
@@ -151,11 +221,39 @@
     return Service(wire.name, engine)
 
 
+def _customers(
+    entries: list[msgspec.Raw],
+) -> tuple[tuple[Customer, ...], tuple[str, ...]]:
+    """Return the customers, and the numbers of the entries that are damaged."""
+    customers, damaged = [], []
+    for number, entry in enumerate(entries):
+        try:
+            customers.append(_customer(_tenant_decoder.decode(entry)))
+        except (msgspec.MsgspecError, RecursionError, ValueError):
+            damaged.append(str(number))
+    return tuple(customers), tuple(damaged)
+
+
 def _customer(wire: _Tenant) -> Customer:
+    """Return a customer.
+
+    Raises:
+        ValueError: The name can't be sent in a header field, a digest is damaged, or a
+            number is negative or not finite.
+    """
+    is_sendable = all(
+        char >= _FIRST_PRINTABLE and char != _DELETE for char in wire.name
+    )
+    if not wire.name.strip() or not is_sendable:
+        raise ValueError("the name can't be sent in a header field")
+    rate_per_s, burst = wire.rate_per_s or 0.0, wire.burst or 0.0
+    if not (0 <= rate_per_s < math.inf and 0 <= burst < math.inf):
+        raise ValueError("the rate or the burst is out of range")
+    wire.name.encode()
     return Customer(
         name=wire.name,
-        key_digests=tuple(key_digest(key) for key in wire.api_keys),
+        key_digests=tuple(bytes.fromhex(item) for item in wire.key_digests or []),
         priority=wire.priority,
-        rate_per_s=wire.rate_per_s,
-        burst=wire.burst,
+        rate_per_s=rate_per_s,
+        burst=burst,
     )
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -42,6 +42,8 @@
 _PRIORITY_HEADER = "Request-Priority"
 _KEY_SCHEME = "bearer"
 _CREDENTIAL_FIELDS = frozenset({"authorization", "tenant"})
+# HTTP libraries hand over header values as Latin-1; names and keys are UTF-8.
+_FIELD_ENCODING = "latin-1"
 _MISDIRECTED_STATUS = 421
 _EVENT_STREAM = "text/event-stream"
 
@@ -181,12 +183,14 @@
     fields: list[tuple[str, str]], connection: str
 ) -> list[tuple[str, str]]:
     dropped = _HOP_BY_HOP | _SET_BY_GATEWAY | _CREDENTIAL_FIELDS | _named(connection)
-    return [(name, value) for name, value in fields if name.lower() not in dropped]
+    return [
+        (name, value) for name, value in fields if name.strip().lower() not in dropped
+    ]
 
 
 def _select_credentials(fields: list[tuple[str, str]], connection: str) -> Headers:
     kept = _CREDENTIAL_FIELDS - _named(connection)
-    return [(name, value) for name, value in fields if name.lower() in kept]
+    return [(name, value) for name, value in fields if name.strip().lower() in kept]
 
 
 def _named(connection: str) -> set[str]:
@@ -198,19 +202,27 @@
     """Return the header fields about the caller's identity that a replica receives."""
     if call.customer is None:
         return call.credential_headers
-    return [(_CUSTOMER_HEADER, call.customer)] if call.customer else []
+    if not call.customer:
+        return []
+    return [(_CUSTOMER_HEADER, call.customer.encode().decode(_FIELD_ENCODING))]
 
 
 def _decode_key(fields: list[tuple[str, str]]) -> bytes:
     """Return the digest of the API key; empty without exactly one well-formed key."""
-    values = [value for name, value in fields if name.lower() == "authorization"]
+    values = [
+        value for name, value in fields if name.strip().lower() == "authorization"
+    ]
     if len(values) != 1:
         return b""
-    scheme, _, key = values[0].strip().partition(" ")
-    key = key.strip()
+    scheme, _, key = values[0].replace("\t", " ").strip(" ").partition(" ")
+    # Without an argument, ``strip`` would also remove bytes of UTF-8 characters.
+    key = key.strip(" ")
     if scheme.lower() != _KEY_SCHEME or not key:
         return b""
-    return key_digest(key)
+    try:
+        return key_digest(key.encode(_FIELD_ENCODING).decode())
+    except UnicodeError:
+        return b""
 
 
 def _decode_prompt_parts(text: str) -> tuple[PromptPart, ...]:
--- a/src/carobspur/platform/store.py
+++ b/src/carobspur/platform/store.py
@@ -29,7 +29,7 @@
 from ..gateway.send_errors import NotSentError, SendError
 from ..gateway.telemetry import Telemetry
 from ..verdict import MAY_HAVE_RUN, NOT_RUN
-from .store_wire import Page, decode_row, encode_key
+from .store_wire import Page, decode_page, decode_row, encode_key, replace_page_keys
 
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 """Shortest time until an unanswered call is repeated: ten times that of a usual write.
@@ -294,7 +294,7 @@
                 query["to"] = end
             target = "/carobspur/rows-get?" + urlencode(query)
             answer = await self._call("read", "GET", target, b"", timeout_s=timeout_s)
-            page = msgspec.json.decode(answer.body, type=Page)
+            page = decode_page(answer.body)
             rows += [decode_row(item) for item in page.rows]
             # A feed that starts at the version of the first page repeats all changes
             # that were made while the further pages were read.
@@ -320,7 +320,7 @@
             raise HistoryGoneError(
                 f"table {table}: changes after version {after} are no longer stored"
             )
-        page = msgspec.json.decode(answer.body, type=Page)
+        page = decode_page(answer.body)
         return Snapshot([decode_row(item) for item in page.rows], page.ver)
 
     def check_reachable(self) -> None:
@@ -349,7 +349,7 @@
         except SendError as error:
             self._log.record("relay_failed", reason=error.message)
             return RelayAnswer(0, b"")
-        return RelayAnswer(answer.status, answer.body)
+        return RelayAnswer(answer.status, replace_page_keys(answer.body))
 
     async def _call(
         self,
--- a/src/carobspur/platform/store_wire.py
+++ b/src/carobspur/platform/store_wire.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
+from base64 import b64decode, b64encode
 
 import msgspec
 
 from ..gateway.rows import Row, RowKey
+from . import configuration
 
 
 class WireRow(msgspec.Struct):
@@ -32,6 +33,44 @@
     ver: int = 0
 
 
+_CONFIGURATION_TABLE_TEXT = f'"{configuration.TABLE}"'.encode()
+
+
+def decode_page(body: bytes) -> Page:
+    """Decode an answer of the store; API keys in it are replaced by their digests."""
+    page = msgspec.json.decode(body, type=Page)
+    for row in page.rows:
+        if _is_configuration(row):
+            row.value = _replace_keys(row.value)
+    return page
+
+
+def replace_page_keys(body: bytes) -> bytes:
+    """Return an answer of the store for a peer, with digests in place of API keys.
+
+    Answers without a row of the configuration's table are returned unchanged, and so
+    are those that are no page.
+    """
+    if _CONFIGURATION_TABLE_TEXT not in body:
+        return body
+    try:
+        page = decode_page(body)
+    except (msgspec.MsgspecError, ValueError):
+        return b""
+    if not any(_is_configuration(row) for row in page.rows):
+        return body
+    return msgspec.json.encode(page)
+
+
+def _is_configuration(row: WireRow) -> bool:
+    is_named = (row.table, row.key) == (configuration.TABLE, configuration.KEY)
+    return is_named and not row.tombstone
+
+
+def _replace_keys(value: str) -> str:
+    return b64encode(configuration.replace_keys(b64decode(value))).decode()
+
+
 def encode_key(key: RowKey) -> dict[str, str]:
     """Return the fields that name a row in a request."""
     return {"table": key.table, "part": key.partition, "key": key.key}
