--- a/src/carobspur/gateway/call_dispatcher.py
+++ b/src/carobspur/gateway/call_dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from ..errors import CarobspurError
@@ -11,10 +11,16 @@
 from .calls import Call, Responder
 from .context import GatewayContext
 from .customers.authentication import authenticate
+from .customers.customer import Customer
 from .gates import RequestGate
 from .objectives import Served, objective_of
 from .plain_calls import PlainCallHandler
-from .refusals import NoConfigurationError, NoRouteError, refusal_headers
+from .refusals import (
+    NoConfigurationError,
+    NoRouteError,
+    UnknownKeyError,
+    refusal_headers,
+)
 from .routes import Route, RouteKind
 from .stream_calls import StreamCallHandler
 
@@ -31,7 +37,10 @@
         stream_calls: Handles calls on streaming routes.
         is_configuration_current: Returns whether the configuration is known to be
             the newest version. Only then is a path without a route answered with
-            404, and an unknown API key with 401; otherwise with 503.
+            404; otherwise with 503.
+        confirm_configuration: Finds out whether the configuration is the newest
+            version. Only then is an unknown API key answered with 401; otherwise with
+            503. By default the same as ``is_configuration_current``.
         gates: Decisions that a request passes in this order before it is served.
 
     Attributes:
@@ -39,6 +48,7 @@
     """
 
     __slots__ = (
+        "_confirm_configuration",
         "_context",
         "_gates",
         "_is_configuration_current",
@@ -54,12 +64,14 @@
         stream_calls: StreamCallHandler,
         *,
         is_configuration_current: Callable[[], bool],
+        confirm_configuration: Callable[[], Awaitable[bool]] | None = None,
         gates: Sequence[RequestGate] = (),
     ) -> None:
         self._context = context
         self._plain_calls = plain_calls
         self._stream_calls = stream_calls
         self._is_configuration_current = is_configuration_current
+        self._confirm_configuration = confirm_configuration
         self._gates = tuple(gates)
         self.in_flight = 0
 
@@ -128,12 +140,7 @@
     async def _admit_and_serve(
         self, call: Call, route: Route, responder: Responder
     ) -> Served:
-        customer = authenticate(
-            call,
-            route,
-            self._context.configuration,
-            is_current=self._is_configuration_current(),
-        )
+        customer = await self._authenticate(call, route)
         passed: list[RequestGate] = []
         served = None
         try:
@@ -146,6 +153,21 @@
             for gate in passed:
                 gate.finished(call, route, served)
 
+    async def _authenticate(self, call: Call, route: Route) -> Customer | None:
+        """Return the customer of a request; see :func:`authenticate`."""
+        context = self._context
+        try:
+            return authenticate(call, route, context.configuration, is_current=True)
+        except UnknownKeyError:
+            if self._confirm_configuration is None:
+                is_current = self._is_configuration_current()
+            else:
+                is_current = await self._confirm_configuration()
+            # A newer version with the key may have arrived in the meantime.
+            return authenticate(
+                call, route, context.configuration, is_current=is_current
+            )
+
     async def _serve(self, call: Call, route: Route, responder: Responder) -> Served:
         deadline = call.arrived_at + route.timeout_s
         if call.deadline is not None:
--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -6,8 +6,15 @@
 from collections.abc import Callable
 
 from ..retry import Backoff
+from ._futures import consume_error
 from .decisions import DecisionLog
-from .rows import HistoryGoneError, Row, RowStore, RowStoreAwayError
+from .rows import (
+    HistoryGoneError,
+    Row,
+    RowStore,
+    RowStoreAwayError,
+    RowStoreError,
+)
 
 LONG_POLL_S = 2.0
 """Longest wait of one long poll. Changes must be in force 2 s after the store has
@@ -17,6 +24,9 @@
 """Shortest time between two refreshes: even the slowest store answers within it."""
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
+CONFIRM_TIMEOUT_S = 0.4
+"""Longest time that a confirmation takes; a store that is 50 times slower than usual
+still answers a read within it."""
 
 
 class TableFeed:
@@ -39,6 +49,7 @@
 
     __slots__ = (
         "_call",
+        "_confirmation",
         "_log",
         "_on_rows",
         "_refresh_timer",
@@ -62,6 +73,7 @@
         self._on_rows = on_rows
         self._log = log
         self._call: asyncio.Task | None = None
+        self._confirmation: asyncio.Task | None = None
         self._refreshed_at = float("-inf")
         self._refresh_timer: asyncio.TimerHandle | None = None
         self.rows: dict[str, Row] = {}
@@ -98,6 +110,43 @@
         if self._call is not None:
             self._call.cancel()
 
+    async def confirm(self, *, max_age_s: float, timeout_s: float) -> bool:
+        """Return whether the copy is known to be current, reading the table if needed.
+
+        Concurrent calls share one read, so there is at most one every ``max_age_s``
+        while the store answers.
+
+        Args:
+            max_age_s: Age of the newest confirmation up to which none is needed.
+            timeout_s: Longest time to wait for the read, which then goes on for the
+                next call.
+        """
+        loop = asyncio.get_running_loop()
+        if loop.time() - self.confirmed_at < max_age_s:
+            return True
+        if self._confirmation is None or self._confirmation.done():
+            self._confirmation = loop.create_task(self._confirm())
+            self._confirmation.add_done_callback(consume_error)
+        confirmation = self._confirmation
+        done, _ = await asyncio.wait([confirmation], timeout=timeout_s)
+        return bool(done) and not confirmation.exception() and confirmation.result()
+
+    async def _confirm(self) -> bool:
+        started = asyncio.get_running_loop().time()
+        try:
+            page = await self._store.read(self._table, "", timeout_s=CONFIRM_TIMEOUT_S)
+        except RowStoreError:
+            return False
+        found = {row.key.key: row.version for row in page.rows}
+        known = {key: row.version for key, row in self.rows.items()}
+        if found != known:
+            # The copy is behind, or a change arrived during the read. The call under
+            # way may be stuck, as it should have delivered the change by now.
+            self.refresh()
+            return False
+        self.confirmed_at = max(self.confirmed_at, started)
+        return True
+
     async def follow(self) -> None:
         """Keep the copy up to date until cancelled.
 
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -9,6 +9,7 @@
 from ..errors import CarobspurError
 from ..verdict import MAY_HAVE_RUN, NOT_RUN, NotRun
 
+UNAUTHORIZED = 401
 TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -35,7 +36,7 @@
     """No customer holds the API key, and the configuration is known to be current."""
 
     cause = "unknown_key"
-    status = 401
+    status = UNAUTHORIZED
     default_verdict = NOT_RUN
 
 
@@ -111,7 +112,13 @@
 
 
 def refusal_headers(error: CarobspurError) -> list[tuple[str, str]]:
-    """Return ``Retry-After`` for a refusal whose request has not run; else nothing."""
+    """Return the header fields of a refusal.
+
+    ``Retry-After`` if its request has not run and may be repeated later, and the
+    scheme of the key that a request without a valid one lacks.
+    """
+    if error.status == UNAUTHORIZED:
+        return [("WWW-Authenticate", "Bearer")]
     if isinstance(error.verdict, NotRun) and error.retry_after_s is not None:
         return [("Retry-After", f"{error.retry_after_s:.2f}")]
     return []
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -66,6 +66,13 @@
 
 Longer than a feed's wait and one retry.
 """
+KEY_FRESH_S = 1.0
+"""Age of a confirmation of the configuration up to which an unknown API key is refused
+with 401. Keys added since may be unknown for ``configApplyMs`` (3 s) at most, and a
+gateway that cannot confirm its configuration for longer must answer 503."""
+KEY_CONFIRM_S = 0.15
+"""Longest wait for that confirmation before the answer is 503: an unknown key must be
+refused well within a quarter of the shortest objective."""
 LEAVE_NOTICE_S = 3.2
 """Time for which a stopping gateway, no longer listed to callers, still accepts them.
 
@@ -104,6 +111,7 @@
         self._settings_path = settings_path
         self._log = log
         self._telemetry = telemetry
+        self._has_refused_configuration = False
         self._pool = ConnectionPool(
             on_open=lambda _: self._telemetry.connections.inc(),
             limits=settings.answers,
@@ -200,6 +208,7 @@
             PlainCallHandler(self._context),
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
+            confirm_configuration=self._confirm_configuration,
         )
         self._ingress = Ingress(self._call_dispatcher, self._limits)
         self._heartbeats = HeartbeatSender(
@@ -389,6 +398,13 @@
         now = asyncio.get_running_loop().time()
         return now - self._feeds["configuration"].confirmed_at < CONFIGURATION_FRESH_S
 
+    async def _confirm_configuration(self) -> bool:
+        """Return whether the configuration in force is known to be the newest."""
+        is_confirmed = await self._feeds["configuration"].confirm(
+            max_age_s=KEY_FRESH_S, timeout_s=KEY_CONFIRM_S
+        )
+        return is_confirmed and not self._has_refused_configuration
+
     def _apply_configuration(self, rows: list[Row], is_full_table: bool) -> None:
         for row in rows:
             if row.key.key != wire_configuration.KEY or row.value is None:
@@ -397,14 +413,20 @@
                 new = wire_configuration.decode_configuration(row.value)
             except wire_configuration.ConfigurationError as error:
                 self._log.record("configuration_refused", reason=error.message)
+                self._has_refused_configuration = True
                 continue
+            self._has_refused_configuration = False
             current = self._context.configuration
             if current is not None and new.version <= current.version:
                 continue
             self._context.configuration = new
             self._ingress.apply_limits()
             self._log.record(
-                "configuration", version=new.version, row_version=row.version
+                "configuration",
+                version=new.version,
+                row_version=row.version,
+                customers=len(new.customers),
+                damaged_customers=new.damaged_customers,
             )
 
     def _drop_endpoint(self, key: str) -> None:
