--- a/src/carobspur_standins/platform_store.py
+++ b/src/carobspur_standins/platform_store.py
@@ -38,6 +38,7 @@
         lose_answers: Number of next writes that are executed and not answered.
         silent_partitions: Partitions of tables whose calls are never answered.
         silent_ports: Ports on which nothing is answered, as behind a broken network.
+        rejecting_ports: Ports on which every call gets 503, also one that was waiting.
     """
 
     is_silent: bool = False
@@ -47,6 +48,7 @@
     lose_answers: int = 0
     silent_partitions: set[str] = field(default_factory=set)
     silent_ports: set[int] = field(default_factory=set)
+    rejecting_ports: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -131,6 +133,11 @@
         port = stream.socket.getsockname()[1]
         return stream in self._muted or port in self.faults.silent_ports
 
+    def rejects(self, stream: IOStream) -> bool:
+        """Return whether calls on a connection are rejected."""
+        port = stream.socket.getsockname()[1] if stream.socket else 0
+        return port in self.faults.rejecting_ports
+
     def is_any_silent(self, partitions: Iterable[str]) -> bool:
         """Return whether any of the partitions is silent by a fault."""
         return any(
@@ -233,8 +240,9 @@
         stream = self.request.connection.stream
         if store.is_muted(stream) or store.faults.is_silent:
             await self._never_answer()
-        if store.faults.status:
-            self.set_status(store.faults.status)
+        status = 503 if store.rejects(stream) else store.faults.status
+        if status:
+            self.set_status(status)
             self.finish()
             return
         await asyncio.sleep(store.faults.delay_s)
@@ -250,6 +258,8 @@
         stream = self.request.connection.stream
         if self._store.is_muted(stream) or self._store.faults.is_silent:
             await self._never_answer()
+        if self._store.rejects(stream):
+            status, body = 503, {"error": "rejected"}
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(body))
--- a/tests/test_customer_path.py
+++ b/tests/test_customer_path.py
@@ -150,10 +150,15 @@
 
     async def test_gateway_that_the_store_rejects_learns_through_a_peer(self) -> None:
         """Guards against a revoked key that works where the store does not answer."""
+        for name in ("silent_ports", "rejecting_ports"):
+            with self.subTest(name):
+                await self._revoke_beside_a_cut(name)
+
+    async def _revoke_beside_a_cut(self, faulty_ports: str) -> None:
         async with world(gateways=2) as deployment:
             await configure(deployment, customer_configuration())
             cut_off = deployment.gateways[1]
-            deployment.store.faults.silent_ports.add(cut_off.store_port)
+            getattr(deployment.store.faults, faulty_ports).add(cut_off.store_port)
             async with asyncio.timeout(APPLY_S):
                 while not cut_off.events("store_lost"):
                     await asyncio.sleep(0.02)
