--- a/src/carobspur/gateway/allowances.py
+++ b/src/carobspur/gateway/allowances.py
@@ -39,6 +39,9 @@
 ``None`` if the holder does not answer or has no report on the account.
 """
 
+Release = Callable[[str, int, int], Awaitable[ReleasedAccount | None]]
+"""Releases an account of this owner; like ``RequestRelease`` without the holder."""
+
 Pull = Callable[[str], Awaitable[MovedAccount | None]]
 """Asks the gateways that may have owned a program's account to hand it over.
 
@@ -54,6 +57,7 @@
         rows: Writes the rows of its accounts.
         early_settlements: Settlements that arrived before their turns.
         released_accounts: Accounts that the owner has released.
+        release: Releases an account of this owner.
         request_release: Asks another gateway to release an account.
         pull: Asks likely former owners for an account while the store does not answer.
         store_state: Returns the state of the store as known to this gateway.
@@ -66,6 +70,7 @@
         "_log",
         "_name",
         "_pull",
+        "_release",
         "_released_accounts",
         "_request_release",
         "_rows",
@@ -78,6 +83,7 @@
         early_settlements: EarlySettlements,
         released_accounts: ReleasedAccounts,
         *,
+        release: Release,
         request_release: RequestRelease,
         pull: Pull,
         store_state: Callable[[], StoreState],
@@ -87,6 +93,7 @@
         self._rows = rows
         self._early_settlements = early_settlements
         self._released_accounts = released_accounts
+        self._release = release
         self._request_release = request_release
         self._pull = pull
         self._store_state = store_state
@@ -274,7 +281,11 @@
         if found.version == account.unscoped_version:
             return False
         row = msgspec.msgpack.decode(found.value, type=SpendingRow)
-        released = await self._ask_former_owner(row, unscoped, found.version)
+        if row.holder == self._name:
+            # The account of the same program without a scope may still be open here.
+            released = await self._release(unscoped, found.version, row.serial)
+        else:
+            released = await self._ask_former_owner(row, unscoped, found.version)
         spent = released.spent_with_row(row.tokens) if released else row.tokens
         account.count_unscoped(spent, found.version)
         account.is_row_uncertain = False
--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -105,6 +105,7 @@
             self._rows,
             self._early_settlements,
             self._released_accounts,
+            release=self.release,
             request_release=request_release,
             pull=pull,
             store_state=store_state,
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -447,6 +447,19 @@
                 with self.assertRaises(BudgetSpentError):
                     await self._reserve(second, "x", "t3", 500)
 
+    async def test_allowance_of_the_own_old_account_does_not_count_as_spent(
+        self,
+    ) -> None:
+        """Guards against a budget lost where one gateway owns both accounts."""
+        owner = AccountOwners().start("a")
+        budget = 10_000
+        await owner.reserve("p", "t1", 300, budget, retention_s=RETENTION_S)
+        owner.settle("p", "t1", 100)
+        other = await owner.reserve(
+            scoped_name("x", "p"), "t2", 300, budget, retention_s=RETENTION_S
+        )
+        self.assertEqual(100, other)
+
     async def test_tokens_spent_before_customers_count_once(self) -> None:
         """Guards against a turn refused since old tokens were counted twice."""
         owners = AccountOwners()
