--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -118,18 +118,23 @@
     except (ValueError, RecursionError):
         # Decoding it fails as well, so nothing of it is needed.
         return b""
-    tenants = content.get("tenants") if isinstance(content, dict) else None
-    if not isinstance(tenants, list):
-        return value if tenants is None else _without_tenants(content)
-    content["tenants"] = [_replace_keys_of(tenant) for tenant in tenants]
+    if not isinstance(content, dict):
+        return b""
+    if "tenants" not in content:
+        return value
+    match content["tenants"]:
+        case list(tenants):
+            content["tenants"] = [_replace_keys_of(tenant) for tenant in tenants]
+        case None:
+            # An earlier field of the same name may hold keys, so ``value`` may not be
+            # returned unchanged.
+            pass
+        case _:
+            # Decoding a field that is no list fails, with any content.
+            content["tenants"] = False
     return json.dumps(content).encode()
 
 
-def _without_tenants(content: dict) -> bytes:
-    """Return a configuration whose tenants are no list; decoding it fails."""
-    return json.dumps(content | {"tenants": False}).encode()
-
-
 def _replace_keys_of(tenant: object) -> object:
     """Return a tenant's entry with digests; ``None`` if it is damaged."""
     if not isinstance(tenant, dict):
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -228,6 +228,9 @@
         whole = json.dumps(customer_configuration(tenants=[tenant("a", SECRET)]))
         for text in (
             whole[:-1],
+            json.dumps([tenant("a", SECRET)]),
+            json.dumps(SECRET),
+            f'{{"tenants": [{{"apiKeys": ["{SECRET}"]}}], "tenants": null}}',
             json.dumps({"tenants": SECRET}),
             json.dumps({"tenants": {"apiKeys": [SECRET]}}),
             json.dumps({"tenants": [[SECRET], SECRET, {"apiKeys": SECRET}]}),
