--- a/src/carobspur/gateway/customers/authentication.py
+++ b/src/carobspur/gateway/customers/authentication.py
@@ -33,6 +33,9 @@
     """
     call.priority = route.priority
     if not configuration.has_customers:
+        # An earlier version may have had some: a request is authenticated again if a
+        # new version arrives while its key is confirmed to be unknown.
+        call.customer = None
         return None
     customer = configuration.customer_of(call.key_digest) if call.key_digest else None
     if customer is not None:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -273,6 +273,16 @@
         call = self._authenticate(SECRET, is_open=True)
         self.assertEqual(("", 1), (call.customer, call.priority))
 
+    def test_request_has_no_customer_once_the_last_one_is_removed(self) -> None:
+        """Guards against lost header fields and turns if that happens meanwhile."""
+        call = request_with(("Authorization", f"Bearer {SECRET}"))
+        before, after = decode(tenant("a", "k")), decode()
+        route = next(item for item in before.routes if item.name == "read")
+        with self.assertRaises(UnknownKeyError):
+            authenticate(call, route, before, is_current=True)
+        self.assertIsNone(authenticate(call, route, after, is_current=True))
+        self.assertIsNone(call.customer)
+
     def test_unknown_key_is_refused_finally_only_if_the_version_is_the_newest(
         self,
     ) -> None:
