--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -66,10 +66,11 @@
 
 Longer than a feed's wait and one retry.
 """
-KEY_FRESH_S = 1.0
+KEY_FRESH_S = 2.5
 """Age of a confirmation of the configuration up to which an unknown API key is refused
-with 401. Keys added since may be unknown for ``configApplyMs`` (3 s) at most, and a
-gateway that cannot confirm its configuration for longer must answer 503."""
+with 401; after that the configuration is read again. Keys added less than 3 s ago
+(``configApplyMs``) may still be unknown, so a confirmation of this age suffices, and
+each further read of the whole configuration costs store traffic at every gateway."""
 KEY_CONFIRM_S = 0.15
 """Longest wait for that confirmation before the answer is 503: an unknown key must be
 refused well within a quarter of the shortest objective."""
