--- a/src/carobspur/gateway/feed.py
+++ b/src/carobspur/gateway/feed.py
@@ -113,8 +113,8 @@
     async def confirm(self, *, max_age_s: float, timeout_s: float) -> bool:
         """Return whether the copy is known to be current, reading the table if needed.
 
-        Concurrent calls share one read, so there is at most one every ``max_age_s``
-        while the store answers.
+        Concurrent calls share one read. Once it has confirmed the copy, there is no
+        other for ``max_age_s``.
 
         Args:
             max_age_s: Age of the newest confirmation up to which none is needed.
@@ -137,7 +137,7 @@
             page = await self._store.read(self._table, "", timeout_s=CONFIRM_TIMEOUT_S)
         except RowStoreError:
             return False
-        found = {row.key.key: row.version for row in page.rows}
+        found = {row.key.key: row.version for row in page.rows if row.value is not None}
         known = {key: row.version for key, row in self.rows.items()}
         if found != known:
             # The copy is behind, or a change arrived during the read. The call under
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -520,6 +520,8 @@
         key = RowKey("op", "", "config")
         page = Snapshot([Row(key, b"x", 3)], 9)
         self.assertTrue(await self._confirm(3, page))
+        removed = Row(RowKey("op", "", "removed"), None, 8)
+        self.assertTrue(await self._confirm(3, Snapshot([*page.rows, removed], 9)))
         self.assertFalse(await self._confirm(2, page))
         self.assertFalse(await self._confirm(3, RowStoreAwayError("away")))
         self.assertFalse(await self._confirm(3, ValueError("damaged")))
