--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -9,6 +9,8 @@
 from base64 import b64encode
 from unittest import IsolatedAsyncioTestCase, mock
 
+import msgspec
+
 from carobspur.gateway.calls import Call, ProgramInfo
 from carobspur.gateway.customers.authentication import authenticate
 from carobspur.gateway.customers.customer import Customer, key_digest
@@ -36,6 +38,7 @@
 from carobspur.gateway.turn_rows import TurnRows
 from carobspur.gateway.turn_state import TurnState
 from carobspur.gateway.turn_store import EMPTY_HISTORY, NoSuchTurnError, TurnStore
+from carobspur.platform.bootstrap import decode_snapshot, load_snapshot
 from carobspur.platform.configuration import (
     ConfigurationError,
     decode_configuration,
@@ -248,6 +251,20 @@
         expected = b64encode(replace_keys(value)).decode()
         self.assertEqual(expected, page["rows"][0]["value"])
 
+    def test_snapshot_of_an_older_version_leaves_no_key(self) -> None:
+        """Guards against keys kept from a peer that does not replace them yet."""
+        value = json.dumps(customer_configuration(tenants=[tenant("a", SECRET)]))
+        rows = [("config", value.encode(), 3), ("other", b"x", 4)]
+        snapshot = decode_snapshot(msgspec.msgpack.encode({"configuration": rows}))
+        log = DecisionLog(logging.getLogger("test"))
+        feed = TableFeed(mock.Mock(), "op", lambda *_: None, log)
+        load_snapshot({"configuration": feed}, snapshot)
+        loaded = feed.rows["config"].value
+        self.assertNotIn(SECRET.encode(), loaded)
+        found = decode_configuration(loaded).customer_of(key_digest(SECRET))
+        self.assertEqual("a", found.name)
+        self.assertEqual(b"x", feed.rows["other"].value)
+
     def test_other_pages_are_relayed_unchanged(self) -> None:
         for body in (b"", b"no page", b'{"rows": [], "extra": "op"}'):
             self.assertEqual(body, replace_page_keys(body))
