--- a/src/carobspur/gateway/spending.py
+++ b/src/carobspur/gateway/spending.py
@@ -22,6 +22,7 @@
     Spent,
 )
 from .allowances import Allowances, Pull, RequestRelease
+from .customers.ownership import unscoped_name
 from .decisions import DecisionLog
 from .early_settlements import EarlySettlements
 from .released_accounts import ReleasedAccounts
@@ -285,6 +286,11 @@
 
         Their next owners then lose no tokens.
         """
+        has_scopes = any(unscoped_name(program) for program in self._accounts)
+        if has_scopes and not self._store_state().is_unreachable:
+            # Unlike this, the batched write below does not count the rows that programs
+            # had before the configuration had customers.
+            await self.write_unrecorded_accounts()
         await self._rows.flush(self._accounts)
         self._accounts.clear()
 
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -504,6 +504,25 @@
         self.assertTrue(third.take_over(moved))
         self.assertEqual(600, await self._reserve(third, "x", "t4", 300))
 
+    async def test_old_tokens_count_if_the_owner_stops_after_an_outage(self) -> None:
+        """Guards against a row without them, which ends the search for the old one."""
+        owners = AccountOwners()
+        first = owners.start("a")
+        await self._reserve(first, None, "t1", 300)
+        first.settle("p", "t1", 300)
+        await first.flush()
+        owners.remove(first)
+        owners.may_grant_unrecorded = True
+        second = owners.start("b")
+        owners.store.is_unreachable = True
+        self.assertEqual(0, await self._reserve(second, "x", "t2", 10))
+        second.settle(scoped_name("x", "p"), scoped_name("x", "t2"), 10)
+        owners.store.is_unreachable = False
+        await second.flush()
+        owners.remove(second)
+        third = owners.start("c")
+        self.assertEqual(310, await self._reserve(third, "x", "t3", 10))
+
     async def test_old_row_that_is_removed_meanwhile_blocks_no_turn(self) -> None:
         owners = AccountOwners()
         first = owners.start("a")
