--- a/src/carobspur/gateway/customers/authentication.py
+++ b/src/carobspur/gateway/customers/authentication.py
@@ -32,7 +32,10 @@
         NoConfigurationError: The same, but a newer configuration may hold the key.
     """
     call.priority = route.priority
-    if not configuration.customers:
+    if not configuration.has_customers:
+        # An earlier version may have had some: a request is authenticated again if a
+        # new version arrives while its key is confirmed to be unknown.
+        call.customer = None
         return None
     customer = configuration.customer_of(call.key_digest) if call.key_digest else None
     if customer is not None:
--- a/src/carobspur/platform/bootstrap.py
+++ b/src/carobspur/platform/bootstrap.py
@@ -20,6 +20,7 @@
 from ..gateway.members import Member
 from ..gateway.rows import Row, RowKey
 from ..gateway.send_errors import SendError
+from . import configuration
 
 SNAPSHOT_PATH = "/snapshot"
 PEER_QUERY_DELAY_S = 0.3
@@ -124,7 +125,11 @@
         if feed is not None:
             feed.load(
                 [
-                    Row(RowKey(feed.table, "", row.key), row.value, row.version)
+                    Row(
+                        RowKey(feed.table, "", row.key),
+                        _without_keys(feed.table, row),
+                        row.version,
+                    )
                     for row in rows
                 ]
             )
@@ -179,6 +184,13 @@
     return all(feed.version or feed.rows for feed in feeds.values())
 
 
+def _without_keys(table: str, row: _SnapshotRow) -> bytes:
+    """Return a row's value; peers of older versions send the customers' API keys."""
+    if (table, row.key) == (configuration.TABLE, configuration.KEY):
+        return configuration.replace_keys(row.value)
+    return row.value
+
+
 def _rows_of(feed: TableFeed) -> list[_SnapshotRow]:
     rows = feed.rows.items()
     return [_SnapshotRow(key, row.value, row.version) for key, row in rows]
