--- a/src/carobspur/gateway/calls.py
+++ b/src/carobspur/gateway/calls.py
@@ -75,6 +75,7 @@
         priority: Priority of the request, 0 is the highest; set once it is routed.
         engine_priority: Priority among the requests of an engine, from 0, the first,
             to 9; ``None`` to leave it to the engine.
+        was_sent: Whether the request was sent to an endpoint, which may have run it.
     """
 
     id: str
@@ -97,6 +98,7 @@
     customer: str | None = None
     priority: int = 0
     engine_priority: int | None = None
+    was_sent: bool = False
 
     @property
     def path(self) -> str:
--- a/src/carobspur/gateway/endpoint_client.py
+++ b/src/carobspur/gateway/endpoint_client.py
@@ -196,6 +196,7 @@
                 endpoint.key, endpoint.host, endpoint.port
             )
             remaining_s = deadline - loop.time()
+            call.was_sent = True
             connection.send(
                 self._codec.encode(
                     call,
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .customers.rate_limit_messages import RateAnswer, RateRequest
 from .decisions import DecisionLog
 from .host_port import split_address
 from .load_sharing import LoadReport, PeerLoads
@@ -19,6 +20,9 @@
     Membership,
 )
 
+RateMessageHandler = Callable[[RateRequest | RateAnswer, tuple[str, int]], None]
+"""Receives a message on rate limits and the address of its sender."""
+
 
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(
@@ -26,11 +30,15 @@
         membership: Membership,
         loads: PeerLoads,
         on_store_unreachable: Callable[[], None],
+        on_rate_message: RateMessageHandler,
     ) -> None:
         self._on_store_unreachable = on_store_unreachable
+        self._on_rate_message = on_rate_message
         self._membership = membership
         self._loads = loads
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat | LoadReport)
+        self._decoder = msgspec.msgpack.Decoder(
+            Heartbeat | LoadReport | RateRequest | RateAnswer
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
@@ -46,6 +54,8 @@
                     self._on_store_unreachable()
             case LoadReport():
                 self._loads.record(message, now)
+            case RateRequest() | RateAnswer():
+                self._on_rate_message(message, addr)
 
     def error_received(self, exc: OSError) -> None:
         """Ignore refused datagrams: missing heartbeats already show a dead peer."""
@@ -62,6 +72,9 @@
         on_store_unreachable: Called when a peer reports that it does not reach the row
             store.
         log: Decision log.
+
+    Attributes:
+        on_rate_message: Receives messages on rate limits; set before :meth:`running`.
     """
 
     __slots__ = (
@@ -73,6 +86,7 @@
         "_sent",
         "_state",
         "_transport",
+        "on_rate_message",
     )
 
     def __init__(
@@ -92,6 +106,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._alive: set[str] = set()
         self._sent = 0
+        self.on_rate_message: RateMessageHandler = lambda message, address: None
 
     @asynccontextmanager
     async def running(self, host: str, port: int) -> AsyncIterator[None]:
@@ -99,7 +114,10 @@
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(
-                self._membership, self._loads, self._on_store_unreachable
+                self._membership,
+                self._loads,
+                self._on_store_unreachable,
+                self.on_rate_message,
             ),
             local_addr=(host, port),
         )
@@ -142,6 +160,19 @@
         self._send_to(peers, msgspec.msgpack.encode(report))
         return len(peers)
 
+    def send_rate_message(
+        self, message: RateRequest | RateAnswer, address: str | tuple[str, int]
+    ) -> None:
+        """Send a message on rate limits to another gateway.
+
+        Args:
+            message: The message.
+            address: ``HOST:PORT``, or the address from which a request came.
+        """
+        if isinstance(address, str):
+            address = split_address(address)
+        self._transport.sendto(msgspec.msgpack.encode(message), address)
+
     def _send_to(self, members: Iterable[Member], data: bytes) -> None:
         for member in members:
             self._transport.sendto(data, split_address(member.heartbeats))
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -80,6 +80,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.customer_requests = Counter(
+            "carobspur_customer_requests",
+            "Requests of customers with a rate limit by customer and outcome.",
+            ["customer", "outcome"],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "carobspur_in_flight",
             "Callers' requests under way.",
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -17,6 +17,7 @@
 from ..gateway.accounts import ReleasedAccount
 from ..gateway.call_dispatcher import CallDispatcher
 from ..gateway.context import GatewayContext
+from ..gateway.customers.rate_limit_gate import RateLimitGate
 from ..gateway.decisions import DecisionLog
 from ..gateway.endpoint_client import EndpointClient
 from ..gateway.endpoints import Endpoint, EndpointIndex
@@ -195,13 +196,6 @@
             wait_reachable=self._store.wait_reachable,
             on_committed=self._sweeper.record,
         )
-        self._call_dispatcher = CallDispatcher(
-            self._context,
-            PlainCallHandler(self._context),
-            StreamCallHandler(self._context, turn_lifecycle),
-            is_configuration_current=self._is_configuration_current,
-        )
-        self._ingress = Ingress(self._call_dispatcher, self._limits)
         self._heartbeats = HeartbeatSender(
             self._membership,
             health.peers,
@@ -209,6 +203,23 @@
             log,
             on_store_unreachable=self._store.check_reachable,
         )
+        self._rate_limits = RateLimitGate(
+            self._membership,
+            self._heartbeats,
+            is_table_current=self._is_member_table_current,
+            is_ready=self._is_ready,
+            log=log,
+            telemetry=self._telemetry,
+        )
+        self._heartbeats.on_rate_message = self._rate_limits.receive
+        self._call_dispatcher = CallDispatcher(
+            self._context,
+            PlainCallHandler(self._context),
+            StreamCallHandler(self._context, turn_lifecycle),
+            is_configuration_current=self._is_configuration_current,
+            gates=(self._rate_limits,),
+        )
+        self._ingress = Ingress(self._call_dispatcher, self._limits)
         reporter = LoadReporter(
             self._heartbeats.send_load_report, health, name=self._membership.own.name
         )
@@ -256,6 +267,7 @@
                     self._sweeper.sweep_own_forever,
                     self._sweeper.sweep_orphans_forever,
                     self._load_from_peers,
+                    self._rate_limits.run_forever,
                     on_error=self._record_background_error,
                 )
             )
@@ -389,6 +401,10 @@
         now = asyncio.get_running_loop().time()
         return now - self._feeds["configuration"].confirmed_at < CONFIGURATION_FRESH_S
 
+    def _is_member_table_current(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self._feeds[MEMBERS_FEED].confirmed_at < CONFIGURATION_FRESH_S
+
     def _apply_configuration(self, rows: list[Row], is_full_table: bool) -> None:
         for row in rows:
             if row.key.key != wire_configuration.KEY or row.value is None:
@@ -402,6 +418,7 @@
             if current is not None and new.version <= current.version:
                 continue
             self._context.configuration = new
+            self._rate_limits.configure(new)
             self._ingress.apply_limits()
             self._log.record(
                 "configuration", version=new.version, row_version=row.version
