--- a/src/carobspur/gateway/customers/rate_limit_gate.py
+++ b/src/carobspur/gateway/customers/rate_limit_gate.py
@@ -23,6 +23,8 @@
 
 MEMBERS_INTERVAL_S = 0.25
 """Time between two looks at the membership: that of heartbeats."""
+LATE_AFTER_S = 0.03
+"""Delay of a poll from which the process counts as having been paused."""
 RETRY_SPREAD = 0.3
 """Most by which Retry-After is randomly lengthened, as a part of it, so that refused
 callers do not come back at the same moment."""
@@ -233,14 +235,29 @@
     def _flush(self) -> None:
         self._is_flush_due = False
         self._send(self._limiter.collect(self._clock()))
-        if self._limiter.has_pending and self._poll_timer is None:
-            self._poll_timer = asyncio.get_running_loop().call_later(POLL_S, self._poll)
+        if self._poll_timer is None:
+            self._schedule_poll()
 
-    def _poll(self) -> None:
+    def _schedule_poll(self, *, was_late: bool = False) -> None:
         self._poll_timer = None
-        self._send(self._limiter.poll(self._clock()))
         if self._limiter.has_pending:
-            self._poll_timer = asyncio.get_running_loop().call_later(POLL_S, self._poll)
+            loop = asyncio.get_running_loop()
+            due_at = loop.time() + POLL_S
+            self._poll_timer = loop.call_at(due_at, self._poll, due_at, was_late)
+
+    def _poll(self, due_at: float, was_late: bool) -> None:
+        """Refuse requests that waited too long.
+
+        After a pause of the whole process, the answers may wait in the socket, so that
+        the first late poll refuses nothing.
+        """
+        is_late = asyncio.get_running_loop().time() - due_at > LATE_AFTER_S
+        now = self._clock()
+        if is_late and not was_late:
+            self._send(self._limiter.collect(now))
+        else:
+            self._send(self._limiter.poll(now))
+        self._schedule_poll(was_late=is_late and not was_late)
 
     def _send(self, outgoing: Outgoing) -> None:
         for owner, request in outgoing:
--- a/src/carobspur/gateway/customers/rate_limit_times.py
+++ b/src/carobspur/gateway/customers/rate_limit_times.py
@@ -25,9 +25,10 @@
 message does not suffice."""
 MAX_WAIT_S = 0.1
 """Longest time for which a request waits for a token."""
-REPEAT_AFTER_S = 0.03
-"""Time without an answer after which a waiting request is sent to the owner again: ten
-round trips between two data centres."""
+REPEAT_AFTER_S = 0.05
+"""Time without an answer after which the owner is asked again for a waiting request. An
+owner that is only slow grants twice; the second token is used by a later request or
+expires."""
 POLL_S = 0.01
 """Time between two checks of the waiting requests."""
 MIN_CAPACITY = 10.0
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -171,7 +171,8 @@
         """
         if isinstance(address, str):
             address = split_address(address)
-        self._transport.sendto(msgspec.msgpack.encode(message), address)
+        if not self._transport.is_closing():
+            self._transport.sendto(msgspec.msgpack.encode(message), address)
 
     def _send_to(self, members: Iterable[Member], data: bytes) -> None:
         for member in members:
