--- a/src/carobspur/gateway/customers/rate_limit_owner.py
+++ b/src/carobspur/gateway/customers/rate_limit_owner.py
@@ -24,7 +24,6 @@
     DELEGATION_S,
     INITIAL_LEVEL,
     MAX_RETRY_AFTER_S,
-    MAX_WAIT_S,
     RESERVED_SHARE,
     capacity_of,
 )
@@ -62,7 +61,8 @@
         self._updated_at = now
         self._has_majority = False
         self._initial_at = float("-inf")
-        # Refused requests that were told when to come back.
+        # Requests that were told when to come back, less those that the rate has since
+        # had room for.
         self._running_backlog = 0.0
         self._new_backlog = 0.0
 
@@ -145,14 +145,12 @@
         if running < entry.running:
             missing = entry.running - running
             running_retry_s = bucket.wait_s(self._running_backlog + missing, share)
-            if running_retry_s > MAX_WAIT_S:
-                self._running_backlog += missing
+            self._running_backlog += missing
         if new < entry.new:
             missing = entry.new - new
             before = self._running_backlog + self._new_backlog
             new_retry_s = bucket.wait_s(before + missing, share, keep=reserved)
-            if new_retry_s > MAX_WAIT_S:
-                self._new_backlog += missing
+            self._new_backlog += missing
         else:
             new += bucket.take(entry.ahead, keep=reserved)
         self._limit_backlogs()
