--- a/src/carobspur/gateway/customers/known_gateways.py
+++ b/src/carobspur/gateway/customers/known_gateways.py
@@ -8,9 +8,10 @@
 
 from collections.abc import Iterable
 
-FORGET_AFTER_S = 20.0
-"""Time without a row after which a gateway no longer counts: a gateway that was removed
-although it runs writes its row again within seconds."""
+FORGET_AFTER_S = 600.0
+"""Time without a row after which a gateway that did not leave no longer counts. In a
+partition, the side that reaches the store removes the rows of the other side, which
+goes on with its own shares; a dead gateway's unused share costs little."""
 REPORT_TTL_S = 5.0
 """How long a larger number that another gateway reported counts."""
 
@@ -18,17 +19,30 @@
 class KnownGateways:
     """Gateways that are listed, or were until recently, by their caller addresses."""
 
-    __slots__ = ("_is_loaded", "_reported", "_reported_at", "_seen_at", "_updated_at")
+    __slots__ = (
+        "_is_loaded",
+        "_leaving",
+        "_reported",
+        "_reported_at",
+        "_seen_at",
+        "_updated_at",
+    )
 
     def __init__(self) -> None:
         self._seen_at: dict[str, float] = {}
+        self._leaving: set[str] = set()
         self._is_loaded = False
         self._reported = 0
         self._reported_at = float("-inf")
         self._updated_at: float | None = None
 
     def update(
-        self, addresses: Iterable[str], now: float, *, is_table_current: bool
+        self,
+        addresses: Iterable[str],
+        now: float,
+        *,
+        is_table_current: bool,
+        leaving: Iterable[str] = (),
     ) -> None:
         """Record the listed gateways.
 
@@ -37,6 +51,8 @@
             now: Time in seconds.
             is_table_current: Whether the member table was recently read from the store.
                 Otherwise missing gateways are not forgotten.
+            leaving: Those of the addresses whose gateways are stopping. They no longer
+                count once they are not listed.
         """
         if self._updated_at is not None and not is_table_current:
             elapsed_s = now - self._updated_at
@@ -44,11 +60,17 @@
                 self._seen_at[address] += elapsed_s
         self._updated_at = now
         self._is_loaded |= is_table_current
-        for address in addresses:
-            self._seen_at[address] = now
+        listed = set(addresses)
+        self._seen_at.update(dict.fromkeys(listed, now))
+        self._leaving = (self._leaving - listed) | set(leaving)
+        if not is_table_current:
+            return
         for address, seen_at in list(self._seen_at.items()):
-            if now - seen_at > FORGET_AFTER_S:
+            if address not in listed and (
+                address in self._leaving or now - seen_at > FORGET_AFTER_S
+            ):
                 del self._seen_at[address]
+                self._leaving.discard(address)
 
     def record_report(self, count: int, now: float) -> None:
         """Record the number that another gateway knows; 0 if it does not know it."""
--- a/src/carobspur/gateway/customers/rate_limit_gate.py
+++ b/src/carobspur/gateway/customers/rate_limit_gate.py
@@ -215,7 +215,8 @@
 
     def _update_members(self, now: float) -> bool:
         membership = self._membership
-        members = [membership.own, *membership.others()]
+        others = membership.others()
+        members = [membership.own, *others]
         alive: list[Member] = membership.alive(asyncio.get_running_loop().time())
         self._addresses = {item.callers: item.heartbeats for item in members}
         return self._limiter.update_members(
@@ -224,6 +225,9 @@
             now,
             is_table_current=self._is_table_current(),
             is_candidate=self._is_ready(),
+            leaving=[
+                item.callers for item in others if membership.is_leaving(item.name)
+            ],
         )
 
     def _schedule_flush(self) -> None:
--- a/src/carobspur/gateway/customers/rate_limit_times.py
+++ b/src/carobspur/gateway/customers/rate_limit_times.py
@@ -25,10 +25,13 @@
 message does not suffice."""
 MAX_WAIT_S = 0.1
 """Longest time for which a request waits for a token."""
-REPEAT_AFTER_S = 0.05
-"""Time without an answer after which the owner is asked again for a waiting request. An
-owner that is only slow grants twice; the second token is used by a later request or
-expires."""
+REPEAT_AFTER_S = 0.03
+"""Shortest time without an answer after which the owner is asked again for a waiting
+request: three times while it waits. With 0.05 s and 5 % of the datagrams lost, 1.2 % of
+the requests were refused."""
+REPEAT_ANSWER_TIMES = 3.0
+"""The same as a multiple of the usual time of the owner's answers. An owner that is
+only slow grants a second token, which expires if no other request uses it."""
 POLL_S = 0.01
 """Time between two checks of the waiting requests."""
 MIN_CAPACITY = 10.0
--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -29,6 +29,7 @@
     DELEGATION_S,
     NO_OWNER_RETRY_AFTER_S,
     REPEAT_AFTER_S,
+    REPEAT_ANSWER_TIMES,
     SILENT_AFTER_S,
     SLOTS,
     TOKEN_VALIDITY_S,
@@ -38,6 +39,9 @@
 _LIMIT_REACHED = "the limit is reached"
 _NO_ANSWER = "the owner of the limit did not answer"
 
+ANSWER_TIME_WEIGHT = 0.2
+"""Weight of the last answer in the moving average of an owner's answer times."""
+
 Outgoing = list[tuple[str, RateRequest]]
 """Requests with the caller addresses of the owners that receive them."""
 
@@ -127,6 +131,12 @@
     stamp_received_at: float = float("-inf")
     unanswered_since: float | None = None
     is_silent: bool = False
+    answer_s: float = 0.0
+
+    @property
+    def repeat_after_s(self) -> float:
+        """Time without an answer after which it is asked again."""
+        return max(REPEAT_AFTER_S, REPEAT_ANSWER_TIMES * self.answer_s)
 
 
 class RateLimiter:
@@ -211,6 +221,7 @@
         *,
         is_table_current: bool,
         is_candidate: bool,
+        leaving: Iterable[str] = (),
     ) -> bool:
         """Record what membership believes.
 
@@ -220,11 +231,14 @@
             now: Time in seconds.
             is_table_current: Whether the member table was recently read from the store.
             is_candidate: Whether this gateway is ready to own limits.
+            leaving: Caller addresses of other members that are stopping.
 
         Returns:
             Whether owners may have changed, so that :meth:`tick` should be called.
         """
-        self._known.update(known, now, is_table_current=is_table_current)
+        self._known.update(
+            known, now, is_table_current=is_table_current, leaving=leaving
+        )
         alive = frozenset(alive)
         has_changed = alive != self._alive or is_candidate != self._is_candidate
         if has_changed:
@@ -302,8 +316,9 @@
         entries: _Wanted = {}
         for name, state in list(self._pending.items()):
             running = new = 0
+            repeat_after_s = self._peers[state.owner].repeat_after_s
             for waiter in state.waiters:
-                if now - waiter.asked_at < REPEAT_AFTER_S or now < waiter.ask_from:
+                if now - waiter.asked_at < repeat_after_s or now < waiter.ask_from:
                     continue
                 waiter.asked_at = now
                 if waiter.is_running:
@@ -410,6 +425,8 @@
         if answer.stamp > peer.stamp or now - peer.stamp_received_at >= DELEGATION_S:
             peer.stamp, peer.stamp_received_at = answer.stamp, now
         peer.unanswered_since = None
+        answer_s = max(0.0, now - answer.sent_at)
+        peer.answer_s += ANSWER_TIME_WEIGHT * (answer_s - peer.answer_s)
         if peer.is_silent:
             peer.is_silent = False
             self._choose_owners()
