--- a/src/carobspur/gateway/customers/rate_limit_gate.py
+++ b/src/carobspur/gateway/customers/rate_limit_gate.py
@@ -18,7 +18,7 @@
 from .customer import Customer
 from .program_starts import ProgramStarts
 from .rate_limit_messages import RateAnswer, RateRequest
-from .rate_limit_times import MAX_WAIT_S, POLL_S, TICK_S
+from .rate_limit_times import MAX_WAIT_S, POLL_S, TICK_S, RateLimitTolerance
 from .rate_limiter import Outgoing, RateLimiter, Refusal, Waiter
 
 MEMBERS_INTERVAL_S = 0.25
@@ -52,6 +52,7 @@
     Args:
         membership: The gateways.
         sender: Sends datagrams.
+        tolerance: What the rule permits beyond the limits.
         is_table_current: Returns whether the member table was recently read from the
             store.
         is_ready: Returns whether this gateway may own limits.
@@ -84,6 +85,7 @@
         membership: Membership,
         sender: RateMessageSender,
         *,
+        tolerance: RateLimitTolerance,
         is_table_current: Callable[[], bool],
         is_ready: Callable[[], bool],
         log: DecisionLog,
@@ -98,7 +100,7 @@
         self._telemetry = telemetry
         self._clock = clock or boot_time
         own = membership.own
-        self._limiter = RateLimiter(own.name, own.callers, self._clock())
+        self._limiter = RateLimiter(own.name, own.callers, self._clock(), tolerance)
         self._programs = ProgramStarts()
         # Addresses for datagrams by addresses for callers.
         self._addresses: dict[str, str] = {}
--- a/src/carobspur/gateway/customers/rate_limit_owner.py
+++ b/src/carobspur/gateway/customers/rate_limit_owner.py
@@ -25,7 +25,7 @@
     INITIAL_LEVEL,
     MAX_RETRY_AFTER_S,
     RESERVED_SHARE,
-    capacity_of,
+    RateLimitTolerance,
 )
 from .token_bucket import TokenBucket
 
@@ -50,8 +50,8 @@
         "bucket",
     )
 
-    def __init__(self, customer: Customer, now: float) -> None:
-        self.bucket = TokenBucket(customer.rate_per_s, capacity_of(customer), now)
+    def __init__(self, rate_per_s: float, capacity: float, now: float) -> None:
+        self.bucket = TokenBucket(rate_per_s, capacity, now)
         # Time until which a share counts, by the address of its gateway.
         self._shares: dict[str, float] = {}
         # No share expires before.
@@ -66,11 +66,13 @@
         self._running_backlog = 0.0
         self._new_backlog = 0.0
 
-    def configure(self, customer: Customer, now: float, gateways: int) -> None:
+    def configure(
+        self, rate_per_s: float, capacity: float, now: float, gateways: int
+    ) -> None:
         """Apply a new limit."""
         self.update(now, gateways)
-        self.bucket.rate_per_s = customer.rate_per_s
-        self.bucket.capacity = capacity_of(customer)
+        self.bucket.rate_per_s = rate_per_s
+        self.bucket.capacity = capacity
         self.bucket.add(0.0, self._share)
 
     def shares(self, now: float) -> list[str]:
@@ -138,7 +140,8 @@
             refused requests of running programs and others may have room.
         """
         bucket, share = self.bucket, self._share
-        reserved = RESERVED_SHARE * bucket.capacity * share
+        available = bucket.capacity * share
+        reserved = min(RESERVED_SHARE * available, max(0.0, available - 1))
         running = bucket.take(entry.running)
         new = bucket.take(entry.new, keep=reserved)
         running_retry_s = new_retry_s = 0.0
@@ -168,11 +171,22 @@
     Args:
         callers: Address of this gateway for callers.
         known: Gateways among which the rates are divided.
+        tolerance: What the rule permits beyond the limits.
     """
 
-    __slots__ = ("_callers", "_customers", "_known", "_limits", "_numbers")
+    __slots__ = (
+        "_callers",
+        "_customers",
+        "_known",
+        "_limits",
+        "_numbers",
+        "_tolerance",
+    )
 
-    def __init__(self, callers: str, known: KnownGateways) -> None:
+    def __init__(
+        self, callers: str, known: KnownGateways, tolerance: RateLimitTolerance
+    ) -> None:
+        self._tolerance = tolerance
         self._callers = callers
         self._known = known
         self._customers: dict[int, Customer] = {}
@@ -193,7 +207,9 @@
             if customer is None:
                 del self._limits[key]
             else:
-                limit.configure(customer, now, self._known.count(now))
+                capacity = self._tolerance.capacity(customer)
+                gateways = self._known.count(now)
+                limit.configure(customer.rate_per_s, capacity, now, gateways)
 
     def answer(self, request: RateRequest, now: float) -> RateAnswer | None:
         """Answer a request; ``None`` for one that arrives twice or out of order."""
@@ -226,7 +242,9 @@
             return None
         limit = self._limits.get(entry.customer)
         if limit is None:
-            limit = self._limits[entry.customer] = _OwnedLimit(customer, now)
+            capacity = self._tolerance.capacity(customer)
+            limit = _OwnedLimit(customer.rate_per_s, capacity, now)
+            self._limits[entry.customer] = limit
         gateways = self._known.count(now)
         limit.update(now, gateways)
         handed_over = 0.0
--- a/src/carobspur/gateway/customers/rate_limit_times.py
+++ b/src/carobspur/gateway/customers/rate_limit_times.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from .customer import Customer
 
 TOKEN_VALIDITY_S = 0.25
@@ -34,16 +36,18 @@
 only slow grants a second token, which expires if no other request uses it."""
 POLL_S = 0.01
 """Time between two checks of the waiting requests."""
-MIN_CAPACITY = 10.0
-"""Smallest capacity of a bucket. The requests of a customer with one a second, 62 % of
-its limit, come irregularly: a capacity of 6 is calculated to refuse 0.3 % of them."""
-CAPACITY_S = 0.05
-"""Smallest capacity of a bucket, in seconds of the rate."""
+TOLERANCE_SHARE = 0.5
+"""Part of the rule's tolerance that goes into the capacity of a bucket. The rest is for
+the validity of tokens, changes of owner and messages in flight."""
+MIN_CAPACITY = 1.0
+"""Smallest capacity of a bucket: that of one request."""
 INITIAL_LEVEL = 3.0
-"""Level of the bucket of an owner to which most gateways have just turned. With the
-smallest capacity, three such owners within one window stay within the slack of 20."""
+"""Level of the bucket of an owner to which most gateways have just turned. Three such
+owners within one window stay within the half of a slack of 20 that is not part of the
+capacity."""
 RESERVED_SHARE = 0.2
-"""Part of the capacity that only requests of running programs may use."""
+"""Part of the capacity that only requests of running programs may use, if a token for
+a new program remains beside it."""
 MAX_RETRY_AFTER_S = 3.0
 """Longest time to retry that an owner reports."""
 NO_OWNER_RETRY_AFTER_S = 0.4
@@ -51,10 +55,30 @@
 """
 
 
-def capacity_of(customer: Customer) -> float:
-    """Return the capacity of a customer's bucket.
+@dataclass(frozen=True, slots=True)
+class RateLimitTolerance:
+    """What the rule permits beyond the rate and the burst of a customer.
+
+    In any window, a customer may send ``(rate * window + burst) * (1 + overage) +
+    slack`` requests. The fields are also keys of the ``[rate_limits]`` section of the
+    settings file, read only at start-up. The defaults permit nothing.
 
-    It exceeds the configured burst only for small bursts, at the expense of the slack
-    of the rule.
+    Attributes:
+        window_s: Length of the window in seconds.
+        overage: Part of the rate and burst that may be exceeded.
+        slack: Requests that may be sent beyond that.
     """
-    return max(customer.burst, MIN_CAPACITY, CAPACITY_S * customer.rate_per_s)
+
+    window_s: float = 0.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def capacity(self, customer: Customer) -> float:
+        """Return the capacity of a customer's bucket.
+
+        Steps of programs send 3 to 20 requests at once: with the burst alone as the
+        capacity, bursts of a small customer are refused far below its limit.
+        """
+        permitted = customer.rate_per_s * self.window_s + customer.burst
+        tolerance = permitted * self.overage + self.slack
+        return max(customer.burst + TOLERANCE_SHARE * tolerance, MIN_CAPACITY)
--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -33,6 +33,7 @@
     SILENT_AFTER_S,
     SLOTS,
     TOKEN_VALIDITY_S,
+    RateLimitTolerance,
 )
 from .share_delegation import ShareDelegation
 
@@ -146,6 +147,7 @@
         name: Name of the gateway's process.
         callers: Its address for callers.
         now: Time in seconds.
+        tolerance: What the rule permits beyond the limits.
     """
 
     __slots__ = (
@@ -163,11 +165,13 @@
         "_states",
     )
 
-    def __init__(self, name: str, callers: str, now: float) -> None:
+    def __init__(
+        self, name: str, callers: str, now: float, tolerance: RateLimitTolerance
+    ) -> None:
         self._name = name
         self._callers = callers
         self._known = KnownGateways()
-        self._owner = RateLimitOwner(callers, self._known)
+        self._owner = RateLimitOwner(callers, self._known, tolerance)
         self._states: dict[str, _CustomerState] = {}
         self._by_id: dict[int, _CustomerState] = {}
         self._peers: dict[str, _Peer] = defaultdict(_Peer)
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -10,6 +10,7 @@
 from ..errors import SettingsError
 from ..plugin_registry import PluginKind, load_plugins, plugin_names
 from .answer_limits import AnswerLimits
+from .customers.rate_limit_times import RateLimitTolerance
 from .host_port import split_address
 
 
@@ -106,6 +107,7 @@
     times: TimeSettings
     placement: PlacementSettings
     answers: AnswerLimits
+    rate_limits: RateLimitTolerance
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -151,6 +153,7 @@
             "times": TimeSettings,
             "placement": PlacementSettings,
             "answers": AnswerLimits,
+            "rate_limits": RateLimitTolerance,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -206,6 +206,7 @@
         self._rate_limits = RateLimitGate(
             self._membership,
             self._heartbeats,
+            tolerance=settings.rate_limits,
             is_table_current=self._is_member_table_current,
             is_ready=self._is_ready,
             log=log,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -92,6 +92,7 @@
         f"[store]\naddress = {HOST}:{store_port}\nrow_bytes = 65536\n"
         f"seeds = {seed_text}\n"
         "[placement]\npolicy = predicted_time\n"
+        "[rate_limits]\nwindow_s = 5\noverage = 0.1\nslack = 20\n"
         "[times]\nstop_s = 8\naddress_ttl_s = 5\n"
     )
 
--- a/tests/rate_limit_world.py
+++ b/tests/rate_limit_world.py
@@ -11,7 +11,12 @@
 
 from carobspur.gateway.customers.customer import Customer
 from carobspur.gateway.customers.rate_limit_messages import RateRequest
-from carobspur.gateway.customers.rate_limit_times import MAX_WAIT_S, POLL_S, TICK_S
+from carobspur.gateway.customers.rate_limit_times import (
+    MAX_WAIT_S,
+    POLL_S,
+    TICK_S,
+    RateLimitTolerance,
+)
 from carobspur.gateway.customers.rate_limiter import (
     Outgoing,
     RateLimiter,
@@ -20,6 +25,7 @@
 )
 
 WINDOW_S = 5.0
+TOLERANCE = RateLimitTolerance(window_s=WINDOW_S, overage=0.1, slack=20)
 MEMBERS_INTERVAL_S = 0.25
 START_S = 100.0
 SETTLED_S = 5.0
@@ -133,7 +139,7 @@
         self._members_changed()
 
     def _new_process(self, callers: str, start: int) -> SimulatedGateway:
-        limiter = RateLimiter(f"{callers}/{start}", callers, self.now)
+        limiter = RateLimiter(f"{callers}/{start}", callers, self.now, TOLERANCE)
         limiter.configure(self.customers, self.now)
         gateway = SimulatedGateway(
             callers,
@@ -252,6 +258,38 @@
 
             self.at(moment, _request)
 
+    def add_steps(
+        self,
+        customer: str,
+        per_s: float,
+        start: float,
+        end: float,
+        size: tuple[int, int],
+    ) -> None:
+        """Send requests in steps of programs, all of a step within 20 ms.
+
+        Args:
+            customer: The customer.
+            per_s: Requests a second on average.
+            start: Time of the first step at the earliest.
+            end: Time by which the last step has begun.
+            size: Smallest and largest number of requests of a step.
+        """
+        addresses = list(self.gateways)
+        moment = start
+        steps_per_s = per_s * 2 / sum(size)
+        while (moment := moment + self.rng.expovariate(steps_per_s)) < end:
+            for _ in range(self.rng.randint(*size)):
+                callers = self.rng.choice(addresses)
+                is_running = self.rng.random() < 0.7
+
+                def _request(
+                    callers: str = callers, is_running: bool = is_running
+                ) -> None:
+                    self.request(customer, callers, is_running=is_running)
+
+                self.at(moment + self.rng.uniform(0.0, 0.02), _request)
+
     def shares_counted_twice(self, customer: str) -> list[str]:
         """Return gateways whose share of a limit two processes count at this moment."""
         counted: list[str] = []
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -7,6 +7,7 @@
 
 from carobspur.errors import SettingsError
 from carobspur.gateway.answer_limits import DEFAULT_LIMITS
+from carobspur.gateway.customers.rate_limit_times import RateLimitTolerance
 from carobspur.gateway.settings import GatewaySettings
 
 from .platform_world import settings_text
@@ -59,6 +60,24 @@
         for part in ("[answers] head_bytes: '0'", "[answers] body: no such key"):
             self.assertIn(part, caught.exception.message)
 
+    def test_tolerance_of_rate_limits_is_optional_and_checked(self) -> None:
+        # Guards against a start that fails on a placeholder without a value, and
+        # against a tolerance that the platform did not state.
+        text = settings_text(99, PORTS, name="g")
+        given = GatewaySettings.parse(text).rate_limits
+        self.assertEqual(RateLimitTolerance(5, 0.1, 20), given)
+        empty = text.replace("window_s = 5", "window_s =")
+        empty = empty.replace("overage = 0.1", "overage =")
+        empty = empty.replace("slack = 20", "slack =")
+        section = "[rate_limits]\nwindow_s = 5\noverage = 0.1\nslack = 20\n"
+        for changed in (empty, text.replace(section, "")):
+            limits = GatewaySettings.parse(changed).rate_limits
+            self.assertEqual(RateLimitTolerance(), limits)
+        with self.assertRaises(SettingsError) as caught:
+            GatewaySettings.parse(text.replace("slack = 20", "slack = -1\nslck = 2"))
+        for part in ("[rate_limits] slack: '-1'", "[rate_limits] slck: no such key"):
+            self.assertIn(part, caught.exception.message)
+
     def test_placement_may_be_left_out(self) -> None:
         text = settings_text(99, PORTS, name="g")
         text = text.replace("[placement]\npolicy = predicted_time\n", "")
--- a/tests/test_rate_limit_gate.py
+++ b/tests/test_rate_limit_gate.py
@@ -16,6 +16,7 @@
 from carobspur.gateway.routes import Configuration, Route, RouteKind, WeightedService
 from carobspur.gateway.telemetry import Telemetry
 
+from .rate_limit_world import TOLERANCE
 from .virtual import run_virtual
 
 ROUTE = Route("r", "h", "/", RouteKind.ONCE, (WeightedService("s", 1),), 3.0, 1.0, 1)
@@ -36,6 +37,7 @@
         gate = RateLimitGate(
             Membership(Member("a/1", "d", "a:1", "a:2", "a:3")),
             _NoSender(),
+            tolerance=TOLERANCE,
             is_table_current=lambda: True,
             is_ready=lambda: True,
             log=DecisionLog(logging.getLogger("test")),
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -20,12 +20,17 @@
     customer_id,
 )
 from carobspur.gateway.customers.rate_limit_owner import RateLimitOwner
-from carobspur.gateway.customers.rate_limit_times import TOKEN_VALIDITY_S
+from carobspur.gateway.customers.rate_limit_times import (
+    TOKEN_VALIDITY_S,
+    RateLimitTolerance,
+)
 from carobspur.gateway.customers.rate_limiter import RateLimiter, Refusal, Waiter
 from carobspur.gateway.customers.share_delegation import ShareDelegation
 from carobspur.gateway.customers.token_bucket import TokenBucket
 from carobspur.gateway.routes import Route, RouteKind, WeightedService
 
+from .rate_limit_world import TOLERANCE
+
 MAX_DATAGRAM_BYTES = 1400
 CUSTOMER = Customer("c", rate_per_s=10, burst=20)
 
@@ -110,14 +115,60 @@
         self.assertEqual(0.5, delegation.delegate("b", 1.3, 5))
 
 
+class ToleranceTest(unittest.TestCase):
+    def test_half_of_the_tolerance_is_capacity(self) -> None:
+        small = Customer("c", rate_per_s=1)
+        large = Customer("c", rate_per_s=100, burst=50)
+        self.assertAlmostEqual(10.25, TOLERANCE.capacity(small))
+        self.assertAlmostEqual(50 + 0.5 * (0.1 * 550 + 20), TOLERANCE.capacity(large))
+
+    def test_capacity_without_tolerance_is_the_burst(self) -> None:
+        for burst, capacity in ((0, 1), (0.5, 1), (7, 7)):
+            customer = Customer("c", rate_per_s=100, burst=burst)
+            self.assertEqual(capacity, RateLimitTolerance().capacity(customer))
+
+
 class OwnerTest(unittest.TestCase):
-    def _owner(self) -> RateLimitOwner:
+    def _owner(
+        self,
+        customer: Customer = CUSTOMER,
+        tolerance: RateLimitTolerance = TOLERANCE,
+        others: tuple[str, ...] = (),
+    ) -> RateLimitOwner:
         known = KnownGateways()
-        known.update(["a"], 0.0, is_table_current=True)
-        owner = RateLimitOwner("o", known)
-        owner.configure([CUSTOMER], 0.0)
+        known.update(["a", *others], 0.0, is_table_current=True)
+        owner = RateLimitOwner("o", known, tolerance)
+        owner.configure([customer], 0.0)
         return owner
 
+    def _new_tokens(self, owner: RateLimitOwner, senders: str) -> int:
+        """Return how many new programs in 10 s get a token, at two attempts a second.
+
+        Args:
+            owner: The owner.
+            senders: Gateways that delegate their share; the first asks for tokens.
+        """
+        granted = 0
+        for number in range(1, 21):
+            now = 9 + number / 2
+            for callers in reversed(senders):
+                wanted = int(callers == senders[0])
+                entry = RequestEntry(customer_id("c"), True, new=wanted)
+                request = RateRequest(
+                    f"{callers}/1", callers, number, now, now, len(senders), [entry]
+                )
+                (answer,) = owner.answer(request, now).entries
+                granted += answer.other
+        return granted
+
+    def test_reserve_leaves_a_token_for_a_new_program(self) -> None:
+        # Guards against a reserve of a fifth of a capacity of 1, with which no program
+        # of a customer without burst and tolerance begins.
+        for tolerance in (TOLERANCE, RateLimitTolerance()):
+            owner = self._owner(Customer("c", rate_per_s=1), tolerance)
+            with self.subTest(tolerance=tolerance):
+                self.assertGreaterEqual(self._new_tokens(owner, "a"), 9)
+
     def test_delegations_that_arrive_late_or_twice_count_for_nothing(self) -> None:
         # Guards against old messages in the socket of a process that was suspended, and
         # stamps of a machine that was started again.
@@ -168,7 +219,7 @@
         self.assertEqual(1, known.count(1.0))
 
     def test_fresh_process_admits_nothing_by_itself(self) -> None:
-        limiter = RateLimiter("a/1", "a", 0.0)
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
         limiter.configure([CUSTOMER], 0.0)
         limiter.update_members(
             ["a"], [], 5.0, is_table_current=False, is_candidate=True
@@ -210,7 +261,7 @@
             self.assertLess(size, MAX_DATAGRAM_BYTES)
 
     def test_tokens_of_a_late_answer_have_expired(self) -> None:
-        limiter = RateLimiter("a/1", "a", 0.0)
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
         limiter.configure([CUSTOMER], 0.0)
         entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
         limiter.receive(RateAnswer("o", 1, 1.0, 1.0, 2, [entry]), 9.0)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -71,6 +71,19 @@
         # A share of 1/37 of such a limit would grant one request in 23 s.
         self.assertLessEqual(self._refused_share(1.6, 37, seconds=300), 0.002)
 
+    def test_steps_of_a_small_customer_are_served(self) -> None:
+        # Guards against a bucket that is too small for the requests that a step of a
+        # program sends at once: 8 % were refused with a capacity of 10.
+        customer = Customer("c", rate_per_s=16, burst=8)
+        refused = 0.0
+        for seed in (1, 2, 3):
+            made = RateLimitWorld(20, [customer], seed=seed)
+            made.run_until(START_S + 3 * SETTLED_S)
+            made.add_steps("c", 16 * USUAL_SHARE, made.now, made.now + 40, (3, 6))
+            made.run_until(made.now + 41)
+            refused += made.outcomes["c"].refused_share / 3
+        self.assertLessEqual(refused, 0.04)
+
 
 class OwnerChangeTest(unittest.TestCase):
     """Guards against long times without tokens when an owner ends."""
