--- a/src/carobspur/gateway/customers/rate_limit_messages.py
+++ b/src/carobspur/gateway/customers/rate_limit_messages.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 
@@ -12,6 +13,12 @@
 below 1,400 bytes with names of up to 200 bytes."""
 MAX_CACHED_IDS = 4096
 
+# Anybody may send to an open port. A level that is no number would remain in a bucket,
+# and long names in the table of senders.
+_Name = Annotated[str, msgspec.Meta(max_length=300)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+_Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+
 
 class RequestEntry(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway asks for one customer.
@@ -28,10 +35,10 @@
 
     customer: int
     delegates: bool
-    running: int = 0
-    new: int = 0
-    ahead: int = 0
-    level: float = 0.0
+    running: _Count = 0
+    new: _Count = 0
+    ahead: _Count = 0
+    level: _Amount = 0.0
 
 
 class RateRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -48,12 +55,12 @@
         entries: One for each customer.
     """
 
-    sender: str
-    callers: str
+    sender: _Name
+    callers: _Name
     number: int
-    sent_at: float
-    stamp: float
-    gateways: int
+    sent_at: _Amount
+    stamp: _Amount
+    gateways: _Count
     entries: list[RequestEntry]
 
 
@@ -74,13 +81,13 @@
     """
 
     customer: int
-    running: int
-    other: int
-    running_retry_ms: int
-    new_retry_ms: int
+    running: _Count
+    other: _Count
+    running_retry_ms: _Count
+    new_retry_ms: _Count
     bucket_level: int
     has_returned: bool = False
-    level: float = 0.0
+    level: _Amount = 0.0
 
 
 class RateAnswer(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -96,11 +103,11 @@
         entries: One for each customer that the owner knows.
     """
 
-    callers: str
+    callers: _Name
     number: int
-    sent_at: float
-    stamp: float
-    gateways: int
+    sent_at: _Amount
+    stamp: _Amount
+    gateways: _Count
     entries: list[AnswerEntry]
 
 
--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -424,6 +424,9 @@
 
     def receive(self, answer: RateAnswer, now: float) -> Outgoing:
         """Apply an owner's answer; return what to send next."""
+        if answer.sent_at > now:
+            # No request of this gateway: its tokens would be valid for too long.
+            return []
         self._known.record_report(answer.gateways, now)
         peer = self._peers[answer.callers]
         if answer.stamp > peer.stamp or now - peer.stamp_received_at >= DELEGATION_S:
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import msgspec
@@ -181,6 +182,27 @@
         self.assertIsNotNone(owner.answer(rate_request(1, stamp=9.0), 9.0))
         self.assertIsNone(owner.answer(rate_request(1, stamp=9.0), 9.0))
 
+    def test_damaged_numbers_are_refused(self) -> None:
+        # Guards against a level that is no number: it remained in the bucket, and every
+        # later answer for the customer raised an error.
+        decoder = msgspec.msgpack.Decoder(RateRequest | RateAnswer)
+        request = rate_request(1, stamp=9.0)
+        damaged: list[RateRequest | RateAnswer] = [
+            msgspec.structs.replace(request, sender="s" * 1000),
+            msgspec.structs.replace(request, stamp=math.inf),
+            msgspec.structs.replace(request, gateways=-1),
+        ]
+        for level in (math.nan, math.inf, -1.0):
+            entry = msgspec.structs.replace(request.entries[0], level=level)
+            damaged.append(msgspec.structs.replace(request, entries=[entry]))
+            returned = AnswerEntry(1, 0, 0, 0, 0, 0, True, level)
+            damaged.append(RateAnswer("o", 1, 1.0, 1.0, 1, [returned]))
+        for message in damaged:
+            with self.subTest(message=message), self.assertRaises(msgspec.MsgspecError):
+                decoder.decode(msgspec.msgpack.encode(message))
+        sound = decoder.decode(msgspec.msgpack.encode(request))
+        self.assertEqual(request, sound)
+
     def test_refusal_states_when_there_is_room(self) -> None:
         owner = self._owner()
         answer = owner.answer(rate_request(1, stamp=9.0, wanted=13), 9.0)
@@ -267,3 +289,11 @@
         limiter.receive(RateAnswer("o", 1, 1.0, 1.0, 2, [entry]), 9.0)
         late_s = 1.0 + TOKEN_VALIDITY_S
         self.assertIsNone(limiter.try_take("c", late_s, is_running=True))
+
+    def test_answer_to_a_request_of_the_future_grants_nothing(self) -> None:
+        # Guards against tokens that remain valid without end.
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
+        limiter.configure([CUSTOMER], 0.0)
+        entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
+        limiter.receive(RateAnswer("o", 1, 1e9, 1.0, 2, [entry]), 9.0)
+        self.assertIsNone(limiter.try_take("c", 9.0, is_running=True))
