--- a/src/carobspur/gateway/customers/rate_limit_owner.py
+++ b/src/carobspur/gateway/customers/rate_limit_owner.py
@@ -140,7 +140,7 @@
             refused requests of running programs and others may have room.
         """
         bucket, share = self.bucket, self._share
-        available = bucket.capacity * share
+        available = bucket.most(share)
         reserved = min(RESERVED_SHARE * available, max(0.0, available - 1))
         running = bucket.take(entry.running)
         new = bucket.take(entry.new, keep=reserved)
--- a/src/carobspur/gateway/customers/token_bucket.py
+++ b/src/carobspur/gateway/customers/token_bucket.py
@@ -8,6 +8,9 @@
 
 import math
 
+MAJORITY = 0.5
+"""Share that only one of several buckets with parts of the same capacity exceeds."""
+
 
 class TokenBucket:
     """Tokens that accrue at a rate up to a capacity.
@@ -31,6 +34,15 @@
         self.level = 0.0
         self._refilled_at = now
 
+    def most(self, share: float) -> float:
+        """Return the largest level at a share of the capacity.
+
+        With a majority it is at least one token, as a smaller part of a capacity
+        grants nothing. Where this applies, the other shares have less than one token.
+        """
+        available = self.capacity * share
+        return max(available, 1.0) if share > MAJORITY else available
+
     def refill(self, now: float, share: float) -> None:
         """Add the tokens accrued since the last call, and clamp the level.
 
@@ -45,7 +57,7 @@
 
     def add(self, tokens: float, share: float) -> None:
         """Add tokens, up to the share's part of the capacity."""
-        self.level = min(self.level + tokens, self.capacity * share)
+        self.level = min(self.level + tokens, self.most(share))
 
     def take(self, count: int, *, keep: float = 0.0) -> int:
         """Take up to ``count`` tokens, leaving at least ``keep``; return how many."""
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -182,6 +182,16 @@
         self.assertIsNotNone(owner.answer(rate_request(1, stamp=9.0), 9.0))
         self.assertIsNone(owner.answer(rate_request(1, stamp=9.0), 9.0))
 
+    def test_majority_grants_at_least_one_token_at_a_time(self) -> None:
+        # Guards against a small capacity of which a majority of the shares has less
+        # than one token: one dead gateway kept the customer out for ten minutes.
+        customer = Customer("c", rate_per_s=1)
+        for senders, least, most in (("abcd", 9, 11), ("abc", 6, 9), ("ab", 0, 0)):
+            owner = self._owner(customer, RateLimitTolerance(), ("b", "c", "d"))
+            with self.subTest(senders=senders):
+                granted = self._new_tokens(owner, senders)
+                self.assertTrue(least <= granted <= most, granted)
+
     def test_damaged_numbers_are_refused(self) -> None:
         # Guards against a level that is no number: it remained in the bucket, and every
         # later answer for the customer raised an error.
