--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -192,6 +192,27 @@
                 granted = self._new_tokens(owner, senders)
                 self.assertTrue(least <= granted <= most, granted)
 
+    def test_initial_level_is_granted_once_in_a_window(self) -> None:
+        # Guards against an initial level with every change to an owner and back.
+        owner = self._owner(Customer("c", rate_per_s=0.1))
+        granted = []
+        for number, now in enumerate((9.0, 10.0, 11.0, 15.0), 1):
+            request = rate_request(number, stamp=now, wanted=5)
+            (entry,) = owner.answer(request, now).entries
+            granted.append(entry.running)
+        self.assertEqual([3, 0, 0, 3], granted)
+
+    def test_lowered_limit_clamps_the_bucket(self) -> None:
+        # Guards against an owner that grants the level of the former limit.
+        owner = self._owner()
+        for number in range(1, 11):
+            now = 9.0 + number / 2
+            owner.answer(rate_request(number, stamp=now), now)
+        lowered = Customer("c", rate_per_s=1)
+        owner.configure([lowered], 14.0)
+        (entry,) = owner.answer(rate_request(11, stamp=14.0, wanted=40), 14.0).entries
+        self.assertEqual(int(TOLERANCE.capacity(lowered)), entry.running)
+
     def test_damaged_numbers_are_refused(self) -> None:
         # Guards against a level that is no number: it remained in the bucket, and every
         # later answer for the customer raised an error.
@@ -300,6 +321,16 @@
         late_s = 1.0 + TOKEN_VALIDITY_S
         self.assertIsNone(limiter.try_take("c", late_s, is_running=True))
 
+    def test_lowered_limit_discards_tokens(self) -> None:
+        # Guards against tokens of the former limit that are used after the change.
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
+        limiter.configure([CUSTOMER], 0.0)
+        entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
+        limiter.receive(RateAnswer("o", 1, 1.0, 1.0, 2, [entry]), 1.0)
+        self.assertIsNotNone(limiter.try_take("c", 1.0, is_running=True))
+        limiter.configure([Customer("c", rate_per_s=1)], 1.0)
+        self.assertIsNone(limiter.try_take("c", 1.0, is_running=True))
+
     def test_answer_to_a_request_of_the_future_grants_nothing(self) -> None:
         # Guards against tokens that remain valid without end.
         limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
