--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import math
 from dataclasses import MISSING, dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -202,7 +203,8 @@
     """Return the value of a key.
 
     Raises:
-        ValueError: The text is no number above 0 or no address, as the key requires.
+        ValueError: The text is no finite number above 0 or no address, as the key
+            requires.
     """
     match kind:
         case "int":
@@ -213,6 +215,6 @@
             if section == "listen" or name == "address":
                 split_address(text)
             return text
-    if value <= 0:
+    if not 0 < value < math.inf:
         raise ValueError(text)
     return value
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -78,6 +78,13 @@
         for part in ("[rate_limits] slack: '-1'", "[rate_limits] slck: no such key"):
             self.assertIn(part, caught.exception.message)
 
+    def test_numbers_must_be_finite(self) -> None:
+        # Guards against a slack that is no number: it made a bucket unlimited.
+        text = settings_text(99, PORTS, name="g")
+        for value in ("nan", "inf"):
+            with self.subTest(value), self.assertRaises(SettingsError):
+                GatewaySettings.parse(text.replace("slack = 20", f"slack = {value}"))
+
     def test_placement_may_be_left_out(self) -> None:
         text = settings_text(99, PORTS, name="g")
         text = text.replace("[placement]\npolicy = predicted_time\n", "")
