--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -339,6 +339,8 @@
 
     def tick(self, now: float) -> Outgoing:
         """Measure the use, notice silent owners, and return the regular messages."""
+        if not self._states:
+            return []
         self._notice_silence(now)
         wanted: _Wanted = {}
         for state in self._states.values():
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -285,6 +285,26 @@
         self.assertIsInstance(results[0], Refusal)
 
 
+class NoLimitTest(unittest.TestCase):
+    def test_nothing_is_sent_without_limits(self) -> None:
+        # Guards against messages in deployments that have no limits, or none any more
+        # while an owner is silent.
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
+
+        def _messages(start: float) -> int:
+            return sum(len(limiter.tick(start + step / 4)) for step in range(8))
+
+        limiter.update_members(
+            ["a", "b"], ["b"], 1.0, is_table_current=True, is_candidate=False
+        )
+        limiter.configure([Customer("free")], 1.0)
+        self.assertEqual(0, _messages(1.0))
+        limiter.configure([CUSTOMER], 3.0)
+        self.assertGreater(_messages(3.0), 0)
+        limiter.configure([], 5.0)
+        self.assertEqual(0, _messages(5.0))
+
+
 class ProgramStartsTest(unittest.TestCase):
     def test_signs_of_a_running_program(self) -> None:
         # Guards against refusing programs that have begun as if they were new.
