--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -42,6 +42,9 @@
 
 ANSWER_TIME_WEIGHT = 0.2
 """Weight of the last answer in the moving average of an owner's answer times."""
+MAX_UNANSWERED = 4096
+"""Requests whose answers are awaited. The tokens of older ones have expired unless a
+gateway sends 16,000 messages a second."""
 
 Outgoing = list[tuple[str, RateRequest]]
 """Requests with the caller addresses of the owners that receive them."""
@@ -163,6 +166,7 @@
         "_peers",
         "_pending",
         "_states",
+        "_unanswered",
     )
 
     def __init__(
@@ -180,6 +184,8 @@
         # Customers with waiting requests or with tokens wanted ahead.
         self._pending: dict[str, _CustomerState] = {}
         self._number = 0
+        # Times of the requests without an answer by their numbers, the oldest first.
+        self._unanswered: OrderedDict[int, float] = OrderedDict()
         # A former process of this gateway may have delegated its share until then.
         self._free_at = now + DELEGATION_S + DELEGATION_MARGIN_S
 
@@ -383,6 +389,9 @@
                 peer = self._peers[owner]
                 if peer.unanswered_since is None:
                     peer.unanswered_since = now
+                self._unanswered[request.number] = now
+                if len(self._unanswered) > MAX_UNANSWERED:
+                    self._unanswered.popitem(last=False)
                 outgoing.append((owner, request))
         return outgoing
 
@@ -426,8 +435,9 @@
 
     def receive(self, answer: RateAnswer, now: float) -> Outgoing:
         """Apply an owner's answer; return what to send next."""
-        if answer.sent_at > now:
-            # No request of this gateway: its tokens would be valid for too long.
+        # The network may deliver an answer twice; its tokens count once. Another time
+        # than that of the request would make them valid for too long.
+        if self._unanswered.pop(answer.number, None) != answer.sent_at:
             return []
         self._known.record_report(answer.gateways, now)
         peer = self._peers[answer.callers]
--- a/tests/rate_limit_world.py
+++ b/tests/rate_limit_world.py
@@ -103,15 +103,23 @@
         customers: Their customers.
         seed: Seed of all randomness.
         loss: Part of the datagrams that are lost.
+        duplicated: Part of the datagrams that arrive twice.
     """
 
     def __init__(
-        self, gateways: int, customers: list[Customer], *, seed: int, loss: float = 0.0
+        self,
+        gateways: int,
+        customers: list[Customer],
+        *,
+        seed: int,
+        loss: float = 0.0,
+        duplicated: float = 0.0,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = START_S
         self.customers = customers
         self.loss = loss
+        self.duplicated = duplicated
         self.messages = 0
         self.outcomes = {item.name: Outcomes() for item in customers}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -380,6 +388,8 @@
             self._run(receiver, lambda: action(receiver))
 
         self.at(self.now + delay_s, _arrive)
+        if self.duplicated and self.rng.random() < self.duplicated:
+            self.at(self.now + 2 * delay_s, _arrive)
 
     def _members_changed(self) -> None:
         """Remember who is reachable from where, for beliefs that lag behind."""
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -42,6 +42,15 @@
     return RateRequest("a/1", "a", number, stamp, stamp, 1, [entry])
 
 
+def owner_answer(limiter: RateLimiter, entry: AnswerEntry) -> RateAnswer:
+    """Return the answer of the owner ``o`` to a request that was sent at 1.0."""
+    limiter.update_members(
+        ["a", "o"], ["o"], 1.0, is_table_current=True, is_candidate=False
+    )
+    ((_, request),) = limiter.tick(1.0)
+    return RateAnswer("o", request.number, 1.0, 1.0, 2, [entry])
+
+
 def a_route(kind: RouteKind) -> Route:
     """Return a route of a kind."""
     return Route("r", "h", "/", kind, (WeightedService("s", 1),), 3.0, 1.0, 1)
@@ -337,7 +346,7 @@
         limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
         limiter.configure([CUSTOMER], 0.0)
         entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
-        limiter.receive(RateAnswer("o", 1, 1.0, 1.0, 2, [entry]), 9.0)
+        limiter.receive(owner_answer(limiter, entry), 9.0)
         late_s = 1.0 + TOKEN_VALIDITY_S
         self.assertIsNone(limiter.try_take("c", late_s, is_running=True))
 
@@ -346,15 +355,20 @@
         limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
         limiter.configure([CUSTOMER], 0.0)
         entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
-        limiter.receive(RateAnswer("o", 1, 1.0, 1.0, 2, [entry]), 1.0)
+        limiter.receive(owner_answer(limiter, entry), 1.0)
         self.assertIsNotNone(limiter.try_take("c", 1.0, is_running=True))
         limiter.configure([Customer("c", rate_per_s=1)], 1.0)
         self.assertIsNone(limiter.try_take("c", 1.0, is_running=True))
 
-    def test_answer_to_a_request_of_the_future_grants_nothing(self) -> None:
-        # Guards against tokens that remain valid without end.
+    def test_answer_without_its_request_grants_nothing(self) -> None:
+        # Guards against tokens that count twice or remain valid without end.
         limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
         limiter.configure([CUSTOMER], 0.0)
-        entry = AnswerEntry(customer_id("c"), 5, 5, 0, 0, 0)
-        limiter.receive(RateAnswer("o", 1, 1e9, 1.0, 2, [entry]), 9.0)
-        self.assertIsNone(limiter.try_take("c", 9.0, is_running=True))
+        entry = AnswerEntry(customer_id("c"), 1, 0, 0, 0, 0)
+        answer = owner_answer(limiter, entry)
+        limiter.receive(answer, 1.0)
+        limiter.receive(answer, 1.0)
+        future = owner_answer(limiter, entry)
+        limiter.receive(msgspec.structs.replace(future, sent_at=1e9), 1.0)
+        self.assertIsNotNone(limiter.try_take("c", 1.0, is_running=True))
+        self.assertIsNone(limiter.try_take("c", 1.0, is_running=True))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -260,6 +260,16 @@
         largest = largest_window(made.outcomes["c"].admitted)
         self.assertLessEqual(largest, most_in_window(customer))
 
+    def test_bound_holds_where_datagrams_arrive_twice(self) -> None:
+        # Guards against tokens that are counted again with a copy of an answer.
+        customer = Customer("c", rate_per_s=60, burst=60)
+        made = RateLimitWorld(8, [customer], seed=8, duplicated=0.5)
+        made.run_until(START_S + SETTLED_S)
+        made.add_load("c", 300, made.now, made.now + 10)
+        made.run_until(made.now + 11)
+        largest = largest_window(made.outcomes["c"].admitted)
+        self.assertLessEqual(largest, most_in_window(customer))
+
     def test_lowered_limit_is_binding_a_window_after_it_is_applied(self) -> None:
         customer = Customer("c", rate_per_s=80, burst=80)
         lowered = Customer("c", rate_per_s=10, burst=10)
