--- a/src/carobspur/gateway/customers/rate_limiter.py
+++ b/src/carobspur/gateway/customers/rate_limiter.py
@@ -186,7 +186,8 @@
         self._number = 0
         # Times of the requests without an answer by their numbers, the oldest first.
         self._unanswered: OrderedDict[int, float] = OrderedDict()
-        # A former process of this gateway may have delegated its share until then.
+        # A share of a new limit is not delegated before, as a former process of this
+        # gateway may have delegated it.
         self._free_at = now + DELEGATION_S + DELEGATION_MARGIN_S
 
     @property
@@ -207,11 +208,7 @@
         """Apply the limits of a new configuration."""
         limited = {item.name: item for item in customers if item.is_limited}
         self._owner.configure(limited.values(), now)
-        for name in self._states.keys() - limited.keys():
-            # The customer has no limit any more, or its keys are unknown.
-            for waiter in self._states.pop(name).waiters:
-                waiter.on_done(now)
-            self._pending.pop(name, None)
+        removed = self._states.keys() - limited.keys()
         for name, customer in limited.items():
             state = self._states.get(name)
             if state is None:
@@ -220,6 +217,15 @@
             if customer.rate_per_s < state.customer.rate_per_s:
                 state.tokens.clear()
             state.customer = customer
+        for name in removed:
+            # The customer has no limit any more, or its keys are unknown.
+            for waiter in self._states.pop(name).waiters:
+                waiter.on_done(now)
+            self._pending.pop(name, None)
+        if removed:
+            # Owners without this configuration still count the share. The limit may
+            # return with the next one.
+            self._free_at = now + DELEGATION_S + DELEGATION_MARGIN_S
         self._by_id = {state.id: state for state in self._states.values()}
         self._choose_owners()
 
--- a/tests/test_rate_limit_parts.py
+++ b/tests/test_rate_limit_parts.py
@@ -295,6 +295,23 @@
 
 
 class NoLimitTest(unittest.TestCase):
+    def test_share_of_a_limit_that_returns_is_not_delegated_twice(self) -> None:
+        # Guards against a second owner of the share while the first, which has not yet
+        # applied the configuration without the limit, still counts it.
+        limiter = RateLimiter("a/1", "a", 0.0, TOLERANCE)
+        limiter.configure([CUSTOMER], 0.0)
+        entry = AnswerEntry(customer_id("c"), 0, 0, 0, 0, 0)
+        limiter.receive(owner_answer(limiter, entry), 1.0)
+        limiter.configure([], 1.1)
+        limiter.configure([CUSTOMER], 1.2)
+        limiter.update_members(
+            ["a", "o"], [], 1.3, is_table_current=True, is_candidate=True
+        )
+        limiter.tick(1.3)
+        self.assertEqual([], limiter.counted_shares("c", 1.3))
+        limiter.tick(1.9)
+        self.assertEqual(["a"], limiter.counted_shares("c", 1.9))
+
     def test_nothing_is_sent_without_limits(self) -> None:
         # Guards against messages in deployments that have no limits, or none any more
         # while an owner is silent.
