--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import math
 from dataclasses import MISSING, dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -10,8 +11,12 @@
 from ..errors import SettingsError
 from ..plugin_registry import PluginKind, load_plugins, plugin_names
 from .answer_limits import AnswerLimits
+from .customers.rate_limit_times import RateLimitTolerance
 from .host_port import split_address
 
+SECTIONS_WITH_ZEROS = ("rate_limits",)
+"""Sections in which a number may be 0: a platform may permit no tolerance."""
+
 
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
@@ -106,6 +111,7 @@
     times: TimeSettings
     placement: PlacementSettings
     answers: AnswerLimits
+    rate_limits: RateLimitTolerance
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -151,6 +157,7 @@
             "times": TimeSettings,
             "placement": PlacementSettings,
             "answers": AnswerLimits,
+            "rate_limits": RateLimitTolerance,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
@@ -199,7 +206,8 @@
     """Return the value of a key.
 
     Raises:
-        ValueError: The text is no number above 0 or no address, as the key requires.
+        ValueError: The text is no finite number above 0, or from 0 in sections that
+            permit it, or no address, as the key requires.
     """
     match kind:
         case "int":
@@ -210,6 +218,7 @@
             if section == "listen" or name == "address":
                 split_address(text)
             return text
-    if value <= 0:
+    is_zero_valid = section in SECTIONS_WITH_ZEROS
+    if not 0 <= value < math.inf or (value == 0 and not is_zero_valid):
         raise ValueError(text)
     return value
