--- a/src/carobspur/gateway/health.py
+++ b/src/carobspur/gateway/health.py
@@ -74,6 +74,12 @@
         reported = self.reported_load.running + self.reported_load.waiting
         return max(self.in_flight, reported + self.in_flight - self.in_flight_at_report)
 
+    def slowdown(self, now: float) -> float:
+        """Return the slowdown of a recent load report, 1 without one."""
+        if self.reported_load is None or now - self.reported_at > LOAD_REPORT_TTL_S:
+            return 1.0
+        return self.reported_load.slowdown
+
     def slowness(self, now: float) -> float:
         """Return the pace if it is recent and at least ``SLOW_FACTOR``, else 1."""
         is_recent = now - self.pace_at < PACE_TTL_S
@@ -186,14 +192,18 @@
     def running(self, key: str, now: float) -> int:
         """Return an estimate of all gateways' requests at an endpoint.
 
-        Peers' reports take precedence over the endpoint's own: they are newer, and
-        they count requests that have not reached the endpoint yet.
+        Reports of all peers take precedence over the endpoint's own: they are newer,
+        and they count requests that have not reached the endpoint yet. Where only some
+        gateways report, their sum is a lower bound, and the larger estimate is used.
         """
         state = self.state(key)
         others = self.peers.total(key, now)
-        if others:
-            return state.in_flight + others
-        return state.running(now)
+        if not others:
+            return state.running(now)
+        counted = state.in_flight + others
+        if self.peers.is_complete:
+            return counted
+        return max(counted, state.running(now))
 
     def state(self, key: str) -> EndpointHealth:
         """Return the health of an endpoint; adds an entry for a new one."""
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -132,6 +132,7 @@
             self._membership.others() if to_everyone else self._membership.watchers()
         )
         self._send_to(recipients, data)
+        self._loads.is_complete = self._membership.exchanges_all_loads(now)
         self.record_peer_changes(now)
 
     def send_load_report(self, report: LoadReport) -> int:
--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -60,11 +60,16 @@
 
     The sums of requests are updated with each report, because placement reads them far
     more often, and the cost of reading must not grow with the number of gateways.
+
+    Attributes:
+        is_complete: Whether every other gateway reports to this one. In large
+            deployments only those of the same data centre do.
     """
 
-    __slots__ = ("_failures", "_reports", "_in_flight")
+    __slots__ = ("_failures", "_reports", "_in_flight", "is_complete")
 
     def __init__(self) -> None:
+        self.is_complete = True
         # Loop time of receipt and report by sender, oldest first.
         self._reports: dict[int, tuple[float, LoadReport]] = {}
         self._in_flight: dict[int, int] = {}
--- a/src/carobspur/gateway/members.py
+++ b/src/carobspur/gateway/members.py
@@ -331,11 +331,15 @@
         those in the gateway's own data centre, whose endpoints it prefers.
         """
         alive = self.alive(now)
-        if len(alive) <= FULL_MESH_MAX_PEERS:
+        if _is_full_mesh(alive):
             return alive
         own = self._own.data_centre
         return [member for member in alive if member.data_centre == own]
 
+    def exchanges_all_loads(self, now: float) -> bool:
+        """Return whether all gateways send each other load reports."""
+        return _is_full_mesh(self.alive(now))
+
     def reaching_store(self, now: float) -> list[Member]:
         """Return the members that recently reported that they reach the row store.
 
@@ -374,3 +378,8 @@
         return now - live.suspected_at >= SUSPICION_TTL_S or (
             live.last_heartbeat_at > live.suspected_at
         )
+
+
+def _is_full_mesh(alive: list[Member]) -> bool:
+    """Return whether all gateways exchange load reports with so many others alive."""
+    return len(alive) <= FULL_MESH_MAX_PEERS
