--- a/src/carobspur/gateway/health.py
+++ b/src/carobspur/gateway/health.py
@@ -207,7 +207,10 @@
 
     def state(self, key: str) -> EndpointHealth:
         """Return the health of an endpoint; adds an entry for a new one."""
-        return self._states.setdefault(key, EndpointHealth())
+        known = self._states.get(key)
+        if known is None:
+            known = self._states[key] = EndpointHealth()
+        return known
 
     def forget(self, key: str) -> None:
         """Delete the health of an endpoint that was removed."""
--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -94,6 +94,8 @@
 
     def failures(self, key: str, now: float) -> tuple[float, float]:
         """Return the decayed answers and failures of an endpoint at other gateways."""
+        if not self._failures:
+            return 0.0, 0.0
         self._expire_reports(now)
         reported = self._failures.get(name_hash(key), {}).values()
         return sum(item[0] for item in reported), sum(item[1] for item in reported)
--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -60,7 +60,7 @@
 
     def usual_turn_ms(self, running: float) -> float:
         """Return the usual time of a turn at an engine that runs so many."""
-        gap_ms = self.idle_gap_ms + self.gap_slope_ms * max(0.0, running - 1)
+        gap_ms = self.idle_gap_ms + self.gap_slope_ms * (running - 1)
         return self.usual_events * gap_ms + self.usual_uncached * self.ms_per_token
 
 
@@ -88,6 +88,7 @@
 
     Attributes:
         endpoint: The candidate.
+        key: Its key.
         requests: Expected requests there, queued ones included.
         own_requests: Those of them that this gateway sent.
         own_work_ms: Remaining work of these, at the usual speed.
@@ -101,6 +102,7 @@
     """
 
     endpoint: Endpoint
+    key: str
     requests: float
     own_requests: int
     speed: float = 1.0
@@ -168,12 +170,16 @@
         requests: Requests at the endpoint.
         slots: Requests that it processes at once.
         work_ms: Remaining work of its requests.
-        usual_ms: Mean work of one of them.
+        usual_ms: Mean work of one of them; positive.
     """
-    by_work = work_ms / max(usual_ms, 1e-3) - (slots - 1) / 2
+    excess = work_ms / usual_ms - (slots - 1) / 2
     by_count = requests + 1 - slots
-    # With a free slot, long requests in the others do not matter.
-    excess = min(by_work, by_count) if by_count < 1 else max(by_work, 0.5)
+    if by_count >= 1:
+        if excess < 0.5:
+            excess = 0.5
+    elif excess > by_count:
+        # With a free slot, long requests in the others do not matter.
+        excess = by_count
     if excess > 20 * LOAD_UNCERTAINTY:
         return excess
     return LOAD_UNCERTAINTY * log1p(exp(excess / LOAD_UNCERTAINTY))
@@ -181,18 +187,20 @@
 
 def turn_cost(view: EndpointView, size: TurnSize) -> CandidateCost:
     """Return the expected cost of a turn at an engine."""
-    slots = max(view.endpoint.slots, 1)
+    slots = view.endpoint.slots or 1
     speed = view.speed
-    others = min(view.requests, slots - 1)
+    others = view.requests if view.requests < slots - 1 else slots - 1
     gap_ms = size.idle_gap_ms + size.gap_slope_ms * others
     usual_ms = size.usual_turn_ms(others + 1)
     prefill_ms = view.uncached_tokens * size.ms_per_token
     wait_ms = usual_ms / slots * _excess(view, slots, usual_ms)
-    overlap = min(size.events, size.usual_events / 2)
+    overlap = size.events
+    if overlap > size.usual_events / 2:
+        overlap = size.usual_events / 2
     delay_ms = others * (prefill_ms + size.gap_slope_ms * overlap)
     has_room = True
     if size.memory_tokens:
-        foreign = max(0.0, view.requests - view.own_requests)
+        foreign = view.requests - view.own_requests
         reserved = view.own_footprint + foreign * size.usual_footprint
         has_room = reserved + size.footprint <= size.memory_tokens
         if not has_room:
@@ -221,7 +229,7 @@
         work_ms: Expected time of the call at an endpoint of usual speed.
         usual_ms: Usual time of calls of all routes.
     """
-    slots = max(view.endpoint.slots, 1)
+    slots = view.endpoint.slots or 1
     excess = _excess(view, slots, usual_ms)
     # The call delays a later one if that finds no free slot.
     delay_ms = work_ms / slots * min(1.0, excess)
@@ -237,8 +245,8 @@
 
 def _excess(view: EndpointView, slots: int, usual_ms: float) -> float:
     """Return the excess of requests; other gateways' are taken to be usual ones."""
-    foreign = max(0.0, view.requests - view.own_requests)
-    running = min(foreign, slots)
+    foreign = view.requests - view.own_requests
+    running = foreign if foreign < slots else slots
     work_ms = view.own_work_ms + (foreign - running / 2) * usual_ms
     return queue_excess(view.requests, slots, work_ms, usual_ms)
 
--- a/src/carobspur/gateway/work/endpoint_backlog.py
+++ b/src/carobspur/gateway/work/endpoint_backlog.py
@@ -61,13 +61,14 @@
     Attributes:
         sent: This gateway's requests under way, counted from the decision on.
         credibility: Share of the additionally reported requests that counts.
+        reported_at: Loop time of the newest load report.
     """
 
     sent: list[SentRequest] = field(default_factory=list)
     credibility: float = 1.0
+    reported_at: float = -1.0
     _hidden: float = 0.0
     _hidden_at: float = 0.0
-    _reported_at: float = -1.0
 
     def record_report(
         self, reported: int, counted: int, *, reported_at: float, now: float
@@ -82,9 +83,9 @@
             reported_at: Loop time of the report.
             now: Loop time.
         """
-        if reported_at <= self._reported_at:
+        if reported_at <= self.reported_at:
             return None
-        self._reported_at = reported_at
+        self.reported_at = reported_at
         known = self.hidden(now)
         excess = max(0, reported - counted)
         self._hidden = known + HIDDEN_WEIGHT * (excess - known)
--- a/src/carobspur/gateway/work/endpoint_speed.py
+++ b/src/carobspur/gateway/work/endpoint_speed.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from math import exp, log
+from math import log
 
 FAST_WEIGHT = 0.25
 """Weight of the newest measurement in the current pace."""
@@ -81,10 +81,11 @@
             slowdown: Slowdown of a recent report; ``None`` without one.
             now: Loop time.
         """
-        kept = 0.5 ** (max(0.0, now - self._at) / FAST_HALF_LIFE_S)
-        lasting = (self._lasting - 1) * 0.5 ** (
-            max(0.0, now - self._at) / LASTING_HALF_LIFE_S
-        )
+        if not self._at and slowdown is None:
+            return 1.0
+        passed_s = now - self._at
+        kept = 0.5 ** (passed_s / FAST_HALF_LIFE_S)
+        lasting = (self._lasting - 1) * 0.5 ** (passed_s / LASTING_HALF_LIFE_S)
         deviation = (self._fast - self._lasting) / self._lasting * kept
         factor = (1 + _discounted(lasting, LASTING_NOISE)) * (
             1 + _discounted(deviation, FAST_NOISE)
@@ -92,7 +93,7 @@
         if slowdown is not None:
             usual = 1 + (self._slowdown - 1) * kept
             slowdown = min(max(slowdown, 1 / MAX_RATIO), MAX_RATIO)
-            factor *= exp(self._trust * log(slowdown / usual))
+            factor *= (slowdown / usual) ** self._trust
         return min(max(factor, 1 / MAX_SPEED_FACTOR), MAX_SPEED_FACTOR)
 
     def _decay(self, now: float) -> None:
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -113,7 +113,7 @@
         return 1000 * (now - self._request.sent_at)
 
     def _record_pace(self, ratio: float, now: float) -> None:
-        slowdown = self._health.state(self._cost.view.endpoint.key).slowdown(now)
+        slowdown = self._health.state(self._cost.view.key).slowdown(now)
         self._state.speed.record(ratio, slowdown, now)
 
     def _record_wait(self, actual_ms: float) -> None:
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from ..gateway.endpoints import Endpoint
-from ..gateway.health import LOAD_REPORT_TTL_S, HealthTracker
+from ..gateway.health import LOAD_REPORT_TTL_S, EndpointHealth, HealthTracker
 from ..gateway.placement import Need, SendObservation, penalty_ms
 from ..gateway.work.choice import (
     CandidateCost,
@@ -68,6 +68,7 @@
     __slots__ = (
         "_endpoints",
         "_hidden",
+        "_is_learning",
         "_last_cost",
         "_prompts",
         "_random",
@@ -82,6 +83,7 @@
         self._routes: dict[str, RouteModel] = {}
         # Usual requests that are not counted by this gateway or a peer, by service.
         self._hidden: dict[str, float] = {}
+        self._is_learning = True
         self._prompts = PromptCache()
         # The observation of a request follows its choice at once.
         self._last_cost: CandidateCost | None = None
@@ -94,7 +96,6 @@
         now: float,
     ) -> Endpoint | None:
         """Return the endpoint for a plain call, or ``None`` if there is none."""
-        self._record_reports(endpoints, health, now)
         return self._remember(self._plain_choice(endpoints, need, health, now))
 
     def engine(
@@ -105,7 +106,6 @@
         now: float,
     ) -> Endpoint | None:
         """Return the engine for a turn, or ``None`` if there is none."""
-        self._record_reports(endpoints, health, now)
         return self._remember(self._engine_choice(endpoints, need, health, now))
 
     def explain(
@@ -124,9 +124,11 @@
             now: Loop time.
         """
         state = self._random.getstate()
+        self._is_learning = False
         try:
             return self._choice(endpoints, need, health, now)
         finally:
+            self._is_learning = True
             self._random.setstate(state)
 
     def observe(
@@ -134,7 +136,7 @@
     ) -> SendObservation:
         """Return the observation of a request that is now sent to an endpoint."""
         cost, self._last_cost = self._last_cost, None
-        if cost is None or cost.view.endpoint.key != endpoint.key:
+        if cost is None or cost.view.key != endpoint.key:
             # A turn that is resumed at its engine is sent without a choice.
             cost = self._choice([endpoint], need, health, now).chosen
         service = self._service(endpoint.service)
@@ -181,7 +183,7 @@
         costs = []
         for endpoint in endpoints:
             view = self._view(endpoint, need, health, now)
-            view.is_warm = endpoint.key == warm_key
+            view.is_warm = view.key == warm_key
             work_ms = route.expected_call_ms(is_warm=view.is_warm)
             costs.append(call_cost(view, work_ms, usual_ms))
         position_ms = usual_ms / max(endpoints[0].slots, 1)
@@ -206,13 +208,13 @@
         costs = []
         for endpoint in endpoints:
             view = self._view(endpoint, need, health, now)
-            reused = self._reused(endpoint.key, need, service, ranked, tokens, now)
+            reused = self._reused(view.key, need, service, ranked, tokens, now)
             view.reuse = reused
             cached = SHARED_PART_SHARE * shared_tokens
             if reused is not None:
                 cached = max(cached, service.reuse.share(reused.reuse) * reused.tokens)
-            view.uncached_tokens = max(0.0, tokens - cached)
-            view.is_warm = endpoint.key == ranked[0] or (
+            view.uncached_tokens = tokens - cached if cached < tokens else 0.0
+            view.is_warm = view.key == ranked[0] or (
                 reused is not None
                 and reused.is_sent
                 and reused.tokens > max(shared_tokens, tokens / 2)
@@ -263,52 +265,62 @@
             tokens: Length of the prompt.
             now: Loop time.
         """
-        found = []
+        reused = None
+        best = 0.0
         known, age_s = self._prompts.known_prefix(key, need.prompt_parts, now)
         if known:
             is_recent = age_s < RECENT_S
             reuse = Reuse.SENT_RECENTLY if is_recent else Reuse.SENT_BEFORE
-            found.append(ReusedPrompt(reuse, known))
+            reused = ReusedPrompt(reuse, known)
+            best = known * service.reuse.share(reuse)
         if key in ranked:
             # The last part is the new input of the turn.
             new_tokens = need.prompt_parts[-1].tokens if need.prompt_parts else 0
             is_first = key == ranked[0]
             reuse = Reuse.FIRST_CHOICE if is_first else Reuse.SECOND_CHOICE
-            found.append(ReusedPrompt(reuse, max(0, tokens - new_tokens)))
-        return max(
-            found,
-            key=lambda item: item.tokens * service.reuse.share(item.reuse),
-            default=None,
-        )
+            old_tokens = max(0, tokens - new_tokens)
+            if old_tokens * service.reuse.share(reuse) > best:
+                return ReusedPrompt(reuse, old_tokens)
+        return reused
 
     def _view(
         self, endpoint: Endpoint, need: Need, health: HealthTracker, now: float
     ) -> EndpointView:
         key = endpoint.key
-        known = self._endpoints.get(key) or NEW_ENDPOINT
         state = health.state(key)
-        backlog = known.backlog
         peers = health.peers.total(key, now)
-        own = max(len(backlog.sent), state.in_flight)
-        counted = own + peers
+        is_complete = health.peers.is_complete
         has_report = (
             state.reported_load is not None
             and now - state.reported_at <= LOAD_REPORT_TTL_S
         )
+        known = self._endpoints.get(key, NEW_ENDPOINT)
+        is_new = has_report and state.reported_at > known.backlog.reported_at
+        if is_new and not is_complete and self._is_learning:
+            self._record_report(endpoint, state, peers, now)
+            known = self._state(key)
+        backlog = known.backlog
+        own = len(backlog.sent)
+        if state.in_flight > own:
+            own = state.in_flight
+        counted = own + peers
         unseen = 0.0
-        if not (health.peers.is_complete and peers):
+        if has_report and not (is_complete and peers):
             unseen = max(0.0, state.running(now) - counted)
-        if not health.peers.is_complete:
+        if not is_complete:
             usual = HIDDEN_FLOOR * self._hidden.get(endpoint.service, 0.0)
             unseen = max(unseen, backlog.hidden(now), usual)
-        speed = known.speed.factor(state.slowdown(now) if has_report else None, now)
         view = EndpointView(
             endpoint,
+            key,
             requests=counted + backlog.credibility * unseen,
             own_requests=own,
-            speed=max(speed, backlog.overdue_factor(now)),
+            speed=known.speed.factor(state.slowdown(now) if has_report else None, now),
             penalty_ms=penalty_ms(endpoint, need, health, now),
         )
+        if not backlog.sent:
+            return view
+        view.speed = max(view.speed, backlog.overdue_factor(now))
         for item in backlog.sent:
             view.own_work_ms += item.remaining_ms(now)
             view.own_footprint += item.footprint
@@ -316,26 +328,21 @@
                 view.pending_tokens += item.uncached_tokens
         return view
 
-    def _record_reports(
-        self, endpoints: Sequence[Endpoint], health: HealthTracker, now: float
+    def _record_report(
+        self, endpoint: Endpoint, state: EndpointHealth, peers: int, now: float
     ) -> None:
-        """Compare new load reports with what this gateway and its peers count."""
-        if health.peers.is_complete:
-            return
-        for endpoint in endpoints:
-            state = health.state(endpoint.key)
-            load = state.reported_load
-            if load is None or now - state.reported_at > LOAD_REPORT_TTL_S:
-                continue
-            counted = state.in_flight_at_report + health.peers.total(endpoint.key, now)
-            reported = load.running + load.waiting
-            excess = self._state(endpoint.key).backlog.record_report(
-                reported, counted, reported_at=state.reported_at, now=now
-            )
-            if excess is not None:
-                usual = self._hidden.get(endpoint.service, 0.0)
-                usual += HIDDEN_WEIGHT * (min(excess, 4 * endpoint.slots) - usual)
-                self._hidden[endpoint.service] = usual
+        """Compare a new load report with what this gateway and its peers count."""
+        load = state.reported_load
+        excess = self._state(endpoint.key).backlog.record_report(
+            load.running + load.waiting,
+            state.in_flight_at_report + peers,
+            reported_at=state.reported_at,
+            now=now,
+        )
+        if excess is not None:
+            usual = self._hidden.get(endpoint.service, 0.0)
+            usual += HIDDEN_WEIGHT * (min(excess, 4 * endpoint.slots) - usual)
+            self._hidden[endpoint.service] = usual
 
     def _service(self, name: str) -> ServiceModel:
         return self._services.setdefault(name, ServiceModel())
