--- a/tests/engine_load.py
+++ b/tests/engine_load.py
@@ -6,10 +6,10 @@
 import random
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import count
 
-from carobspur.gateway.calls import EndpointLoad, PromptPart
+from carobspur.gateway.calls import EndpointLoad
 from carobspur.gateway.endpoints import Endpoint
 from carobspur.gateway.health import HealthTracker, MeasuredTurn
 from carobspur.gateway.load_sharing import LoadReport, name_hash
@@ -43,7 +43,6 @@
 
     @property
     def footprint(self) -> int:
-        """Tokens of engine memory."""
         return self.need.prompt_tokens + self.tokens
 
 
@@ -72,16 +71,12 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.speeds, self.memory, self.lies = speeds, memory, lies
-        self.engines = [
-            Endpoint(f"e{n}", "s", "h", n, "a", SLOTS) for n in range(len(speeds))
-        ]
-        random.seed(seed)
-        self.policies = [
-            plugin(PluginKind.PLACEMENT, policy)() for _ in range(gateways)
-        ]
-        for number, item in enumerate(self.policies):
-            if policy == "expected_cost":
-                item.__init__(random.Random(seed + number))
+        numbers = range(len(speeds))
+        self.engines = [Endpoint(f"e{n}", "s", "h", n, "a", SLOTS) for n in numbers]
+        make = plugin(PluginKind.PLACEMENT, policy)
+        seeds = range(gateways)
+        sources = [[random.Random(n)] if "cost" in policy else [] for n in seeds]
+        self.policies = [make(*source) for source in sources]
         self.trackers = [HealthTracker() for _ in range(gateways)]
         self.heard = heard or gateways
         for tracker in self.trackers:
@@ -117,12 +112,6 @@
             act(*args)
         return self
 
-    def busiest(self) -> float:
-        """Return the largest share of requests that an endpoint got, relative to its speed."""
-        capacity = sum(1 / speed for speed in self.speeds)
-        mean = sum(self.placed.values()) / capacity
-        return max(self.placed[n] * s / mean for n, s in enumerate(self.speeds))
-
     def send(self, work: Work) -> None:
         """Place a request by the policy of a random gateway."""
         gateway = work.gateway = self.rng.randrange(len(self.trackers))
@@ -141,34 +130,6 @@
         elif not self.stepping[number]:
             self._step(number)
 
-    def call(self, route: str, work_s: float, objective_s: float) -> None:
-        """Send a plain call."""
-        need = Need("a", service_ms=50.0, route=route)
-        self.send(Work(need, objective_s, work_s=work_s))
-
-    def session(self, name: str, *, turns: int, tokens: int, new: int = 400) -> None:
-        """Run turns one after the other; each prompt contains all earlier ones."""
-        parts = [PromptPart(f"shared{self.rng.randrange(8)}", 512)]
-        self._turn(name, parts, turns, tokens, new)
-
-    def _turn(
-        self, name: str, parts: list[PromptPart], turns: int, tokens: int, new: int
-    ) -> None:
-        if not turns:
-            return
-        parts.append(PromptPart(f"{name}/{turns}", new))
-        length = max(EVENT_TOKENS, round(tokens * self.rng.uniform(0.6, 1.4)))
-        need = Need("a", name, sum(part.tokens for part in parts), route=f"r{tokens}")
-        need = replace(need, is_turn=True, prompt_parts=tuple(parts))
-        need = replace(need, expected_tokens=tokens, tokens_per_event=EVENT_TOKENS)
-        need = replace(need, memory_tokens=self.memory)
-        idle_s = length * (STEP_S + STEP_PER_TURN_S) + new / TOKENS_PER_S
-        pause_s = self.rng.uniform(0.02, 0.3)
-        rest = (name, parts, turns - 1, tokens, new)
-        work = Work(need, 1.5 * idle_s + 0.02, tokens=length)
-        work.then = lambda: self.at(self.now + pause_s, self._turn, *rest)
-        self.send(work)
-
     def _start_calls(self, number: int) -> None:
         queue, batch = self.queues[number], self.batches[number]
         while queue and len(batch) < SLOTS:
--- /dev/null
+++ b/tests/test_placement_cost.py
@@ -0,0 +1,261 @@
+"""Placement by expected cost under load, compared with ``predicted_time``."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from carobspur.gateway.calls import EndpointLoad, PromptPart
+from carobspur.gateway.endpoints import Endpoint
+from carobspur.gateway.health import HealthTracker
+from carobspur.gateway.load_sharing import LoadReport, name_hash
+from carobspur.gateway.placement import Need, observe
+from carobspur.plugins.placement_expected_cost import ExpectedCostPlacement
+
+from .engine_load import (
+    EVENT_TOKENS,
+    SLOTS,
+    STEP_PER_TURN_S,
+    STEP_S,
+    TOKENS_PER_S,
+    Site,
+    Work,
+)
+
+ENGINES = [Endpoint(f"e{n}", "s", "h", n, "abc"[n % 3], SLOTS) for n in range(9)]
+TURN = Need(
+    "a",
+    "p",
+    4000,
+    route="r",
+    is_turn=True,
+    prompt_parts=tuple(PromptPart(f"p/{n}", 500) for n in range(8)),
+    expected_tokens=80,
+    tokens_per_event=EVENT_TOKENS,
+    memory_tokens=40_000,
+)
+
+
+def send_call(site: Site, number: int) -> None:
+    """Send a plain call of one of three routes."""
+    work_s = (0.02, 0.054, 0.081)[number % 3]
+    need = Need("a", service_ms=50.0, route=f"r{number % 3}")
+    site.send(Work(need, 3 * work_s, work_s=work_s))
+
+
+def start_session(
+    site: Site, name: str, *, turns: int, tokens: int, new: int = 400
+) -> None:
+    """Run turns one after the other; each prompt contains all earlier ones."""
+    parts = [PromptPart(f"shared{site.rng.randrange(8)}", 512)]
+
+    def _next(left: int) -> None:
+        if not left:
+            return
+        parts.append(PromptPart(f"{name}/{left}", new))
+        length = max(EVENT_TOKENS, round(tokens * site.rng.uniform(0.6, 1.4)))
+        need = replace(
+            TURN,
+            affinity=name,
+            route=f"r{tokens}",
+            prompt_tokens=sum(part.tokens for part in parts),
+            prompt_parts=tuple(parts),
+            expected_tokens=tokens,
+            memory_tokens=site.memory,
+        )
+        idle_s = length * (STEP_S + STEP_PER_TURN_S) + new / TOKENS_PER_S
+        pause_s = site.rng.uniform(0.02, 0.3)
+        work = Work(need, 1.5 * idle_s + 0.02, tokens=length)
+        work.then = lambda: site.at(site.now + pause_s, _next, left - 1)
+        site.send(work)
+
+    _next(turns)
+
+
+def sessions(
+    policy: str, speeds: list[float], *, per_s: float, seed: int = 1, **options: object
+) -> Site:
+    """Run 8 s of sessions, every fourth with few long turns, and return the site."""
+    site = Site(policy, speeds, seed=seed, **options)
+
+    def _arrive(number: int) -> None:
+        turns, tokens = (3, 200) if number % 4 == 0 else (8, 40)
+        start_session(site, f"p{number}", turns=turns, tokens=tokens)
+
+    site.arrivals(per_s, 8.0, _arrive)
+    return site.run(12.0)
+
+
+def busiest(site: Site) -> float:
+    """Return the largest share of requests relative to what the speed warrants."""
+    mean = sum(site.placed.values()) / sum(1 / speed for speed in site.speeds)
+    return max(site.placed[n] * speed / mean for n, speed in enumerate(site.speeds))
+
+
+class TurnLoadsTest(unittest.TestCase):
+    def test_busiest_engine_gets_little_more_than_its_speed_warrants(self) -> None:
+        """36 gateways with views up to 0.3 s old must not crowd at the same engine."""
+        speeds = [0.7, 0.7, 1, 1, 1, 1, 1.5, 2]
+        for heard in (0, 9):
+            site = Site("expected_cost", speeds, gateways=36, heard=heard)
+            site.arrivals(
+                36,
+                8.0,
+                lambda n, site=site: start_session(site, f"p{n}", turns=6, tokens=60),
+            )
+            self.assertLessEqual(busiest(site.run(10.0)), 1.25)
+
+    def test_fewer_turns_are_late_and_fewer_prompts_are_read_again(self) -> None:
+        """Long and short turns mixed, with 0.6 to 0.9 of the engines' time in use."""
+        late, reread = Counter(), Counter()
+        for policy in ("predicted_time", "expected_cost"):
+            for seed in (1, 2, 3):
+                site = sessions(policy, [1.0] * 8, per_s=20, seed=seed)
+                late[policy] += site.late
+                reread[policy] += site.reread
+        self.assertLess(late["expected_cost"], 0.7 * late["predicted_time"])
+        self.assertLess(reread["expected_cost"], 0.6 * reread["predicted_time"])
+
+    def test_slow_engine_that_reports_no_load_does_not_attract_turns(self) -> None:
+        for heard in (0, 4):
+            site = sessions(
+                "expected_cost",
+                [4.0] + [1.0] * 7,
+                per_s=16,
+                lies=frozenset([0]),
+                heard=heard,
+            )
+            self.assertLess(site.placed[0], sum(site.placed.values()) / 8)
+
+
+class CallLoadsTest(unittest.TestCase):
+    def test_routes_of_different_cost_on_endpoints_of_different_speed(self) -> None:
+        """A count of calls took three of 20 ms for as much work as three of 81 ms."""
+        late = {}
+        for policy in ("predicted_time", "expected_cost"):
+            site = Site(policy, [0.7, 0.7, 1, 1, 1, 1, 1.5, 2])
+            site.arrivals(600, 6.0, lambda n, site=site: send_call(site, n))
+            late[policy] = site.run(7.0).late
+            if policy == "expected_cost":
+                self.assertLessEqual(busiest(site), 1.25)
+        self.assertLess(late["expected_cost"], 0.7 * late["predicted_time"])
+
+    def test_slowed_down_endpoint_gets_less_and_is_tried_again(self) -> None:
+        site = Site("expected_cost", [1.0] * 8)
+        site.arrivals(400, 12.0, lambda n: send_call(site, n))
+        counts = []
+        for until, speed in ((2, 1.0), (3, 5.0), (5, 5.0), (9, 1.0), (12, 1.0)):
+            site.speeds[0] = speed
+            before = site.placed[0]
+            site.run(until)
+            counts.append(site.placed[0] - before)
+        usual_per_s = 400 / 8
+        self.assertLess(counts[1], 0.6 * usual_per_s)
+        self.assertLess(counts[2] / 2, 0.4 * usual_per_s)
+        self.assertGreater(counts[2], 0)
+        self.assertGreater(counts[4] / 3, 0.7 * usual_per_s)
+
+    def test_slow_endpoint_that_reports_no_load_does_not_attract_calls(self) -> None:
+        site = Site("expected_cost", [4.0] + [1.0] * 7, lies=frozenset([0]), heard=4)
+        site.arrivals(400, 6.0, lambda n: send_call(site, n))
+        site.run(7.0)
+        self.assertLess(site.placed[0], 0.6 * sum(site.placed.values()) / 8)
+
+
+class DecisionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health = HealthTracker()
+        self.policy = ExpectedCostPlacement(random.Random(1))
+
+    def engine(self, need: Need = TURN, now: float = 0.0) -> Endpoint:
+        return self.policy.engine(ENGINES, need, self.health, now)
+
+    def test_every_gateway_chooses_the_same_engine_for_a_session(self) -> None:
+        for number in range(20):
+            need = replace(TURN, affinity=f"p{number}")
+            chosen = {
+                ExpectedCostPlacement(random.Random(seed)).engine(
+                    ENGINES, need, HealthTracker(), 0.0
+                )
+                for seed in range(5)
+            }
+            self.assertEqual(1, len(chosen))
+            self.assertEqual("a", chosen.pop().data_centre)
+
+    def test_session_leaves_its_engine_when_that_is_overloaded(self) -> None:
+        first = self.engine()
+        report = LoadReport(1, {name_hash(first.key): 3 * SLOTS})
+        self.health.peers.record(report, 0.0)
+        self.assertNotEqual(first, self.engine())
+
+    def test_engine_whose_memory_would_overflow_is_not_chosen(self) -> None:
+        """A turn that does not fit preempts others, whose prompts are read again."""
+        first = self.engine()
+        need = replace(TURN, prompt_tokens=15_000)
+        for _ in range(2):
+            self.policy.engine([first], need, self.health, 0.0)
+            observe(self.policy, first, need, self.health, 0.0)
+        self.assertNotEqual(first, self.engine(need))
+        self.assertEqual(first, self.policy.engine([first], need, self.health, 0.0))
+
+    def test_own_sends_count_before_their_tasks_start(self) -> None:
+        """All calls of one iteration of the event loop went to the same endpoint."""
+        counts: Counter[str] = Counter()
+        need = Need("a", route="r")
+        local = [item for item in ENGINES if item.data_centre == "a"]
+        for _ in range(30):
+            found = self.policy.plain(local, need, self.health, 0.0)
+            observe(self.policy, found, need, self.health, 0.0)
+            counts[found.id] += 1
+        self.assertLessEqual(max(counts.values()) - min(counts.values()), 3)
+
+    def test_false_report_of_a_queue_is_believed_less_after_answers(self) -> None:
+        endpoint = ENGINES[0]
+        need = Need("a", service_ms=50.0, route="r")
+        load = EndpointLoad(SLOTS, 40, SLOTS)
+        costs = []
+        for step in range(12):
+            now = float(step)
+            self.health.record_load(endpoint.key, load, now)
+            self.policy.plain([endpoint], need, self.health, now)
+            observation = observe(self.policy, endpoint, need, self.health, now)
+            costs.append(observation.expected_ms)
+            observation.record_answer(now + 0.05)
+            observation.close(now + 0.05)
+        self.assertLess(costs[-1], costs[0] / 3)
+
+    def test_sticky_calls_keep_their_endpoint_while_it_has_free_slots(self) -> None:
+        need = Need("a", "object-1", route="r")
+        chosen = set()
+        for _ in range(SLOTS - 1):
+            found = self.policy.plain(ENGINES, need, self.health, 0.0)
+            observe(self.policy, found, need, self.health, 0.0)
+            chosen.add(found)
+        self.assertEqual(1, len(chosen))
+        report = LoadReport(1, {name_hash(found.key): 3 * SLOTS})
+        self.health.peers.record(report, 0.0)
+        other = self.policy.plain(ENGINES, need, self.health, 0.0)
+        self.assertNotEqual(found, other)
+
+    def test_closed_requests_leave_no_trace_in_the_backlog(self) -> None:
+        """A leaked request would make its endpoint look overdue for ever."""
+        found = self.engine()
+        observation = observe(self.policy, found, TURN, self.health, 0.0)
+        observation.close(0.1)
+        observation.close(0.1)
+        cost = self.policy.explain([found], TURN, self.health, 60.0).chosen
+        self.assertEqual(0, cost.view.own_requests)
+
+    def test_explanation_changes_no_later_decision(self) -> None:
+        plain, explained = (ExpectedCostPlacement(random.Random(7)) for _ in "ab")
+        need = Need("a", route="r")
+        for _ in range(20):
+            choice = explained.explain(ENGINES, need, self.health, 0.0)
+            found = [
+                policy.plain(ENGINES, need, self.health, 0.0)
+                for policy in (plain, explained)
+            ]
+            self.assertEqual(len(ENGINES), len(choice.costs))
+            self.assertEqual([choice.chosen.view.endpoint] * 2, found)
