--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -16,6 +16,8 @@
 
 MIN_INTERVAL_S = 0.04
 """Shortest interval between reports on changed load: a quarter of a turn's duration."""
+AGE_WEIGHT = 0.02
+"""Weight of the newest interval between two reports in the mean of the intervals."""
 INTERVAL_PER_MEMBER_S = 0.005
 """Added to the interval for each peer beyond six, to limit the cost of reports if there
 are many gateways."""
@@ -66,10 +68,11 @@
             deployments only those of the same data centre do.
     """
 
-    __slots__ = ("_failures", "_reports", "_in_flight", "is_complete")
+    __slots__ = ("_failures", "_interval_s", "_reports", "_in_flight", "is_complete")
 
     def __init__(self) -> None:
         self.is_complete = True
+        self._interval_s = MIN_INTERVAL_S
         # Loop time of receipt and report by sender, oldest first.
         self._reports: dict[int, tuple[float, LoadReport]] = {}
         self._in_flight: dict[int, int] = {}
@@ -78,6 +81,10 @@
 
     def record(self, report: LoadReport, now: float) -> None:
         """Add a report; it replaces the sender's previous one."""
+        previous = self._reports.get(report.sender)
+        if previous is not None:
+            interval_s = now - previous[0]
+            self._interval_s += AGE_WEIGHT * (interval_s - self._interval_s)
         self._remove_report(report.sender)
         self._reports[report.sender] = (now, report)
         for endpoint_hash, outcomes in report.failures.items():
@@ -87,6 +94,11 @@
                 self._in_flight.get(endpoint_hash, 0) + count
             )
 
+    @property
+    def mean_age_s(self) -> float:
+        """Expected age of a count: half the mean interval between a peer's reports."""
+        return self._interval_s / 2
+
     def total(self, key: str, now: float) -> int:
         """Return the number of requests that other gateways have at an endpoint."""
         self._expire_reports(now)
--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -160,6 +160,32 @@
         return self.wait_ms + self.prefill_ms + self.work_ms
 
 
+def discount_stale_counts(
+    views: Sequence[EndpointView], usual_ms: float, age_s: float
+) -> None:
+    """Move the counted requests of others towards their mean, by the counts' age.
+
+    After the usual time of a request a count says little: most of the requests in it
+    have ended, and others have begun. A queue remains for longer.
+
+    Args:
+        views: The candidates; their number of requests is changed.
+        usual_ms: Usual time of a request.
+        age_s: Expected age of the counts.
+    """
+    groups: dict[str, list[EndpointView]] = {}
+    for view in views:
+        groups.setdefault(view.endpoint.data_centre, []).append(view)
+    for group in groups.values():
+        mean = sum(item.requests - item.own_requests for item in group) / len(group)
+        for view in group:
+            load = view.requests / (view.endpoint.slots or 1)
+            lasting_ms = usual_ms * load if load > 1 else usual_ms
+            others = view.requests - view.own_requests
+            kept = exp(-1000 * age_s / lasting_ms)
+            view.requests += (1 - kept) * (mean - others)
+
+
 def queue_excess(requests: float, slots: int, work_ms: float, usual_ms: float) -> float:
     """Return the usual requests that have to leave before a new one starts.
 
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -19,6 +19,7 @@
     TurnSize,
     call_cost,
     choose,
+    discount_stale_counts,
     turn_cost,
 )
 from ..gateway.work.estimates import Reuse
@@ -180,9 +181,10 @@
         route = self._route(need, service)
         usual_ms = service.call_ms.value
         warm_key, _ = _ranked_keys(endpoints, need)
+        views = [self._view(item, need, health, now) for item in endpoints]
+        discount_stale_counts(views, usual_ms, health.peers.mean_age_s)
         costs = []
-        for endpoint in endpoints:
-            view = self._view(endpoint, need, health, now)
+        for view in views:
             view.is_warm = view.key == warm_key
             work_ms = route.expected_call_ms(is_warm=view.is_warm)
             costs.append(call_cost(view, work_ms, usual_ms))
@@ -205,9 +207,12 @@
         shared_tokens = 0
         if need.prompt_parts and self._prompts.is_shared(need.prompt_parts[0]):
             shared_tokens = need.prompt_parts[0].tokens
+        slots = max(endpoints[0].slots, 1)
+        usual_ms = size.usual_turn_ms(slots)
+        views = [self._view(item, need, health, now) for item in endpoints]
+        discount_stale_counts(views, usual_ms, health.peers.mean_age_s)
         costs = []
-        for endpoint in endpoints:
-            view = self._view(endpoint, need, health, now)
+        for view in views:
             reused = self._reused(view.key, need, service, ranked, tokens, now)
             view.reuse = reused
             cached = SHARED_PART_SHARE * shared_tokens
@@ -220,8 +225,7 @@
                 and reused.tokens > max(shared_tokens, tokens / 2)
             )
             costs.append(turn_cost(view, size))
-        slots = max(endpoints[0].slots, 1)
-        position_ms = size.usual_turn_ms(slots) / slots
+        position_ms = usual_ms / slots
         return Choice(costs, choose(costs, position_ms, self._random))
 
     def _turn_size(self, service: str, need: Need, health: HealthTracker) -> TurnSize:
