--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -28,6 +28,10 @@
 differences that were gone, and engines read 742,000 tokens again instead of 92,000."""
 NEAR_MARGIN = 2.0
 """Queue positions up to which endpoints count as nearly equal."""
+LOCAL_MARGIN = 1.0
+"""Queue positions by which the best endpoint of the gateway's own data centre may be
+worse than the best one elsewhere. Draws among near equals would otherwise send most
+requests through the links between data centres."""
 TRIED_PENALTY_MS = 1000.0
 """Penalty from which an endpoint is not considered for having room in its memory."""
 
@@ -94,6 +98,7 @@
         own_work_ms: Remaining work of these, at the usual speed.
         own_footprint: Tokens of engine memory of these.
         pending_tokens: Prompt tokens of these that are not prefilled yet.
+        is_local: Whether it is in the gateway's data centre.
         speed: Time that work takes there, as a multiple of the usual time.
         penalty_ms: Penalties for failures, refusals and distance.
         reuse: Part of the prompt that it may have cached; ``None`` for none.
@@ -105,6 +110,7 @@
     key: str
     requests: float
     own_requests: int
+    is_local: bool = True
     speed: float = 1.0
     penalty_ms: float = 0.0
     own_work_ms: float = 0.0
@@ -284,7 +290,8 @@
 
     A warm endpoint is chosen if it is within ``WARM_MARGIN`` of the best: different
     sessions have different ones, so that gateways do not crowd there. Otherwise two
-    candidates within ``NEAR_MARGIN`` are drawn, and the better of them is chosen.
+    candidates within ``NEAR_MARGIN`` are drawn, and the better of them is chosen; they
+    are of the gateway's data centre unless those are worse by ``LOCAL_MARGIN``.
 
     Args:
         costs: Expected costs of all candidates.
@@ -304,6 +311,11 @@
     if warm:
         return min(warm, key=_total_ms)
     scale_ms = max(NEAR_MARGIN * position_ms, 1e-3)
+    local = [item for item in pool if item.view.is_local]
+    if local:
+        best_local = min(local, key=_total_ms)
+        if best_local.total_ms <= best.total_ms + LOCAL_MARGIN * position_ms:
+            pool, best = local, best_local
     near = [item for item in pool if item.total_ms <= best.total_ms + scale_ms]
     if len(near) == 1:
         return best
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -319,6 +319,7 @@
             key,
             requests=counted + backlog.credibility * unseen,
             own_requests=own,
+            is_local=endpoint.data_centre == need.data_centre,
             speed=known.speed.factor(state.slowdown(now) if has_report else None, now),
             penalty_ms=penalty_ms(endpoint, need, health, now),
         )
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -213,6 +213,18 @@
         self.assertNotEqual(first, self.engine(need))
         self.assertEqual(first, self.policy.engine([first], need, self.health, 0.0))
 
+    def test_calls_stay_in_the_data_centre_until_it_is_loaded(self) -> None:
+        """Draws among near equals sent two thirds of all calls through the links."""
+        found = [
+            self.policy.plain(ENGINES, Need("a", route="r"), self.health, 0.0)
+            for _ in range(50)
+        ]
+        self.assertEqual({"a"}, {item.data_centre for item in found})
+        counts = {name_hash(item.key): 2 * SLOTS for item in found}
+        self.health.peers.record(LoadReport(1, counts), 0.0)
+        other = self.policy.plain(ENGINES, Need("a", route="r"), self.health, 0.0)
+        self.assertNotEqual("a", other.data_centre)
+
     def test_own_sends_count_before_their_tasks_start(self) -> None:
         """All calls of one iteration of the event loop went to the same endpoint."""
         counts: Counter[str] = Counter()
