--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -183,7 +183,11 @@
     for view in views:
         groups.setdefault(view.endpoint.data_centre, []).append(view)
     for group in groups.values():
-        mean = sum(item.requests - item.own_requests for item in group) / len(group)
+        # Bounded, so that a false report of a long queue does not shift the mean far.
+        mean = sum(
+            min(item.requests - item.own_requests, 2 * item.endpoint.slots)
+            for item in group
+        ) / len(group)
         for view in group:
             load = view.requests / (view.endpoint.slots or 1)
             lasting_ms = usual_ms * load if load > 1 else usual_ms
--- a/src/carobspur/gateway/work/endpoint_backlog.py
+++ b/src/carobspur/gateway/work/endpoint_backlog.py
@@ -71,8 +71,8 @@
     _hidden_at: float = 0.0
 
     def record_report(
-        self, reported: int, counted: int, *, reported_at: float, now: float
-    ) -> int | None:
+        self, reported: float, counted: int, *, reported_at: float, now: float
+    ) -> float | None:
         """Record a load report and return the requests in it that were not counted.
 
         Returns ``None`` for a report that is already known.
@@ -87,7 +87,7 @@
             return None
         self.reported_at = reported_at
         known = self.hidden(now)
-        excess = max(0, reported - counted)
+        excess = max(0.0, reported - counted)
         self._hidden = known + HIDDEN_WEIGHT * (excess - known)
         self._hidden_at = now
         return excess
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -211,7 +211,7 @@
         self._route.record_events(self._events, hinted)
         service.events.record(self._events)
         service.footprint.record(
-            max(1.0, need.prompt_tokens + self._events * need.tokens_per_event)
+            max(1.0, self._prompt_tokens + self._events * need.tokens_per_event)
         )
 
     def _mark(self, now: float) -> None:
@@ -259,6 +259,7 @@
             service.first_event_ms.record(max(extra_ms, 0.1))
 
     @property
-    def _prompt_tokens(self) -> int:
-        need = self._need
-        return need.prompt_tokens or sum(part.tokens for part in need.prompt_parts)
+    def _prompt_tokens(self) -> float:
+        """Length of the prompt, at most what an engine holds."""
+        generated = self._cost.events * self._need.tokens_per_event
+        return self._cost.footprint - generated
--- a/src/carobspur/gateway/work/prompt_cache.py
+++ b/src/carobspur/gateway/work/prompt_cache.py
@@ -98,7 +98,9 @@
             program: Program that the prompt belongs to.
             capacity: Tokens that the engine's memory holds; 0 if unknown.
         """
-        if not parts:
+        capacity = capacity or DEFAULT_CAPACITY
+        if not parts or sum(part.tokens for part in parts) > capacity:
+            # A prompt that no engine holds would displace all others here.
             return
         engine = self._engines.setdefault(key, _EngineParts())
         self._engines.move_to_end(key)
@@ -109,9 +111,7 @@
             known = engine.parts.pop(part.id, (0, 0.0))
             engine.parts[part.id] = part.tokens, now
             engine.tokens += part.tokens - known[0]
-        while engine.tokens > (capacity or DEFAULT_CAPACITY) or (
-            len(engine.parts) > MAX_PARTS
-        ):
+        while engine.tokens > capacity or (len(engine.parts) > MAX_PARTS):
             _, (tokens, _) = engine.parts.popitem(last=False)
             engine.tokens -= tokens
         self._record_first(parts[0], program)
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -29,7 +29,7 @@
     EndpointState,
     TurnObservation,
 )
-from ..gateway.work.prompt_cache import RECENT_S, PromptCache
+from ..gateway.work.prompt_cache import DEFAULT_CAPACITY, RECENT_S, PromptCache
 from ..gateway.work.request_cost import RouteModel, ServiceModel
 from ..placement import first_of
 from ..plugin_registry import PluginKind, register
@@ -40,6 +40,9 @@
 HIDDEN_FLOOR = 0.5
 """Share of the usual hidden requests that an endpoint has at least, whatever it
 reports."""
+MAX_UNSEEN_PER_SLOT = 8.0
+"""Most reported requests for each slot that count beyond those known otherwise; with as
+many in its queue an endpoint is used only if all others are as full."""
 HIDDEN_WEIGHT = 0.05
 MAX_ENDPOINTS = 4096
 """Endpoints whose measurements are kept: more than the largest deployment has."""
@@ -203,7 +206,7 @@
         service = self._service(endpoints[0].service)
         size = self._turn_size(endpoints[0].service, need, health)
         ranked = _ranked_keys(endpoints, need)
-        tokens = need.prompt_tokens or sum(part.tokens for part in need.prompt_parts)
+        tokens = _prompt_tokens(need)
         shared_tokens = 0
         if need.prompt_parts and self._prompts.is_shared(need.prompt_parts[0]):
             shared_tokens = need.prompt_parts[0].tokens
@@ -235,12 +238,14 @@
         events = self._route(need, model).expected_events(hinted)
         if need.max_tokens:
             events = min(events, need.max_tokens / need.tokens_per_event)
+        # A length that no engine can generate must not decide the choice.
+        events = min(events, _most_tokens(need) / need.tokens_per_event)
         events = max(1.0, events - need.resumed_events)
         times = health.engine_times(service)
         idle_gap_ms = times.gap_ms(0)
         return TurnSize(
             events=events,
-            footprint=need.prompt_tokens + events * need.tokens_per_event,
+            footprint=_prompt_tokens(need) + events * need.tokens_per_event,
             idle_gap_ms=idle_gap_ms,
             gap_slope_ms=times.gap_ms(1) - idle_gap_ms,
             ms_per_token=model.ms_per_token.value,
@@ -311,6 +316,7 @@
         unseen = 0.0
         if has_report and not (is_complete and peers):
             unseen = max(0.0, state.running(now) - counted)
+            unseen = min(unseen, MAX_UNSEEN_PER_SLOT * (endpoint.slots or 1))
         if not is_complete:
             usual = HIDDEN_FLOOR * self._hidden.get(endpoint.service, 0.0)
             unseen = max(unseen, backlog.hidden(now), usual)
@@ -338,8 +344,9 @@
     ) -> None:
         """Compare a new load report with what this gateway and its peers count."""
         load = state.reported_load
+        most = state.in_flight_at_report + MAX_UNSEEN_PER_SLOT * (endpoint.slots or 1)
         excess = self._state(endpoint.key).backlog.record_report(
-            load.running + load.waiting,
+            min(load.running + load.waiting, most),
             state.in_flight_at_report + peers,
             reported_at=state.reported_at,
             now=now,
@@ -374,6 +381,17 @@
         return known
 
 
+def _prompt_tokens(need: Need) -> int:
+    """Return the length of a prompt, at most what an engine holds."""
+    tokens = need.prompt_tokens or sum(part.tokens for part in need.prompt_parts)
+    return min(tokens, _most_tokens(need))
+
+
+def _most_tokens(need: Need) -> int:
+    """Return the most tokens that a request may be expected to need."""
+    return need.memory_tokens or DEFAULT_CAPACITY
+
+
 def _ranked_keys(endpoints: Sequence[Endpoint], need: Need) -> tuple[str, str]:
     """Return the keys of the two endpoints that the affinity ranks first.
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -251,6 +251,27 @@
             observation.close(now + 0.05)
         self.assertLess(costs[-1], costs[0] / 3)
 
+    def test_absurd_figures_do_not_move_other_requests(self) -> None:
+        """A prompt of 10**18 tokens or a queue of as many would outweigh all else."""
+        first = self.engine()
+        absurd = replace(
+            TURN, affinity="q", prompt_tokens=10**18, expected_tokens=10**18
+        )
+        absurd = replace(absurd, prompt_parts=(PromptPart("x", 10**18),))
+        found = self.policy.engine(ENGINES, absurd, self.health, 0.0)
+        observation = observe(self.policy, found, absurd, self.health, 0.0)
+        for step in range(5):
+            observation.record_event(0.1 + step / 100)
+        observation.record_answer(0.2)
+        observation.close(0.2)
+        other = next(item for item in ENGINES if item not in (first, found))
+        load = EndpointLoad(10**18, 10**18, SLOTS, 1e16)
+        self.health.record_load(other.key, load, 0.2)
+        self.health.peers.is_complete = False
+        self.assertEqual(first, self.engine(now=0.3))
+        cost = self.policy.explain([first], TURN, self.health, 0.3).chosen
+        self.assertLess(cost.total_ms, 10_000)
+
     def test_sticky_calls_keep_their_endpoint_while_it_has_free_slots(self) -> None:
         need = Need("a", "object-1", route="r")
         chosen = set()
