--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -83,7 +83,8 @@
         """Add a report; it replaces the sender's previous one."""
         previous = self._reports.get(report.sender)
         if previous is not None:
-            interval_s = now - previous[0]
+            # A peer without requests sends no reports: the pause is not their age.
+            interval_s = min(now - previous[0], MAX_INTERVAL_S)
             self._interval_s += AGE_WEIGHT * (interval_s - self._interval_s)
         self._remove_report(report.sender)
         self._reports[report.sender] = (now, report)
--- a/tests/test_running_estimate.py
+++ b/tests/test_running_estimate.py
@@ -65,6 +65,15 @@
         self.assertEqual(2.5, state.slowdown(0.1))
         self.assertEqual(1.0, state.slowdown(LOAD_REPORT_TTL_S + 0.1))
 
+    def test_age_of_counts_is_half_the_interval_of_reports(self) -> None:
+        """Counts older than a call takes must not decide its placement."""
+        peers = HealthTracker().peers
+        for step in range(400):
+            peers.record(LoadReport(step % 2, {}), step * 0.15)
+        self.assertAlmostEqual(0.15, peers.mean_age_s, places=2)
+        peers.record(LoadReport(1, {}), 1e6)
+        self.assertLess(peers.mean_age_s, 0.17)
+
     def test_membership_knows_whether_reports_are_complete(self) -> None:
         for others in (FULL_MESH_MAX_PEERS, FULL_MESH_MAX_PEERS + 1):
             membership = members(others)
