--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -179,6 +179,7 @@
         usual_ms: Usual time of a request.
         age_s: Expected age of the counts.
     """
+    usual_kept = exp(-1000 * age_s / usual_ms)
     groups: dict[str, list[EndpointView]] = {}
     for view in views:
         groups.setdefault(view.endpoint.data_centre, []).append(view)
@@ -189,11 +190,11 @@
             for item in group
         ) / len(group)
         for view in group:
-            load = view.requests / (view.endpoint.slots or 1)
-            lasting_ms = usual_ms * load if load > 1 else usual_ms
-            others = view.requests - view.own_requests
-            kept = exp(-1000 * age_s / lasting_ms)
-            view.requests += (1 - kept) * (mean - others)
+            slots = view.endpoint.slots or 1
+            kept = usual_kept
+            if view.requests > slots:
+                kept **= slots / view.requests
+            view.requests += (1 - kept) * (mean - view.requests + view.own_requests)
 
 
 def queue_excess(requests: float, slots: int, work_ms: float, usual_ms: float) -> float:
--- a/src/carobspur/gateway/work/endpoint_speed.py
+++ b/src/carobspur/gateway/work/endpoint_speed.py
@@ -81,8 +81,10 @@
             slowdown: Slowdown of a recent report; ``None`` without one.
             now: Loop time.
         """
-        if not self._at and slowdown is None:
-            return 1.0
+        if slowdown is not None:
+            slowdown = min(max(slowdown, 1 / MAX_RATIO), MAX_RATIO)
+        if not self._at:
+            return 1.0 if slowdown is None else slowdown**self._trust
         passed_s = now - self._at
         kept = 0.5 ** (passed_s / FAST_HALF_LIFE_S)
         lasting = (self._lasting - 1) * 0.5 ** (passed_s / LASTING_HALF_LIFE_S)
@@ -92,7 +94,6 @@
         )
         if slowdown is not None:
             usual = 1 + (self._slowdown - 1) * kept
-            slowdown = min(max(slowdown, 1 / MAX_RATIO), MAX_RATIO)
             factor *= (slowdown / usual) ** self._trust
         return min(max(factor, 1 / MAX_SPEED_FACTOR), MAX_SPEED_FACTOR)
 
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -217,16 +217,16 @@
         costs = []
         for view in views:
             reused = self._reused(view.key, need, service, ranked, tokens, now)
-            view.reuse = reused
             cached = SHARED_PART_SHARE * shared_tokens
             if reused is not None:
+                view.reuse = reused
                 cached = max(cached, service.reuse.share(reused.reuse) * reused.tokens)
+                view.is_warm = reused.is_sent and (
+                    reused.tokens > max(shared_tokens, tokens / 2)
+                )
+            if view.key == ranked[0]:
+                view.is_warm = True
             view.uncached_tokens = tokens - cached if cached < tokens else 0.0
-            view.is_warm = view.key == ranked[0] or (
-                reused is not None
-                and reused.is_sent
-                and reused.tokens > max(shared_tokens, tokens / 2)
-            )
             costs.append(turn_cost(view, size))
         position_ms = usual_ms / slots
         return Choice(costs, choose(costs, position_ms, self._random))
@@ -319,7 +319,8 @@
             unseen = min(unseen, MAX_UNSEEN_PER_SLOT * (endpoint.slots or 1))
         if not is_complete:
             usual = HIDDEN_FLOOR * self._hidden.get(endpoint.service, 0.0)
-            unseen = max(unseen, backlog.hidden(now), usual)
+            hidden = backlog.hidden(now) if backlog.reported_at >= 0 else 0.0
+            unseen = max(unseen, hidden, usual)
         view = EndpointView(
             endpoint,
             key,
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -95,7 +95,9 @@
 
     def test_every_gateway_chooses_the_same_engine_for_a_session(self) -> None:
         for number in range(20):
-            need = replace(TURN, affinity=f"p{number}")
+            parts = TURN.prompt_parts[: 1 + number % 8]
+            need = replace(TURN, affinity=f"p{number}", prompt_parts=parts)
+            need = replace(need, prompt_tokens=sum(item.tokens for item in parts))
             chosen = {
                 ExpectedCostPlacement(random.Random(seed)).engine(
                     ENGINES, need, HealthTracker(), 0.0
