--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -12,6 +12,7 @@
 from ..errors import CarobspurError
 from .calls import Call, Responder
 from .context import GatewayContext
+from .customers.ownership import program_name
 from .endpoint_client import Exchange
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent, event_number
@@ -379,5 +380,4 @@
 
 def _affinity(turn: TurnState) -> str:
     """Return the key whose turns should go to the same engine."""
-    program = turn.call.program
-    return program.id if program else turn.call.id
+    return program_name(turn.call) or turn.call.id
