--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -146,6 +146,15 @@
 IGNORED = SendObservation()
 
 
+def uses_call_affinity(policy: PlacementPolicy) -> bool:
+    """Return whether a policy places plain calls of one affinity key together.
+
+    Under the others, calls of one key stay distributed over services and samples of
+    endpoints by their request ids.
+    """
+    return getattr(policy, "uses_call_affinity", False)
+
+
 def observe(
     policy: PlacementPolicy,
     endpoint: Endpoint,
--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -22,7 +22,13 @@
     is_conclusive,
     may_retry,
 )
-from .placement import DEFAULT_SERVICE_MS, Need, SendObservation, observe
+from .placement import (
+    DEFAULT_SERVICE_MS,
+    Need,
+    SendObservation,
+    observe,
+    uses_call_affinity,
+)
 from .refusals import (
     DeadlineExceededError,
     EndpointFailedError,
@@ -90,7 +96,7 @@
 
     def _choose(self, call: Call, route: Route, tried: set[str]) -> Endpoint | None:
         context = self._context
-        affinity = _affinity(call, route) or call.id
+        affinity = self._affinity(call, route) or call.id
         usable = context.endpoints.usable(
             route.service_for(affinity),
             affinity=affinity,
@@ -107,11 +113,17 @@
         usual_ms = 1000 * context.health.usual_s(route.name, DEFAULT_SERVICE_MS / 1000)
         return Need(
             context.data_centre,
-            affinity=_affinity(call, route),
+            affinity=self._affinity(call, route),
             service_ms=usual_ms,
             route=route.name,
         )
 
+    def _affinity(self, call: Call, route: Route) -> str:
+        """Return the key whose calls should go to the same endpoint; empty for none."""
+        if not route.is_sticky or not uses_call_affinity(self._context.placement):
+            return ""
+        return call.affinity_key
+
     async def _attempt_hedged(
         self,
         call: Call,
@@ -294,8 +306,3 @@
                 raise EndpointFailedError(reason)
             case NotRunThere(reason=reason):
                 raise NoEndpointError(reason, retry_after_s=RETRY_AFTER_S)
-
-
-def _affinity(call: Call, route: Route) -> str:
-    """Return the key whose calls should go to the same endpoint; empty for none."""
-    return call.affinity_key if route.is_sticky else ""
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -80,6 +80,8 @@
         "_services",
     )
 
+    uses_call_affinity = True
+
     def __init__(self, source: random.Random | None = None) -> None:
         self._random = source or random.Random()
         self._endpoints: dict[str, EndpointState] = {}
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from unittest import IsolatedAsyncioTestCase, mock
+from dataclasses import replace
+from unittest import IsolatedAsyncioTestCase, TestCase, mock
 
+from carobspur.gateway.calls import Call
 from carobspur.gateway.placement import Need
+from carobspur.gateway.plain_calls import PlainCallHandler
+from carobspur.gateway.routes import Route, RouteKind, WeightedService
 from carobspur.plugins.placement_expected_cost import ExpectedCostPlacement
+from carobspur.plugins.placement_predicted import PredictedTimePlacement
 
 from .platform_world import world
 
@@ -51,5 +56,39 @@
             self.assertEqual((0, 0.0), (view.own_requests, view.own_work_ms))
 
 
+class CallAffinityTest(TestCase):
+    def _keys(self, placement: object, customer: str | None = None) -> tuple[str, str]:
+        """Return the keys by which candidates and the endpoint of a call are chosen."""
+        context = mock.Mock(placement=placement, data_centre="a")
+        context.health.usual_s.return_value = 0.05
+        context.endpoints.usable.return_value = []
+        handler = PlainCallHandler(context)
+        call = replace(CALL, customer=customer)
+        with mock.patch("asyncio.get_running_loop"):
+            handler._choose(call, STICKY, set())
+        key = context.endpoints.usable.call_args.kwargs["affinity"]
+        return key, handler._need(call, STICKY).affinity
+
+    def test_sticky_calls_are_distributed_as_before_under_other_policies(self) -> None:
+        """Guards against a changed split and sample under ``predicted_time``."""
+        self.assertEqual(("r1", ""), self._keys(PredictedTimePlacement()))
+        self.assertEqual(("obj", "obj"), self._keys(ExpectedCostPlacement()))
+
+
+CALL = Call("r1", "GET", "/", "", [], b"", 0, affinity_key="obj")
+STICKY = Route(
+    name="read",
+    host="h",
+    prefix="/",
+    kind=RouteKind.IDEMPOTENT,
+    services=(WeightedService("s", 1),),
+    timeout_s=1.0,
+    target_latency_s=1.0,
+    max_attempts=1,
+    priority=0,
+    is_sticky=True,
+)
+
+
 def _ids(need: Need) -> tuple[str, ...]:
     return tuple(part.id for part in need.prompt_parts)
