--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -10,6 +10,7 @@
 
 from .calls import Call, Responder
 from .context import GatewayContext
+from .customers.ownership import scoped_name
 from .endpoints import Endpoint
 from .hedging import HedgeBudget, slow_call_threshold_s
 from .objectives import Served
@@ -122,7 +123,7 @@
         """Return the key whose calls should go to the same endpoint; empty for none."""
         if not route.is_sticky or not uses_call_affinity(self._context.placement):
             return ""
-        return call.affinity_key
+        return scoped_name(call.customer, call.affinity_key)
 
     async def _attempt_hedged(
         self,
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -74,6 +74,12 @@
         self.assertEqual(("r1", ""), self._keys(PredictedTimePlacement()))
         self.assertEqual(("obj", "obj"), self._keys(ExpectedCostPlacement()))
 
+    def test_equal_keys_of_two_customers_are_placed_independently(self) -> None:
+        """Guards against an endpoint that gets all customers' calls of one key."""
+        policy = ExpectedCostPlacement()
+        keys = {self._keys(policy, customer) for customer in ("a", "b", None)}
+        self.assertEqual(3, len(keys))
+
 
 CALL = Call("r1", "GET", "/", "", [], b"", 0, affinity_key="obj")
 STICKY = Route(
