--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -40,6 +40,8 @@
 
 RETRY_AFTER_S = 0.15
 """Retry-After of refused calls; about the time of two plain calls."""
+FIRST_ERROR_STATUS = 400
+"""Answers from this status on say nothing about the speed of an endpoint."""
 
 
 class PlainCallHandler:
@@ -239,7 +241,8 @@
         observation: SendObservation,
     ) -> Outcome:
         outcome = await self._exchange(call, route, endpoint, deadline)
-        if isinstance(outcome, Answered):
+        # Errors are answered without the work, by an endpoint that fails at once.
+        if isinstance(outcome, Answered) and outcome.head.status < FIRST_ERROR_STATUS:
             observation.record_answer(asyncio.get_running_loop().time())
         self._log_sent(call, endpoint, outcome, observation)
         return outcome
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -7,6 +7,7 @@
 from unittest import IsolatedAsyncioTestCase, TestCase, mock
 
 from carobspur.gateway.calls import Call
+from carobspur.gateway.outcomes import Answered
 from carobspur.gateway.placement import Need
 from carobspur.gateway.plain_calls import PlainCallHandler
 from carobspur.gateway.routes import Route, RouteKind, WeightedService
@@ -81,6 +82,24 @@
         self.assertEqual(3, len(keys))
 
 
+class CallObservationTest(IsolatedAsyncioTestCase):
+    async def test_fast_errors_do_not_make_an_endpoint_look_fast(self) -> None:
+        """Guards against calls drawn to an endpoint that fails each of them at once."""
+        handler = PlainCallHandler(mock.Mock())
+        recorded = []
+        for status in (200, 304, 404, 500):
+            observation = mock.Mock(expected_ms=1.0)
+            answer = Answered(mock.Mock(status=status), b"")
+            with (
+                mock.patch.object(PlainCallHandler, "_exchange", return_value=answer),
+                mock.patch.object(PlainCallHandler, "_log_sent"),
+            ):
+                await handler._attempt(CALL, STICKY, mock.Mock(), 1.0, observation)
+            if observation.record_answer.called:
+                recorded.append(status)
+        self.assertEqual([200, 304], recorded)
+
+
 CALL = Call("r1", "GET", "/", "", [], b"", 0, affinity_key="obj")
 STICKY = Route(
     name="read",
