--- a/src/carobspur/gateway/work/endpoint_backlog.py
+++ b/src/carobspur/gateway/work/endpoint_backlog.py
@@ -108,9 +108,15 @@
         self.credibility += CREDIBILITY_WEIGHT * (share - self.credibility)
 
     def overdue_factor(self, now: float) -> float:
-        """Return the speed factor that overdue requests show; 0 if none is overdue."""
+        """Return the speed factor that overdue requests show; 0 if none is overdue.
+
+        Turns whose events arrive are left out: the pace of the events shows a slow
+        engine, while a long answer or a caller that reads slowly does not.
+        """
         worst = 0.0
         for item in self.sent:
+            if item.is_generating:
+                continue
             ratio = 1000 * (now - item.sent_at) / max(item.expected_ms, 1.0)
             if ratio > OVERDUE_FACTOR:
                 worst = max(worst, OVERDUE_SHARE * ratio * item.speed)
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -105,7 +105,8 @@
         backlog.sent.remove(self._request)
         elapsed_ms = self._elapsed_ms(now)
         ratio = elapsed_ms / max(self._request.expected_ms, 1.0)
-        if not self._has_answer and ratio > OVERDUE_FACTOR:
+        has_shown_pace = self._has_answer or self._request.is_generating
+        if not has_shown_pace and ratio > OVERDUE_FACTOR:
             # Hedged and timed-out requests never show their full time.
             self._record_pace(ratio * self._request.speed, now)
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -225,6 +225,23 @@
         cost = self.policy.explain([found], TURN, self.health, 60.0).chosen
         self.assertEqual(0, cost.view.own_requests)
 
+    def test_stream_open_for_long_does_not_make_its_engine_look_slow(self) -> None:
+        """Guards against engines avoided for a long answer or a slowly reading caller.
+
+        A turn that waits for its first event for as long shows a slow engine.
+        """
+        first = self.engine()
+        before = self.policy.explain([first], TURN, self.health, 0.0).chosen.view.speed
+        observation = observe(self.policy, first, TURN, self.health, 0.0)
+        waiting = self.policy.explain([first], TURN, self.health, 30.0).chosen.view
+        self.assertGreater(waiting.speed, 2 * before)
+        observation.record_event(0.1)
+        view = self.policy.explain([first], TURN, self.health, 30.0).chosen.view
+        self.assertEqual(before, view.speed)
+        observation.close(30.0)
+        view = self.policy.explain([first], TURN, self.health, 30.0).chosen.view
+        self.assertEqual(before, view.speed)
+
     def test_explanation_changes_no_later_decision(self) -> None:
         plain, explained = (ExpectedCostPlacement(random.Random(7)) for _ in "ab")
         need = Need("a", route="r")
