--- a/src/carobspur/gateway/work/endpoint_backlog.py
+++ b/src/carobspur/gateway/work/endpoint_backlog.py
@@ -13,6 +13,9 @@
 HIDDEN_HALF_LIFE_S = 2.0
 """Time after which half of the requests found in a report count: that of some turns."""
 CREDIBILITY_WEIGHT = 0.3
+CREDIBILITY_HALF_LIFE_S = 30.0
+"""Time after which half of the lost credibility has returned. Reports that no longer
+count are not measured, so that credibility would never return otherwise."""
 OVERDUE_FACTOR = 2.0
 OVERDUE_SHARE = 0.7
 """A request under way for more than this factor times its expected time shows that the
@@ -60,15 +63,15 @@
 
     Attributes:
         sent: This gateway's requests under way, counted from the decision on.
-        credibility: Share of the additionally reported requests that counts.
         reported_at: Loop time of the newest load report.
     """
 
     sent: list[SentRequest] = field(default_factory=list)
-    credibility: float = 1.0
     reported_at: float = -1.0
     _hidden: float = 0.0
     _hidden_at: float = 0.0
+    _credibility: float = 1.0
+    _credibility_at: float = 0.0
 
     def record_report(
         self, reported: float, counted: int, *, reported_at: float, now: float
@@ -97,15 +100,24 @@
         passed_s = max(0.0, now - self._hidden_at)
         return self._hidden * 0.5 ** (passed_s / HIDDEN_HALF_LIFE_S)
 
-    def record_wait(self, predicted_ms: float, actual_ms: float) -> None:
+    def credibility(self, now: float) -> float:
+        """Return the share of the additionally reported requests that counts."""
+        passed_s = max(0.0, now - self._credibility_at)
+        lost = (1 - self._credibility) * 0.5 ** (passed_s / CREDIBILITY_HALF_LIFE_S)
+        return 1 - lost
+
+    def record_wait(self, predicted_ms: float, actual_ms: float, now: float) -> None:
         """Record how long a request waited for which a queue was predicted.
 
         Args:
             predicted_ms: Predicted time in the reported queue; positive.
             actual_ms: Measured time.
+            now: Loop time.
         """
+        known = self.credibility(now)
         share = min(max(actual_ms / predicted_ms, 0.0), 1.0)
-        self.credibility += CREDIBILITY_WEIGHT * (share - self.credibility)
+        self._credibility = known + CREDIBILITY_WEIGHT * (share - known)
+        self._credibility_at = now
 
     def overdue_factor(self, now: float) -> float:
         """Return the speed factor that overdue requests show; 0 if none is overdue.
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -117,13 +117,13 @@
         slowdown = self._health.state(self._cost.view.key).slowdown(now)
         self._state.speed.record(ratio, slowdown, now)
 
-    def _record_wait(self, actual_ms: float) -> None:
+    def _record_wait(self, actual_ms: float, now: float) -> None:
         """Record the time in a queue that was predicted; ignores short ones."""
         view, wait_ms = self._cost.view, self._cost.wait_ms
         if view.requests >= view.endpoint.slots + 1 and view.own_requests < (
             view.endpoint.slots
         ):
-            self._state.backlog.record_wait(wait_ms, actual_ms)
+            self._state.backlog.record_wait(wait_ms, actual_ms, now)
 
     @property
     def _had_free_slot(self) -> bool:
@@ -144,7 +144,7 @@
         cost = self._cost
         speed = cost.view.speed
         taken_ms = self._elapsed_ms(now)
-        self._record_wait(taken_ms - cost.work_ms)
+        self._record_wait(taken_ms - cost.work_ms, now)
         usual_ms = (cost.work_ms + cost.wait_ms) / speed
         self._record_pace(taken_ms / max(usual_ms, 1e-3), now)
         if self._had_free_slot:
@@ -239,7 +239,7 @@
             - cost.usual_gap_ms
             - service.first_event_ms.value
         )
-        self._record_wait(speed * spent_ms - cost.prefill_ms)
+        self._record_wait(speed * spent_ms - cost.prefill_ms, now)
         if not self._had_free_slot:
             return
         spent_ms -= view.pending_tokens * per_token_ms
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -326,7 +326,7 @@
         view = EndpointView(
             endpoint,
             key,
-            requests=counted + backlog.credibility * unseen,
+            requests=counted + backlog.credibility(now) * unseen,
             own_requests=own,
             is_local=endpoint.data_centre == need.data_centre,
             speed=known.speed.factor(state.slowdown(now) if has_report else None, now),
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -160,6 +160,10 @@
             observation.record_answer(now + 0.05)
             observation.close(now + 0.05)
         self.assertLess(costs[-1], costs[0] / 3)
+        # Guards against a true queue that is disregarded for ever after false ones.
+        self.health.record_load(endpoint.key, load, 120.0)
+        later = self.policy.explain([endpoint], need, self.health, 120.0).chosen
+        self.assertGreater(later.completion_ms, costs[0] / 2)
 
     def test_sub_agents_use_an_engine_that_was_sent_their_parents_prefix(self) -> None:
         """A new prompt was read whole although an engine nearby had most of it."""
