--- a/src/carobspur/gateway/work/prompt_cache.py
+++ b/src/carobspur/gateway/work/prompt_cache.py
@@ -21,6 +21,9 @@
 """Engines for which parts are remembered: four times the candidates of a request."""
 DEFAULT_CAPACITY = 100_000
 """Assumed memory of an engine in tokens where the configuration does not state it."""
+MAX_PROMPT_PARTS = 128
+"""Leading parts of a prompt that are considered. A header holds thousands of empty
+parts, and they are compared with those of each candidate."""
 MAX_FIRST_PARTS = 512
 SHARED_AFTER = 3
 """Programs after which a first part counts as shared by many."""
@@ -30,8 +33,9 @@
     __slots__ = ("parts", "tokens")
 
     def __init__(self) -> None:
-        # Tokens and time of the last send by part id, least recently sent first.
-        self.parts: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        # Tokens and time of the last send by the hash of the part id, least recently
+        # sent first. Ids may be as long as a header; hashes are small.
+        self.parts: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.tokens = 0
 
 
@@ -46,8 +50,8 @@
 
     def __init__(self) -> None:
         self._engines: OrderedDict[str, _EngineParts] = OrderedDict()
-        # Last program and number of programs by the id of the first part.
-        self._first_parts: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        # Hash of the last program and number of programs by the hash of the first part.
+        self._first_parts: OrderedDict[int, tuple[int, int]] = OrderedDict()
 
     def __repr__(self) -> str:
         return f"PromptCache({len(self._engines)} engines)"
@@ -68,8 +72,8 @@
         tokens, age_s = 0, 0.0
         if engine is None:
             return tokens, age_s
-        for part in parts:
-            found = engine.parts.get(part.id)
+        for part in parts[:MAX_PROMPT_PARTS]:
+            found = engine.parts.get(hash(part.id))
             if found is None or now - found[1] > MAX_AGE_S:
                 break
             tokens += part.tokens
@@ -78,7 +82,7 @@
 
     def is_shared(self, part: PromptPart) -> bool:
         """Return whether several programs began with a part."""
-        return self._first_parts.get(part.id, ("", 0))[1] >= SHARED_AFTER
+        return self._first_parts.get(hash(part.id), (0, 0))[1] >= SHARED_AFTER
 
     def record(
         self,
@@ -107,9 +111,10 @@
         while len(self._engines) > MAX_ENGINES:
             self._engines.popitem(last=False)
         # The last parts are evicted first, as those before them are needed by more.
-        for part in reversed(parts):
-            known = engine.parts.pop(part.id, (0, 0.0))
-            engine.parts[part.id] = part.tokens, now
+        for part in reversed(parts[:MAX_PROMPT_PARTS]):
+            part_hash = hash(part.id)
+            known = engine.parts.pop(part_hash, (0, 0.0))
+            engine.parts[part_hash] = part.tokens, now
             engine.tokens += part.tokens - known[0]
         while engine.tokens > capacity or (len(engine.parts) > MAX_PARTS):
             _, (tokens, _) = engine.parts.popitem(last=False)
@@ -117,7 +122,8 @@
         self._record_first(parts[0], program)
 
     def _record_first(self, part: PromptPart, program: str) -> None:
-        last, count = self._first_parts.pop(part.id, ("", 0))
-        self._first_parts[part.id] = program, count + (program != last)
+        part_hash, program_hash = hash(part.id), hash(program)
+        last, count = self._first_parts.pop(part_hash, (0, 0))
+        self._first_parts[part_hash] = program_hash, count + (program_hash != last)
         while len(self._first_parts) > MAX_FIRST_PARTS:
             self._first_parts.popitem(last=False)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -186,6 +187,26 @@
         cache.record("e", (third,), 2.0, program="q", capacity=1000)
         self.assertEqual(400, cache.known_prefix("e", (first, second), 2.0)[0])
 
+    def test_long_ids_and_many_parts_take_little_memory(self) -> None:
+        """Guards against a process ended by clients that fill the prompt header.
+
+        1,024 ids of 60 kB for each of 23 engines would take 1.4 GB.
+        """
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        cache = PromptCache()
+        for number in range(200):
+            part = PromptPart(f"{number}{'x' * 60_000}", 1)
+            program = f"{number}{'y' * 60_000}"
+            cache.record("e", (part,), 0.0, program=program, capacity=100_000)
+        self.assertEqual(1, cache.known_prefix("e", (part,), 1.0)[0])
+        empty = tuple(PromptPart(f"{number}", 0) for number in range(8000))
+        last = PromptPart("last", 7)
+        cache.record("e", (*empty, last), 0.0, program="p", capacity=100_000)
+        self.assertEqual((0, 0.0), cache.known_prefix("e", (last,), 0.0))
+        del empty, part, program
+        self.assertLess(tracemalloc.get_traced_memory()[0], 500_000)
+
     def test_absurd_figures_do_not_move_other_requests(self) -> None:
         """A prompt of 10**18 tokens or a queue of as many would outweigh all else."""
         first = self.engine()
