--- a/src/carobspur/gateway/work/prompt_cache.py
+++ b/src/carobspur/gateway/work/prompt_cache.py
@@ -77,7 +77,8 @@
             found = sent.get(hash(part.id))
             if found is None or now - found[1] > MAX_AGE_S:
                 break
-            tokens += part.tokens
+            # A caller may state another length than when the part was sent.
+            tokens += part.tokens if part.tokens < found[0] else found[0]
             age_s = now - found[1]
         return tokens, age_s
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -184,6 +184,8 @@
         cache.record("e", (first, second), 0.0, program="p", capacity=1000)
         self.assertEqual(800, cache.known_prefix("e", (first, second, third), 1.0)[0])
         self.assertEqual(0, cache.known_prefix("e", (third, first), 1.0)[0])
+        longer = (PromptPart("a", 10**18),)
+        self.assertEqual(400, cache.known_prefix("e", longer, 1.0)[0])
         cache.record("e", (third,), 2.0, program="q", capacity=1000)
         self.assertEqual(400, cache.known_prefix("e", (first, second), 2.0)[0])
 
