--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -193,7 +193,7 @@
             view.is_warm = view.key == warm_key
             work_ms = route.expected_call_ms(is_warm=view.is_warm)
             costs.append(call_cost(view, work_ms, usual_ms))
-        position_ms = usual_ms / max(endpoints[0].slots, 1)
+        position_ms = usual_ms / _usual_slots(endpoints)
         return Choice(costs, choose(costs, position_ms, self._random))
 
     def _engine_choice(
@@ -212,7 +212,7 @@
         shared_tokens = 0
         if need.prompt_parts and self._prompts.is_shared(need.prompt_parts[0]):
             shared_tokens = need.prompt_parts[0].tokens
-        slots = max(endpoints[0].slots, 1)
+        slots = _usual_slots(endpoints)
         usual_ms = size.usual_turn_ms(slots)
         views = [self._view(item, need, health, now) for item in endpoints]
         discount_stale_counts(views, usual_ms, health.peers.mean_age_s)
@@ -388,6 +388,15 @@
         return known
 
 
+def _usual_slots(endpoints: Sequence[Endpoint]) -> int:
+    """Return the median of the endpoints' slots, at least 1.
+
+    A single endpoint that states a strange number must not change the margins of all.
+    """
+    slots = sorted([item.slots for item in endpoints])
+    return slots[len(slots) // 2] or 1
+
+
 def _prompt_tokens(need: Need) -> int:
     """Return the length of a prompt, at most what an engine holds."""
     tokens = need.prompt_tokens or sum(part.tokens for part in need.prompt_parts)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -114,6 +114,16 @@
         self.health.peers.record(report, 0.0)
         self.assertNotEqual(first, self.engine())
 
+    def test_strange_slots_of_one_endpoint_do_not_change_the_margins(self) -> None:
+        """Guards against sessions that stay in a queue because of another's figure."""
+        first = self.engine()
+        report = LoadReport(1, {name_hash(first.key): 2 * SLOTS})
+        self.health.peers.record(report, 0.0)
+        for slots in (0, 1):
+            odd = Endpoint("odd", "s", "h", 99, "a", slots)
+            found = self.policy.engine([odd, *ENGINES], TURN, self.health, 0.0)
+            self.assertNotEqual(first, found)
+
     def test_engine_whose_memory_would_overflow_is_not_chosen(self) -> None:
         """A turn that does not fit preempts others, whose prompts are read again."""
         first = self.engine()
