--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -185,6 +185,11 @@
         self._marked_at = 0.0
         self._marked_events = 0
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether the whole turn was observed, with its events."""
+        return self._has_answer and self._events > 0
+
     def record_event(self, now: float) -> None:
         """Record an event of the answer's stream."""
         self._events += 1
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -20,12 +20,15 @@
 class PlacementPathTest(IsolatedAsyncioTestCase):
     async def test_requests_are_observed_from_the_choice_to_the_end(self) -> None:
         """An observation that stays open would make its endpoint look full for ever."""
-        seen = []
+        seen, streams = [], []
         real = ExpectedCostPlacement.observe
 
         def _observe(policy, endpoint, need, health, now):
             seen.append((policy, endpoint, health, need))
-            return real(policy, endpoint, need, health, now)
+            observation = real(policy, endpoint, need, health, now)
+            if need.is_turn:
+                streams.append(observation)
+            return observation
 
         with mock.patch.object(ExpectedCostPlacement, "observe", _observe):
             async with world(tools=2) as deployment:
@@ -52,6 +55,8 @@
         turns = [need for *_, need in seen if need.is_turn]
         self.assertEqual(6, len(turns))
         self.assertEqual({("s", "t")}, {_ids(need) for need in turns})
+        # Without the events, neither the pace nor the length of turns is learned.
+        self.assertTrue(all(item.is_measured for item in streams))
         for policy, endpoint, health, need in seen:
             view = policy.explain([endpoint], need, health, 1e9).chosen.view
             self.assertEqual((0, 0.0), (view.own_requests, view.own_work_ms))
