--- a/src/carobspur/gateway/work/choice.py
+++ b/src/carobspur/gateway/work/choice.py
@@ -1,6 +1,6 @@
 """Chooses an endpoint by expected completion time and delay to others; pure.
 
-The decision answers:
+The decision handles:
 
 - many gateways with views up to a second old: it draws among nearly equal endpoints;
 - engines of which one has the session's prompt cached: that one, unless its load costs
--- a/src/carobspur/gateway/work/endpoint_backlog.py
+++ b/src/carobspur/gateway/work/endpoint_backlog.py
@@ -1,8 +1,8 @@
 """Requests and work that an endpoint still has to do; pure.
 
-It answers load that this gateway sees only in part: of 37 gateways in four data
+It handles load that this gateway sees only in part: of 37 gateways in four data
 centres it hears nine, and an endpoint's own report is often seconds old. It also
-answers reports of a load that is not there.
+handles reports of a load that is not there.
 """
 
 from __future__ import annotations
--- a/src/carobspur/gateway/work/endpoint_speed.py
+++ b/src/carobspur/gateway/work/endpoint_speed.py
@@ -1,6 +1,6 @@
 """Current speed of one endpoint from its observed pace and its reports; pure.
 
-It answers endpoints that differ in speed, that slow down for seconds, that report their
+It handles endpoints that differ in speed, that slow down for seconds, that report their
 slowdown in ``Instance-Load``, and that report nonsense: what was observed calibrates
 what is reported.
 """
--- a/src/carobspur/gateway/work/estimates.py
+++ b/src/carobspur/gateway/work/estimates.py
@@ -1,6 +1,6 @@
 """Averages that a fifth of slow or misreporting endpoints does not shift far; pure.
 
-They answer a load in which every measurement mixes the usual endpoints with slow ones.
+They handle a load in which every measurement mixes the usual endpoints with slow ones.
 """
 
 from __future__ import annotations
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -1,6 +1,6 @@
 """Learns from each request between its choice and its end.
 
-It answers endpoints that become slow while requests run there, and engines that evict
+It handles endpoints that become slow while requests run there, and engines that evict
 prompts: both show in the times of events, long before the averages of whole answers.
 """
 
--- a/src/carobspur/gateway/work/prompt_cache.py
+++ b/src/carobspur/gateway/work/prompt_cache.py
@@ -1,6 +1,6 @@
 """What this gateway recently sent to each engine, by prompt part; pure.
 
-It answers sessions whose every turn contains all earlier ones, sub-agents that share
+It handles sessions whose every turn contains all earlier ones, sub-agents that share
 their parent's prefix, and first parts that many programs share.
 """
 
--- a/src/carobspur/gateway/work/request_cost.py
+++ b/src/carobspur/gateway/work/request_cost.py
@@ -1,6 +1,6 @@
 """Learned sizes of requests and speeds of services; pure.
 
-It answers turns whose lengths differ by a factor of ten, and plain calls whose routes
+It handles turns whose lengths differ by a factor of ten, and plain calls whose routes
 cost from 20 to 80 ms at the same endpoints.
 """
 
