--- a/src/carobspur/gateway/placement.py
+++ b/src/carobspur/gateway/placement.py
@@ -104,6 +104,9 @@
     def record_event(self, now: float) -> None:
         """Record an event of the answer's stream."""
 
+    def record_slow_caller(self) -> None:
+        """Record that the caller delays the events that are read from now on."""
+
     def record_answer(self, now: float) -> None:
         """Record that the endpoint has answered the request completely."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -36,6 +36,9 @@
 """Retry-After of refused calls; about the time of one turn."""
 EVENTS_PER_YIELD = 32
 """Events that are forwarded before the event loop may run other requests."""
+SLOW_WRITE_S = 0.02
+"""Time to forward an event from which the caller, or the gateway's own load, delays the
+next ones: about the gap between two events of an engine."""
 MAX_RESUMES = 2
 """How often the stream of one call is resumed; a third loss is taken for a fault of the
 engine and fails the call."""
@@ -299,6 +302,8 @@
                     first_at = last_at
                     self._observe_first_event(turn)
                 await self._write_event(turn, event, exchange, responder)
+                if loop.time() - last_at > SLOW_WRITE_S:
+                    observation.record_slow_caller()
         if splitter.rest.strip():
             raise LostAnswerError("the stream ended inside an event")
         if not count and exchange.ended_with_connection:
--- a/src/carobspur/gateway/work/observations.py
+++ b/src/carobspur/gateway/work/observations.py
@@ -167,7 +167,13 @@
         now: Loop time.
     """
 
-    __slots__ = ("_events", "_marked_at", "_marked_events", "_need")
+    __slots__ = (
+        "_events",
+        "_has_slow_caller",
+        "_marked_at",
+        "_marked_events",
+        "_need",
+    )
 
     def __init__(
         self,
@@ -181,6 +187,7 @@
     ) -> None:
         super().__init__(state, service, route, cost, health, now)
         self._need = need
+        self._has_slow_caller = False
         self._events = 0
         self._marked_at = 0.0
         self._marked_events = 0
@@ -202,6 +209,10 @@
             self._measure_gap(now)
         request.progress = self._events / max(self._cost.events, 1.0)
 
+    def record_slow_caller(self) -> None:
+        """Record that the times of further events do not show the engine's pace."""
+        self._has_slow_caller = True
+
     def record_answer(self, now: float) -> None:
         """Record that the engine has generated the turn completely."""
         if self._has_answer:
@@ -226,6 +237,8 @@
 
     def _measure_gap(self, now: float) -> None:
         """Record the pace of the events since the last mark."""
+        if self._has_slow_caller:
+            return
         gaps = self._events - self._marked_events
         gap_ms = 1000 * (now - self._marked_at) / gaps
         self._record_pace(gap_ms / max(self._cost.usual_gap_ms, 1e-3), now)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -279,6 +279,23 @@
         view = self.policy.explain([first], TURN, self.health, 30.0).chosen.view
         self.assertEqual(before, view.speed)
 
+    def test_slow_caller_does_not_make_its_engine_look_slow(self) -> None:
+        """Guards against engines avoided for the gaps that a caller causes."""
+        first = self.engine()
+        speeds = []
+        for has_slow_caller in (True, False):
+            observation = observe(self.policy, first, TURN, self.health, 0.0)
+            for step in range(20):
+                observation.record_event(0.1 + step)
+                if has_slow_caller:
+                    observation.record_slow_caller()
+            observation.record_answer(20.0)
+            observation.close(20.0)
+            view = self.policy.explain([first], TURN, self.health, 20.0).chosen.view
+            speeds.append(view.speed)
+        self.assertEqual(1.0, speeds[0])
+        self.assertGreater(speeds[1], 1.5)
+
     def test_explanation_changes_no_later_decision(self) -> None:
         plain, explained = (ExpectedCostPlacement(random.Random(7)) for _ in "ab")
         need = Need("a", route="r")
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -11,6 +11,7 @@
 from carobspur.gateway.placement import Need
 from carobspur.gateway.plain_calls import PlainCallHandler
 from carobspur.gateway.routes import Route, RouteKind, WeightedService
+from carobspur.gateway.stream_calls import SLOW_WRITE_S, StreamCallHandler
 from carobspur.plugins.placement_expected_cost import ExpectedCostPlacement
 from carobspur.plugins.placement_predicted import PredictedTimePlacement
 
@@ -104,6 +105,29 @@
                 recorded.append(status)
         self.assertEqual([200, 304], recorded)
 
+    async def test_slow_caller_of_a_stream_is_told_to_the_observation(self) -> None:
+        """Guards against gaps that a caller causes being taken for the engine's."""
+
+        async def _pieces():
+            yield b"id: 1\ndata: x\n\n"
+
+        async def _write(_) -> None:
+            await asyncio.sleep(2 * SLOW_WRITE_S)
+
+        context = mock.Mock()
+        context.answer_limits.event_bytes = 1000
+        handler = StreamCallHandler(context, mock.Mock(max_turn_bytes=1000))
+        observation = mock.Mock()
+        await handler._forward(
+            mock.Mock(output_bytes=0, call=mock.Mock(arrived_at=0.0)),
+            mock.Mock(pieces=_pieces),
+            mock.Mock(write=_write),
+            observation,
+            running=0,
+            resumed_after=None,
+        )
+        observation.record_slow_caller.assert_called_once_with()
+
 
 CALL = Call("r1", "GET", "/", "", [], b"", 0, affinity_key="obj")
 STICKY = Route(
