--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -16,6 +16,8 @@
 
 MIN_INTERVAL_S = 0.04
 """Shortest interval between reports on changed load: a quarter of a turn's duration."""
+AGE_WEIGHT = 0.02
+"""Weight of the newest interval between two reports in the mean of the intervals."""
 INTERVAL_PER_MEMBER_S = 0.005
 """Added to the interval for each peer beyond six, to limit the cost of reports if there
 are many gateways."""
@@ -60,11 +62,17 @@
 
     The sums of requests are updated with each report, because placement reads them far
     more often, and the cost of reading must not grow with the number of gateways.
+
+    Attributes:
+        is_complete: Whether every other gateway reports to this one. In large
+            deployments only those of the same data centre do.
     """
 
-    __slots__ = ("_failures", "_reports", "_in_flight")
+    __slots__ = ("_failures", "_interval_s", "_reports", "_in_flight", "is_complete")
 
     def __init__(self) -> None:
+        self.is_complete = True
+        self._interval_s = MIN_INTERVAL_S
         # Loop time of receipt and report by sender, oldest first.
         self._reports: dict[int, tuple[float, LoadReport]] = {}
         self._in_flight: dict[int, int] = {}
@@ -73,6 +81,11 @@
 
     def record(self, report: LoadReport, now: float) -> None:
         """Add a report; it replaces the sender's previous one."""
+        previous = self._reports.get(report.sender)
+        if previous is not None:
+            # A peer without requests sends no reports: the pause is not their age.
+            interval_s = min(now - previous[0], MAX_INTERVAL_S)
+            self._interval_s += AGE_WEIGHT * (interval_s - self._interval_s)
         self._remove_report(report.sender)
         self._reports[report.sender] = (now, report)
         for endpoint_hash, outcomes in report.failures.items():
@@ -82,6 +95,11 @@
                 self._in_flight.get(endpoint_hash, 0) + count
             )
 
+    @property
+    def mean_age_s(self) -> float:
+        """Expected age of a count: half the mean interval between a peer's reports."""
+        return self._interval_s / 2
+
     def total(self, key: str, now: float) -> int:
         """Return the number of requests that other gateways have at an endpoint."""
         self._expire_reports(now)
@@ -89,6 +107,8 @@
 
     def failures(self, key: str, now: float) -> tuple[float, float]:
         """Return the decayed answers and failures of an endpoint at other gateways."""
+        if not self._failures:
+            return 0.0, 0.0
         self._expire_reports(now)
         reported = self._failures.get(name_hash(key), {}).values()
         return sum(item[0] for item in reported), sum(item[1] for item in reported)
--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -10,6 +10,7 @@
 
 from .calls import Call, Responder
 from .context import GatewayContext
+from .customers.ownership import scoped_name
 from .endpoints import Endpoint
 from .hedging import HedgeBudget, slow_call_threshold_s
 from .objectives import Served
@@ -22,7 +23,13 @@
     is_conclusive,
     may_retry,
 )
-from .placement import DEFAULT_SERVICE_MS, Need
+from .placement import (
+    DEFAULT_SERVICE_MS,
+    Need,
+    SendObservation,
+    observe,
+    uses_call_affinity,
+)
 from .refusals import (
     DeadlineExceededError,
     EndpointFailedError,
@@ -33,6 +40,8 @@
 
 RETRY_AFTER_S = 0.15
 """Retry-After of refused calls; about the time of two plain calls."""
+FIRST_ERROR_STATUS = 400
+"""Answers from this status on say nothing about the speed of an endpoint."""
 
 
 class PlainCallHandler:
@@ -90,16 +99,33 @@
 
     def _choose(self, call: Call, route: Route, tried: set[str]) -> Endpoint | None:
         context = self._context
+        affinity = self._affinity(call, route) or call.id
         usable = context.endpoints.usable(
-            route.service_for(call.id),
-            affinity=call.id,
+            route.service_for(affinity),
+            affinity=affinity,
             data_centre=context.data_centre,
         )
         untried = [item for item in usable if item.key not in tried]
         now = asyncio.get_running_loop().time()
+        return context.placement.plain(
+            untried, self._need(call, route), context.health, now
+        )
+
+    def _need(self, call: Call, route: Route) -> Need:
+        context = self._context
         usual_ms = 1000 * context.health.usual_s(route.name, DEFAULT_SERVICE_MS / 1000)
-        need = Need(context.data_centre, service_ms=usual_ms)
-        return context.placement.plain(untried, need, context.health, now)
+        return Need(
+            context.data_centre,
+            affinity=self._affinity(call, route),
+            service_ms=usual_ms,
+            route=route.name,
+        )
+
+    def _affinity(self, call: Call, route: Route) -> str:
+        """Return the key whose calls should go to the same endpoint; empty for none."""
+        if not route.is_sticky or not uses_call_affinity(self._context.placement):
+            return ""
+        return scoped_name(call.customer, call.affinity_key)
 
     async def _attempt_hedged(
         self,
@@ -155,8 +181,20 @@
     def _start_attempt(
         self, call: Call, route: Route, endpoint: Endpoint, deadline: float
     ) -> asyncio.Task[Outcome]:
-        attempt = self._attempt(call, route, endpoint, deadline)
-        return asyncio.get_running_loop().create_task(attempt)
+        loop = asyncio.get_running_loop()
+        context = self._context
+        # The request counts from now on, although its task starts later.
+        observation = observe(
+            context.placement,
+            endpoint,
+            self._need(call, route),
+            context.health,
+            loop.time(),
+        )
+        attempt = self._attempt(call, route, endpoint, deadline, observation)
+        task = loop.create_task(attempt)
+        task.add_done_callback(lambda _: observation.close(loop.time()))
+        return task
 
     def _hedge_delay_s(self, route: Route, runs: int) -> float | None:
         """Return the delay before a call is hedged; ``None`` for no hedge.
@@ -195,10 +233,18 @@
             self._context.health.record_failure(endpoint.key, now)
 
     async def _attempt(
-        self, call: Call, route: Route, endpoint: Endpoint, deadline: float
+        self,
+        call: Call,
+        route: Route,
+        endpoint: Endpoint,
+        deadline: float,
+        observation: SendObservation,
     ) -> Outcome:
         outcome = await self._exchange(call, route, endpoint, deadline)
-        self._log_sent(call, endpoint, outcome)
+        # Errors are answered without the work, by an endpoint that fails at once.
+        if isinstance(outcome, Answered) and outcome.head.status < FIRST_ERROR_STATUS:
+            observation.record_answer(asyncio.get_running_loop().time())
+        self._log_sent(call, endpoint, outcome, observation)
         return outcome
 
     async def _exchange(
@@ -233,7 +279,13 @@
         health.record_success(endpoint.key, route.name, now - started, now)
         return Answered(head, body)
 
-    def _log_sent(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
+    def _log_sent(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        outcome: Outcome,
+        observation: SendObservation,
+    ) -> None:
         state = self._context.health.state(endpoint.key)
         self._context.log.record(
             "sent",
@@ -242,6 +294,7 @@
             registry_version=self._context.endpoints.version,
             in_flight=state.in_flight,
             pace=round(state.pace, 2),
+            expected_ms=round(observation.expected_ms, 1),
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
         )
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -19,7 +19,7 @@
 from .health import MeasuredTurn
 from .objectives import Served
 from .outcomes import MAX_SENDS
-from .placement import Need
+from .placement import Need, SendObservation, observe
 from .refusals import (
     DeadlineExceededError,
     DeadlineExceededUnsentError,
@@ -36,6 +36,9 @@
 """Retry-After of refused calls; about the time of one turn."""
 EVENTS_PER_YIELD = 32
 """Events that are forwarded before the event loop may run other requests."""
+SLOW_WRITE_S = 0.02
+"""Time to forward an event from which the caller, or the gateway's own load, delays the
+next ones: about the gap between two events of an engine."""
 MAX_RESUMES = 2
 """How often the stream of one call is resumed; a third loss is taken for a fault of the
 engine and fails the call."""
@@ -135,7 +138,6 @@
 
     def _choose(self, turn: TurnState, resume_at: Endpoint | None) -> Endpoint | None:
         context = self._context
-        call = turn.call
         if resume_at is not None:
             known = context.endpoints.get(resume_at.id)
             is_same_start = known is not None and known.key == resume_at.key
@@ -144,17 +146,38 @@
             turn.refused.add(resume_at.key)
         if turn.runs and turn.runs >= turn.route.max_attempts and resume_at is None:
             return None
-        affinity = program_name(call) or call.id
+        affinity = _affinity(turn)
         usable = context.endpoints.usable(
             turn.route.service_for(affinity),
             affinity=affinity,
             data_centre=context.data_centre,
         )
         untried = [item for item in usable if item.key not in turn.refused]
-        need = Need(context.data_centre, affinity, call.prompt_tokens)
         now = asyncio.get_running_loop().time()
+        need = self._need(turn)
         return context.placement.engine(untried, need, context.health, now)
 
+    def _need(self, turn: TurnState) -> Need:
+        context, call = self._context, turn.call
+        affinity = _affinity(turn)
+        service = context.configuration and context.configuration.services.get(
+            turn.route.service_for(affinity)
+        )
+        traits = service.engine if service else None
+        return Need(
+            context.data_centre,
+            affinity,
+            call.prompt_tokens,
+            route=turn.route.name,
+            is_turn=True,
+            prompt_parts=call.prompt_parts,
+            expected_tokens=call.expected_tokens,
+            max_tokens=call.max_tokens,
+            resumed_events=turn.events,
+            tokens_per_event=max(1, traits.tokens_per_event) if traits else 1,
+            memory_tokens=traits.cache_tokens if traits else 0,
+        )
+
     async def _attempt(
         self, turn: TurnState, engine: Endpoint, responder: Responder
     ) -> int | None:
@@ -164,6 +187,23 @@
             The status that was sent to the caller; ``None`` if the engine has not run
             the request.
         """
+        loop = asyncio.get_running_loop()
+        context = self._context
+        observation = observe(
+            context.placement, engine, self._need(turn), context.health, loop.time()
+        )
+        try:
+            return await self._exchange(turn, engine, responder, observation)
+        finally:
+            observation.close(loop.time())
+
+    async def _exchange(
+        self,
+        turn: TurnState,
+        engine: Endpoint,
+        responder: Responder,
+        observation: SendObservation,
+    ) -> int | None:
         loop = asyncio.get_running_loop()
         resumed_after = event_number(turn.last_event_id)
         turn.may_be_running = True
@@ -199,11 +239,18 @@
                 )
             if responder.has_started and not head.is_event_stream:
                 raise LostAnswerError("the engine did not resume with a stream")
-            self._log_sent(turn, engine, "streaming", "")
+            self._log_sent(
+                turn,
+                engine,
+                "streaming",
+                "",
+                expected_ms=round(observation.expected_ms, 1),
+            )
             await self._forward(
                 turn,
                 exchange,
                 responder,
+                observation,
                 running=running,
                 resumed_after=resumed_after,
             )
@@ -214,6 +261,7 @@
         turn: TurnState,
         exchange: Exchange,
         responder: Responder,
+        observation: SendObservation,
         *,
         running: int,
         resumed_after: int | None,
@@ -224,6 +272,7 @@
             turn: The request.
             exchange: The answer.
             responder: Sends the events to the caller.
+            observation: Is told about each event and the end.
             running: Requests that the engine was processing when this one was sent.
             resumed_after: Number of the event after which the engine was asked to go
                 on; ``None`` for a run from the start.
@@ -246,12 +295,15 @@
                     raise LostAnswerError("the engine did not resume the stream")
                 last_at = loop.time()
                 turn.record_event(event, last_at)
+                observation.record_event(last_at)
                 if turn.output_bytes > self._turn_lifecycle.max_turn_bytes:
                     raise EndlessAnswerError("the turn is too long to be stored")
                 if count == 1:
                     first_at = last_at
                     self._observe_first_event(turn)
                 await self._write_event(turn, event, exchange, responder)
+                if loop.time() - last_at > SLOW_WRITE_S:
+                    observation.record_slow_caller()
         if splitter.rest.strip():
             raise LostAnswerError("the stream ended inside an event")
         if not count and exchange.ended_with_connection:
@@ -259,6 +311,8 @@
         if not responder.has_started:
             responder.start(exchange.head.status, exchange.head.headers)
         turn.has_ended = True
+        if count:
+            observation.record_answer(last_at)
         if count > 1:
             # The pause between events shows a slow engine regardless of the length of
             # its prompts and of its queue.
@@ -296,7 +350,12 @@
         self._context.telemetry.first_event_seconds.observe(now - turn.call.arrived_at)
 
     def _log_sent(
-        self, turn: TurnState, engine: Endpoint, outcome: str, reason: str
+        self,
+        turn: TurnState,
+        engine: Endpoint,
+        outcome: str,
+        reason: str,
+        **fields: object,
     ) -> None:
         state = self._context.health.state(engine.key)
         program = turn.call.program
@@ -312,6 +371,7 @@
             events=turn.events,
             outcome=outcome,
             reason=reason,
+            **fields,
         )
 
     def _deadline_error(self, turn: TurnState) -> CarobspurError:
@@ -321,3 +381,8 @@
             "the deadline passed before the call was sent to an engine",
             retry_after_s=RETRY_AFTER_S,
         )
+
+
+def _affinity(turn: TurnState) -> str:
+    """Return the key whose turns should go to the same engine."""
+    return program_name(turn.call) or turn.call.id
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -341,9 +341,10 @@
     async def test_programs_of_the_same_id_are_placed_independently(self) -> None:
         """Guards against engines that get all programs of one popular id."""
         affinities = []
-        route = next(item for item in decode().routes if item.name == "walk")
+        configuration = decode()
+        route = next(item for item in configuration.routes if item.name == "walk")
         for customer in ("a", "b", None):
-            context = mock.Mock()
+            context = mock.Mock(configuration=configuration)
             context.endpoints.usable.return_value = []
             context.placement.engine.return_value = None
             lifecycle = mock.Mock(prepare=mock.AsyncMock())
