--- a/src/carobspur/gateway/context.py
+++ b/src/carobspur/gateway/context.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
+from .calls import Call
 from .decisions import DecisionLog
 from .endpoint_client import EndpointClient
 from .endpoints import EndpointIndex
@@ -15,6 +16,10 @@
 from .routes import Configuration
 from .telemetry import Telemetry
 
+TurnObserver = Callable[[Call, str, float, float, int], None]
+"""Takes a turn's request, the service that generated it, the time to its first event,
+the mean time between two events, and the number of events."""
+
 
 @dataclass(slots=True)
 class GatewayContext:
@@ -29,6 +34,7 @@
         log: Decision log.
         telemetry: Metrics.
         configuration: Configuration in force; ``None`` until the first is loaded.
+        observe_turn: Told the times of each turn that has ended; ``None`` for nobody.
         answer_limits: Size limits of endpoints' answers.
         is_stopping: Whether the process has received a request to stop.
     """
@@ -41,6 +47,7 @@
     log: DecisionLog
     telemetry: Telemetry
     configuration: Configuration | None = None
+    observe_turn: TurnObserver | None = None
     answer_limits: AnswerLimits = DEFAULT_LIMITS
     is_stopping: bool = False
     _tasks: set[asyncio.Task] = field(default_factory=set)
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -12,6 +12,8 @@
 from .answer_limits import AnswerLimits
 from .host_port import split_address
 
+ADMISSION_POLICIES = ("programs",)
+
 
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
@@ -96,6 +98,17 @@
     policy: str = "predicted_time"
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Section ``[admission]``: whether requests are refused under overload.
+
+    Attributes:
+        policy: Name of the policy, one of ``ADMISSION_POLICIES``; empty for none.
+    """
+
+    policy: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """All settings of a gateway, one attribute for each section of the file."""
@@ -106,6 +119,7 @@
     times: TimeSettings
     placement: PlacementSettings
     answers: AnswerLimits
+    admission: AdmissionSettings
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -151,6 +165,7 @@
             "times": TimeSettings,
             "placement": PlacementSettings,
             "answers": AnswerLimits,
+            "admission": AdmissionSettings,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
@@ -163,6 +178,12 @@
             errors.append(
                 f"[placement] policy: {policy!r} is none of {', '.join(known_policies)}"
             )
+        admission = parser.get("admission", "policy", fallback="")
+        if admission and admission not in ADMISSION_POLICIES:
+            errors.append(
+                f"[admission] policy: {admission!r} is none of "
+                + ", ".join(ADMISSION_POLICIES)
+            )
         if errors:
             raise SettingsError(f"{name}: " + "; ".join(errors))
         return cls(**values)
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -268,6 +268,14 @@
                 MeasuredTurn(running, count, gap_ms),
                 last_at,
             )
+            if self._context.observe_turn is not None and resumed_after is None:
+                self._context.observe_turn(
+                    turn.call,
+                    exchange.endpoint.service,
+                    first_at - turn.call.arrived_at,
+                    gap_ms / 1000,
+                    count,
+                )
 
     async def _write_event(
         self,
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -85,6 +85,18 @@
             "Callers' requests under way.",
             registry=self.registry,
         )
+        self.admission_refusals = Counter(
+            "carobspur_admission_refusals",
+            "Requests refused by admission control by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.admitted_share = Gauge(
+            "carobspur_admitted_share",
+            "Share of new programs that admission control admits, by service.",
+            ["service"],
+            registry=self.registry,
+        )
         self.log_lines_dropped = Counter(
             "carobspur_log_lines_dropped",
             "Log lines dropped because nobody read standard output.",
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -15,12 +15,14 @@
 from ..errors import SettingsError
 from ..gateway.account_rows import TABLE as SPENDING_TABLE
 from ..gateway.accounts import ReleasedAccount
+from ..gateway.admission.gate import ProgramGate
 from ..gateway.call_dispatcher import CallDispatcher
 from ..gateway.context import GatewayContext
 from ..gateway.decisions import DecisionLog
 from ..gateway.endpoint_client import EndpointClient
 from ..gateway.endpoints import Endpoint, EndpointIndex
 from ..gateway.feed import TableFeed
+from ..gateway.gates import RequestGate
 from ..gateway.health import HealthTracker
 from ..gateway.heartbeats_udp import HeartbeatSender
 from ..gateway.host_port import split_address
@@ -200,6 +202,7 @@
             PlainCallHandler(self._context),
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
+            gates=self._create_gates(),
         )
         self._ingress = Ingress(self._call_dispatcher, self._limits)
         self._heartbeats = HeartbeatSender(
@@ -290,6 +293,14 @@
         await self._context.wait_for_tasks(max(0.0, end - loop.time()))
         self._log.record("stopped", in_flight=self._call_dispatcher.in_flight)
 
+    def _create_gates(self) -> list[RequestGate]:
+        """Return the decisions that requests pass before they are served."""
+        if not self._settings.admission.policy:
+            return []
+        gate = ProgramGate(self._context)
+        self._context.observe_turn = gate.observe_turn
+        return [gate]
+
     def _create_own_member(self) -> Member:
         settings = self._settings
         return Member(
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,7 +11,7 @@
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 SOURCES = [
-    *(ROOT / "src" / "carobspur" / "gateway").glob("*.py"),
+    *(ROOT / "src" / "carobspur" / "gateway").rglob("*.py"),
     *(ROOT / "src" / "carobspur" / "platform").glob("*.py"),
 ]
 OTHER_EVENTS = {"answered", "failed", "lines_dropped"}
