--- a/src/carobspur/gateway/admission/controller.py
+++ b/src/carobspur/gateway/admission/controller.py
@@ -15,7 +15,7 @@
 DECREASE = 0.03
 """Decrease of the level in a step, as a share of it, for each unit of excess
 pressure."""
-MAX_DECREASE = 0.25
+MAX_DECREASE = 0.05
 INCREASE = 0.03
 """Increase of the level in a step without pressure: from 0 to 1 in 3.3 s."""
 MIN_LEVEL = 0.005
--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -28,9 +28,10 @@
 burst."""
 RECOVERY_PER_S = 0.25
 """Growth of the level that is expected when a program's turn comes is estimated."""
-SEVERE_PRESSURE = 3.0
-LATE_P = 1.5
-"""Level below which late programs are refused too."""
+LATE_PRESSURE = 0.5
+"""Pressure from which a share of the late programs is refused. Served behind all others
+they are a queue that keeps new programs out; refused, they may return in time for the
+smaller credit."""
 PROBE_INTERVAL_S = 0.3
 """Interval of the requests that are admitted while no report is recent; about the time
 of the turn that brings one."""
@@ -247,10 +248,9 @@
                 return "lost"
             case Stage.LOOPING | Stage.EXPIRED if controller.is_shedding:
                 return stage.value
-            case Stage.IN_PROGRESS | Stage.LATE if is_turn:
-                limit = LATE_P if stage is Stage.LATE else SEVERE_PRESSURE
-                kept = limit / max(state.pressure, limit)
-                return "overfull" if position(_name(call)) >= kept else ""
+            case Stage.LATE if is_turn:
+                share = LATE_PRESSURE / max(state.pressure, LATE_PRESSURE)
+                return "late" if position(_name(call)) >= share else ""
             case Stage.NEW if not state.ranking.is_admitted(
                 _name(call), call.customer or "", call.priority, controller.level, now
             ):
--- a/src/carobspur/gateway/admission/pressure.py
+++ b/src/carobspur/gateway/admission/pressure.py
@@ -35,7 +35,7 @@
 MIN_SAMPLES = 20
 IN_FLIGHT_DEVIATIONS = 2.0
 IN_FLIGHT_MARGIN = 1.0
-QUEUE_SHARE = 1.0
+QUEUE_SHARE = 0.6
 """Reported queue, in slots per slot, that uses up the allowed stretch: a turn waits
 that share of the time for which turns run, and half of the rest goes to contention."""
 
--- a/src/carobspur/gateway/admission/ranking.py
+++ b/src/carobspur/gateway/admission/ranking.py
@@ -61,12 +61,13 @@
 class Ranking:
     """Classes and customers of one service, as far as one gateway sees them."""
 
-    __slots__ = ("_classes", "_customers", "_started_at")
+    __slots__ = ("_all", "_classes", "_customers", "_started_at")
 
     def __init__(self) -> None:
         self._classes: list[int] = []
         self._customers: dict[str, _Demand] = {}
-        self._started_at: float | None = None
+        self._all: _Demand | None = None
+        self._started_at = 0.0
 
     def rank(self, priority: int) -> int:
         """Return the rank of a priority among those seen; adds a new one."""
@@ -80,36 +81,54 @@
 
     def record_new(self, customer: str, now: float) -> None:
         """Count a new program of a customer."""
-        if self._started_at is None:
+        if self._all is None:
             self._started_at = now
+            self._all = _Demand(now)
         demand = self._customers.get(customer)
         if demand is None:
             if len(self._customers) >= MAX_CUSTOMERS:
                 self._customers.pop(next(iter(self._customers)))
             demand = self._customers[customer] = _Demand(now)
-        demand.decay(now)
-        demand.fast += 1
-        demand.slow += 1
+        for item in (self._all, demand):
+            item.decay(now)
+            item.fast += 1
+            item.slow += 1
 
     def excess(self, customer: str, now: float) -> float:
-        """Return a customer's present demand as a multiple of its usual; at least 1."""
-        demand = self._customers.get(customer)
-        if demand is None or self._started_at is None:
+        """Return how much a customer's demand has grown beyond that of the others.
+
+        Returns:
+            A factor of at least 1; 1 if all customers' demand has grown alike.
+        """
+        own, total = self._customers.get(customer), self._all
+        if own is None:
             return 1.0
-        demand.decay(now)
-        # Both counts grow from 0; the fractions of their periods that have passed
-        # make them comparable before the longer one is full.
+        own.decay(now)
+        total.decay(now)
+        others = self._growth(total.fast - own.fast, total.slow - own.slow, now)
+        ratio = self._growth(own.fast, own.slow, now) / max(1.0, others)
+        return min(MAX_EXCESS, max(1.0, ratio))
+
+    def _growth(self, fast: float, slow: float, now: float) -> float:
+        """Return present demand as a multiple of the usual.
+
+        Args:
+            fast: Programs, decayed over the shorter period.
+            slow: Programs, decayed over the longer period.
+            now: Loop time.
+        """
+        # Both counts grow from 0; the parts of their periods that have passed make
+        # them comparable before the longer one is full.
         elapsed = now - self._started_at
         fast_s = FAST_S * -math.expm1(-elapsed / FAST_S)
         slow_s = SLOW_S * -math.expm1(-elapsed / SLOW_S)
-        if slow_s - fast_s <= 0:
+        if slow_s <= fast_s:
             return 1.0
         # What is recent is left out of the usual demand, so that a burst does not
         # raise the measure that it is compared with.
-        earlier = max(0.0, demand.slow - demand.fast)
+        earlier = max(0.0, slow - fast)
         usual = earlier * fast_s / (slow_s - fast_s)
-        ratio = (demand.fast + PSEUDO_COUNT) / (usual + PSEUDO_COUNT)
-        return min(MAX_EXCESS, max(1.0, ratio))
+        return (fast + PSEUDO_COUNT) / (usual + PSEUDO_COUNT)
 
     def is_admitted(
         self, program: str, customer: str, priority: int, level: float, now: float
