--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -116,10 +116,15 @@
         self._own_share.record(own, self.view)
         queued = max(self.view.queued, self._own_share.queued(own))
         self.pressure = pressure(stretch, queued, allowed)
-        if not self.view.may_refuse:
+        if not self.may_refuse:
             self.pressure = 0.0
         controller.step(self.pressure, now)
 
+    @property
+    def may_refuse(self) -> bool:
+        """Whether the endpoints' reports permit refusals."""
+        return self.view.may_refuse(is_shedding=self.controller.is_shedding)
+
     def take_probe(self, now: float) -> bool:
         """Return whether a request is admitted only to obtain a load report."""
         if now < self._next_probe_at:
@@ -238,7 +243,7 @@
         now: float,
     ) -> str:
         """Return why a request is refused; empty if it is sent."""
-        if not state.view.may_refuse:
+        if not state.may_refuse:
             return ""
         if not state.view.is_recent and state.take_probe(now):
             return ""
--- a/src/carobspur/gateway/admission/pressure.py
+++ b/src/carobspur/gateway/admission/pressure.py
@@ -28,6 +28,15 @@
 MIN_STRETCHES = 3
 """Turns from which their median stretch counts; fewer are left to the reports."""
 MIN_OCCUPIED = 0.7
+MIN_OCCUPIED_SHEDDING = 0.6
+"""Reported occupancy below which nothing is refused unless requests wait, and the same
+once new programs are refused. Refusals are a fault below one half; the rest is a margin
+for reports that are out of date."""
+STRETCH_WINDOW_S = 1.0
+MAX_STRETCHES = 64
+MIN_STRETCHES = 3
+"""Turns from which their median stretch counts; fewer are left to the reports."""
+MIN_OCCUPIED = 0.7
 """Reported occupancy below which nothing is refused unless requests wait. Refusals are
 a fault below one half; the rest is a margin for reports that are out of date."""
 IN_FLIGHT_WEIGHT = 0.01
@@ -56,10 +65,15 @@
     occupied: float = 0.0
     queued: float = 0.0
 
-    @property
-    def may_refuse(self) -> bool:
-        """Whether the reports permit refusals at all."""
-        return self.reports > 0 and (self.occupied >= MIN_OCCUPIED or self.queued > 0)
+    def may_refuse(self, *, is_shedding: bool) -> bool:
+        """Return whether the reports permit refusals at all.
+
+        Args:
+            is_shedding: Whether new programs are refused already; a single report
+                of an engine that happens to be half empty does not end that.
+        """
+        limit = MIN_OCCUPIED_SHEDDING if is_shedding else MIN_OCCUPIED
+        return self.reports > 0 and (self.occupied >= limit or self.queued > 0)
 
 
 NO_REPORTS = LoadView()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -112,9 +112,11 @@
     def test_reports_that_are_missing_or_void_permit_no_refusal(self) -> None:
         """Guards against refusals by a gateway that knows nothing of the load."""
         for reports in ([], [(FULL, 60.0)], [(EndpointLoad(8, 8, 0), 0.0)]):
-            self.assertFalse(load_view(reports).may_refuse)
-        self.assertFalse(load_view([(EndpointLoad(3, 0, 8), 0.1)]).may_refuse)
-        self.assertTrue(load_view([(FULL, 0.9)]).may_refuse)
+            self.assertFalse(load_view(reports).may_refuse(is_shedding=True))
+        self.assertFalse(
+            load_view([(EndpointLoad(3, 0, 8), 0.1)]).may_refuse(is_shedding=True)
+        )
+        self.assertTrue(load_view([(FULL, 0.9)]).may_refuse(is_shedding=False))
 
     def test_newer_reports_count_more(self) -> None:
         """Guards against refusals by queues that are gone."""
