--- a/src/carobspur/gateway/admission/controller.py
+++ b/src/carobspur/gateway/admission/controller.py
@@ -16,13 +16,17 @@
 """Decrease of the level in a step, as a share of it, for each unit of excess
 pressure."""
 MAX_DECREASE = 0.05
+"""Largest decrease in a step. The damping acts at once; a larger decrease makes the
+level fall far below what is served while queues are worked off."""
 INCREASE = 0.03
-"""Increase of the level in a step without pressure: from 0 to 1 in 3.3 s."""
+"""Increase of the level in a step without pressure, times the square root of the level:
+from 0 to 1 in 6.7 s. A constant increase overshoots where a twentieth is admitted."""
 MIN_LEVEL = 0.005
 """Share of new programs that is always admitted, so that a recovery is noticed."""
-DAMPING = 0.5
 RELIEF = 0.8
 """Pressure below which the level rises."""
+DAMPING = 0.5
+"""Share of the level that each unit of pressure above ``RELIEF`` takes away at once."""
 SHEDDING_BELOW = 0.98
 """Level below which the service counts as shedding."""
 INITIAL_ALLOWED = 1.45
--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -22,7 +22,9 @@
 """Share of the remaining time up to which callers honour ``Retry-After``."""
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 2.0
+"""Bounds of ``Retry-After`` where callers honour them; a burst lasts for seconds."""
 DEFAULT_RETRY_S = 0.5
+"""``Retry-After`` for programs that are not new; about the time of a queue."""
 RETRY_SPREAD_SHARE = 0.3
 """Share of ``Retry-After`` that is random, so that refused callers do not return in a
 burst."""
@@ -39,6 +41,7 @@
 LOOPING_ENGINE_PRIORITY = 9
 MAX_ENGINE_RANK = 2
 FIRST_ENGINE_PRIORITY = 2
+"""Priorities at engines, where 5 is usual. Classes after the third share its levels."""
 MAX_IN_FLIGHT = 4096
 """Turns in progress whose age is observed; more are served, but not observed."""
 
@@ -271,8 +274,11 @@
             share = state.ranking.share(state.controller.level, call.priority)
             wait_s = (position(_name(call)) - share) / RECOVERY_PER_S
         wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        if call.deadline is not None:
-            honoured_s = HONOURED_RETRY_SHARE * max(0.0, call.deadline - now)
+        deadline = call.deadline
+        if deadline is None and call.program is not None:
+            deadline = call.program.deadline
+        if deadline is not None:
+            honoured_s = HONOURED_RETRY_SHARE * max(0.0, deadline - now)
             wait_s = min(wait_s, honoured_s)
         return wait_s * (1 - RETRY_SPREAD_SHARE * self._draw())
 
--- a/src/carobspur/gateway/admission/pressure.py
+++ b/src/carobspur/gateway/admission/pressure.py
@@ -28,7 +28,7 @@
 MIN_STRETCHES = 3
 """Turns from which their median stretch counts; fewer are left to the reports."""
 MIN_OCCUPIED = 0.7
-MIN_OCCUPIED_SHEDDING = 0.6
+MIN_OCCUPIED_SHEDDING = 0.65
 """Reported occupancy below which nothing is refused unless requests wait, and the same
 once new programs are refused. Refusals are a fault below one half; the rest is a margin
 for reports that are out of date."""
@@ -42,8 +42,11 @@
 IN_FLIGHT_WEIGHT = 0.01
 """Weight of the newest sample, one in 0.1 s, in the averages of requests in flight."""
 MIN_SAMPLES = 20
+"""Samples from which these averages count; they take 2 s."""
 IN_FLIGHT_DEVIATIONS = 2.0
 IN_FLIGHT_MARGIN = 1.0
+"""Requests in flight beyond what is usual that prove nothing, in standard deviations of
+a Poisson distribution and as a number."""
 QUEUE_SHARE = 0.6
 """Reported queue, in slots per slot, that uses up the allowed stretch: a turn waits
 that share of the time for which turns run, and half of the rest goes to contention."""
--- a/src/carobspur/gateway/admission/ranking.py
+++ b/src/carobspur/gateway/admission/ranking.py
@@ -13,7 +13,7 @@
 FAST_S = 3.0
 SLOW_S = 30.0
 """Periods over which a customer's present and usual demand are averaged."""
-PSEUDO_COUNT = 1.5
+PSEUDO_COUNT = 0.5
 """Programs added to both averages, so that a few arrivals are not taken for a burst."""
 MAX_EXCESS = 10.0
 MAX_OWN_SHARE = 0.9
