--- a/src/carobspur/gateway/admission/gate.py
+++ b/src/carobspur/gateway/admission/gate.py
@@ -9,6 +9,7 @@
 from ..calls import Call, EndpointLoad
 from ..context import GatewayContext
 from ..customers.customer import Customer
+from ..customers.ownership import program_name
 from ..objectives import Served
 from ..refusals import OverloadedError
 from ..routes import Route, RouteKind
@@ -131,6 +132,7 @@
 
 def _service_of(call: Call, route: Route) -> str:
     """Return the service that a request is sent to."""
-    if route.kind is RouteKind.STREAM and call.program is not None:
-        return route.service_for(call.program.id)
+    if route.kind is RouteKind.STREAM:
+        # The same key as in `stream_calls.py`: the turns of a program stay together.
+        return route.service_for(program_name(call) or call.id)
     return route.service_for(call.id)
--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from ..calls import Call, EndpointLoad
+from ..customers.ownership import program_name, turn_name
 from .controller import ShareController
 from .idle_times import IdleTimes
 from .pressure import NO_REPORTS, InFlightShare, StretchWindow, load_view, pressure
@@ -212,7 +213,7 @@
         if reason:
             retry_s = self._retry_after_s(call, state, stage, now)
             return Decision(reason, stage, level, state.pressure, retry_s)
-        if call.program is not None:
+        if program_name(call):
             self._programs.record_admitted(call, route, is_turn=is_turn, now=now)
         if not is_turn:
             return Decision("", stage, level, state.pressure)
@@ -229,7 +230,7 @@
         is_turn: bool,
         now: float,
     ) -> Stage:
-        if call.program is None or not call.program.id:
+        if not program_name(call):
             return Stage.NEW
         least_s = state.idle.first_s(call.prompt_tokens) if is_turn else 0.0
         return self._programs.stage(
@@ -284,8 +285,8 @@
 
 
 def _name(call: Call) -> str:
-    """Return the id by which a request is ranked: that of its program, if any."""
-    return call.program.id if call.program and call.program.id else call.id
+    """Return the name by which a request is ranked: that of its program, if any."""
+    return program_name(call) or turn_name(call)
 
 
 def _engine_priority(stage: Stage, rank: int) -> int:
--- a/src/carobspur/gateway/admission/programs.py
+++ b/src/carobspur/gateway/admission/programs.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 
 from ..calls import Call
+from ..customers.ownership import program_name
 
 MAX_PROGRAMS = 8192
 """Most programs that are remembered; some hundreds run at a gateway at a time."""
@@ -86,7 +87,7 @@
             now: Loop time.
         """
         program = call.program
-        seen = self._programs.get(program.id)
+        seen = self._programs.get(program_name(call))
         is_known = seen is not None and now - seen.at <= PROGRAM_TTL_S
         has_begun = is_known or not is_turn or self._has_history(call, route)
         if is_turn and program.deadline is not None and not has_begun:
@@ -110,7 +111,7 @@
         self, call: Call, route: str, *, is_turn: bool, now: float
     ) -> None:
         """Remember the program of a request that was admitted."""
-        name = call.program.id
+        name = program_name(call)
         seen = self._programs.get(name)
         if seen is None:
             seen = self._programs[name] = _Seen()
--- a/src/carobspur/gateway/allowances.py
+++ b/src/carobspur/gateway/allowances.py
@@ -15,6 +15,7 @@
 
 from .account_rows import AccountRows
 from .accounts import UNRECORDED_SHARE, Account, ReleasedAccount
+from .customers.ownership import unscoped_name
 from .decisions import DecisionLog
 from .early_settlements import EarlySettlements
 from .partition import partition_timeout_s
@@ -38,6 +39,9 @@
 ``None`` if the holder does not answer or has no report on the account.
 """
 
+Release = Callable[[str, int, int], Awaitable[ReleasedAccount | None]]
+"""Releases an account of this owner; like ``RequestRelease`` without the holder."""
+
 Pull = Callable[[str], Awaitable[MovedAccount | None]]
 """Asks the gateways that may have owned a program's account to hand it over.
 
@@ -53,6 +57,7 @@
         rows: Writes the rows of its accounts.
         early_settlements: Settlements that arrived before their turns.
         released_accounts: Accounts that the owner has released.
+        release: Releases an account of this owner.
         request_release: Asks another gateway to release an account.
         pull: Asks likely former owners for an account while the store does not answer.
         store_state: Returns the state of the store as known to this gateway.
@@ -65,6 +70,7 @@
         "_log",
         "_name",
         "_pull",
+        "_release",
         "_released_accounts",
         "_request_release",
         "_rows",
@@ -77,6 +83,7 @@
         early_settlements: EarlySettlements,
         released_accounts: ReleasedAccounts,
         *,
+        release: Release,
         request_release: RequestRelease,
         pull: Pull,
         store_state: Callable[[], StoreState],
@@ -86,6 +93,7 @@
         self._rows = rows
         self._early_settlements = early_settlements
         self._released_accounts = released_accounts
+        self._release = release
         self._request_release = request_release
         self._pull = pull
         self._store_state = store_state
@@ -225,7 +233,9 @@
             account: Its account here.
             rows: Current rows, as the conflict error lists them.
         """
-        found = next((item for item in rows if item.value is not None), None)
+        found = _find_row(program, rows)
+        if found is None and await self._count_unscoped(program, account, rows):
+            return
         if found is None:
             # The row was removed as unused; the account here remains valid.
             account.version = 0
@@ -254,6 +264,41 @@
         self._early_settlements.settle(account)
         account.allowance = 0
 
+    async def _count_unscoped(
+        self, program: str, account: Account, rows: list[Row]
+    ) -> bool:
+        """Count the row from before the configuration had customers, if found.
+
+        Returns:
+            Whether there is such a row that the account did not count yet.
+        """
+        unscoped = unscoped_name(program)
+        found = _find_row(unscoped, rows) if unscoped else None
+        if found is None:
+            # It may have been removed since; the next write expects none.
+            account.unscoped_version = 0
+            return False
+        if found.version == account.unscoped_version:
+            return False
+        row = msgspec.msgpack.decode(found.value, type=SpendingRow)
+        if row.holder == self._name:
+            # The account of the same program without a scope may still be open here.
+            released = await self._release(unscoped, found.version, row.serial)
+        else:
+            released = await self._ask_former_owner(row, unscoped, found.version)
+        spent = released.spent_with_row(row.tokens) if released else row.tokens
+        account.count_unscoped(spent, found.version)
+        account.is_row_uncertain = False
+        self._log.record(
+            "account_adopted",
+            program=program,
+            holder=row.holder,
+            covered=row.tokens,
+            spent=spent,
+            row_version=found.version,
+        )
+        return True
+
     async def _ask_former_owner(
         self, row: SpendingRow, program: str, version: int
     ) -> ReleasedAccount | None:
@@ -265,6 +310,13 @@
         return await self._request_release(row.holder, program, version, row.serial)
 
 
+def _find_row(program: str, rows: list[Row]) -> Row | None:
+    """Return a program's row if it exists and is listed."""
+    return next(
+        (row for row in rows if row.key.key == program and row.value is not None), None
+    )
+
+
 async def _first_of(*tasks: asyncio.Task, timeout_s: float) -> None:
     """Wait until one of the tasks that still run ends, at most ``timeout_s``."""
     pending = [task for task in tasks if not task.done()]
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import uuid
 from collections.abc import AsyncIterator
@@ -68,6 +69,14 @@
 
 Longer than a feed's wait and one retry.
 """
+KEY_FRESH_S = 2.5
+"""Age of a confirmation of the configuration up to which an unknown API key is refused
+with 401; after that the configuration is read again. Keys added less than 3 s ago
+(``configApplyMs``) may still be unknown, so a confirmation of this age suffices, and
+each further read of the whole configuration costs store traffic at every gateway."""
+KEY_CONFIRM_S = 0.15
+"""Longest wait for that confirmation before the answer is 503: an unknown key must be
+refused well within a quarter of the shortest objective."""
 LEAVE_NOTICE_S = 3.2
 """Time for which a stopping gateway, no longer listed to callers, still accepts them.
 
@@ -106,6 +115,7 @@
         self._settings_path = settings_path
         self._log = log
         self._telemetry = telemetry
+        self._has_refused_configuration = False
         self._pool = ConnectionPool(
             on_open=lambda _: self._telemetry.connections.inc(),
             limits=settings.answers,
@@ -202,6 +212,7 @@
             PlainCallHandler(self._context),
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
+            confirm_configuration=self._confirm_configuration,
             gates=self._create_gates(),
         )
         self._ingress = Ingress(self._call_dispatcher, self._limits)
@@ -354,9 +365,9 @@
         """Return how many seconds after a crash grants of tokens may still be lost."""
         return self._longest_retention_s() + LOSS_WINDOW_MARGIN_S
 
-    def _snapshot(self) -> bytes:
+    def _snapshot(self, after: dict[str, int] | None) -> bytes:
         members = [self._membership.own, *self._membership.others()]
-        return encode_snapshot(self._feeds, members=members)
+        return encode_snapshot(self._feeds, members=members, after=after)
 
     def _record_background_error(self, job: str, error: Exception) -> None:
         self._log.record("background_failed", work=job, reason=repr(error))
@@ -367,8 +378,15 @@
         )
 
     def _bootstrap_peers(self) -> list[str]:
-        peers = [member.peers for member in self._membership.others()]
-        return peers or self._seeds()
+        """Return the peers to load tables from: those of the data centre first.
+
+        The order is random otherwise, so that gateways that start together do not all
+        load from the same peer.
+        """
+        members = list(self._membership.others())
+        random.shuffle(members)
+        members.sort(key=lambda item: item.data_centre != self._context.data_centre)
+        return [member.peers for member in members] or self._seeds()
 
     def _longest_retention_s(self) -> float:
         configuration = self._context.configuration
@@ -400,6 +418,13 @@
         now = asyncio.get_running_loop().time()
         return now - self._feeds["configuration"].confirmed_at < CONFIGURATION_FRESH_S
 
+    async def _confirm_configuration(self) -> bool:
+        """Return whether the configuration in force is known to be the newest."""
+        is_confirmed = await self._feeds["configuration"].confirm(
+            max_age_s=KEY_FRESH_S, timeout_s=KEY_CONFIRM_S
+        )
+        return is_confirmed and not self._has_refused_configuration
+
     def _apply_configuration(self, rows: list[Row], is_full_table: bool) -> None:
         for row in rows:
             if row.key.key != wire_configuration.KEY or row.value is None:
@@ -408,14 +433,20 @@
                 new = wire_configuration.decode_configuration(row.value)
             except wire_configuration.ConfigurationError as error:
                 self._log.record("configuration_refused", reason=error.message)
+                self._has_refused_configuration = True
                 continue
+            self._has_refused_configuration = False
             current = self._context.configuration
             if current is not None and new.version <= current.version:
                 continue
             self._context.configuration = new
             self._ingress.apply_limits()
             self._log.record(
-                "configuration", version=new.version, row_version=row.version
+                "configuration",
+                version=new.version,
+                row_version=row.version,
+                customers=len(new.customers),
+                damaged_customers=new.damaged_customers,
             )
 
     def _drop_endpoint(self, key: str) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,6 +15,7 @@
 from carobspur.gateway.admission.programs import ProgramTracker, Stage
 from carobspur.gateway.admission.ranking import Ranking, position
 from carobspur.gateway.calls import EndpointLoad
+from carobspur.gateway.customers.ownership import program_name
 from carobspur.gateway.endpoints import Endpoint, EndpointIndex
 from carobspur.gateway.health import HealthTracker
 from carobspur.gateway.refusals import OverloadedError
@@ -50,6 +51,13 @@
         self.tracker.record_admitted(call, ROUTE, is_turn=True, now=0.0)
         self.assertIs(Stage.IN_PROGRESS, self._stage(0.5, program="a", left_s=1.5))
 
+    def test_programs_with_the_same_id_of_two_customers_differ(self) -> None:
+        """Guards against a new program that passes as another customer's program."""
+        call = a_turn(program="a", customer="c1")
+        self.tracker.record_admitted(call, ROUTE, is_turn=True, now=0.0)
+        self.assertIs(Stage.IN_PROGRESS, self._stage(program="a", customer="c1"))
+        self.assertIs(Stage.NEW, self._stage(program="a", customer="c2"))
+
     def test_late_and_lost_programs_are_told_apart(self) -> None:
         """Guards against work for programs that can earn nothing any more."""
         self.assertIs(Stage.LOST, self._lost_after(2.1))
@@ -187,8 +195,8 @@
         policy = AdmissionPolicy(lambda _service, _now: [(FULL, 0.0)], lambda: 0.5)
         for tick in range(40):
             policy.service(SERVICE).advance(tick / 10)
-        name = next(f"p{n}" for n in range(99) if position(f"p{n}") > 0.9)
-        call = a_turn(program=name, arrived_at=4.0, left_s=2)
+        calls = (a_turn(program=f"p{n}", arrived_at=4.0, left_s=2) for n in range(99))
+        call = next(item for item in calls if position(program_name(item)) > 0.9)
         call.deadline = 7.0
         refused = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=4.0)
         self.assertEqual("shed", refused.reason)
@@ -198,6 +206,24 @@
 
 
 class ProgramGateTest(unittest.IsolatedAsyncioTestCase):
+    async def test_service_of_a_turn_is_the_one_that_it_is_sent_to(self) -> None:
+        """Guards against decisions by the load of another of the route's services."""
+        asked: list[str] = []
+        endpoints = SimpleNamespace(usable=lambda name: asked.append(name) or [])
+        context = SimpleNamespace(
+            endpoints=endpoints, health=HealthTracker(), telemetry=Telemetry()
+        )
+        services = (WeightedService("a", 0.5), WeightedService("b", 0.5))
+        route = Route(ROUTE, "h", "/", RouteKind.STREAM, services, 5.0, 1.0, 2)
+        expected = []
+        for number in range(20):
+            call = a_turn(f"r{number}", program="p", customer=f"c{number}")
+            expected.append(route.service_for(program_name(call)))
+            gate = ProgramGate(context)
+            await gate.admit(call, route, None)
+        self.assertEqual(expected, asked)
+        self.assertEqual({"a", "b"}, set(asked))
+
     async def test_refusals_are_logged_and_counted_with_their_inputs(self) -> None:
         """Guards against refusals that nobody can explain afterwards."""
         now = asyncio.get_running_loop().time()
