--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -19,6 +19,8 @@
 # Milliseconds that the sender still waits, not a point in time; each hop sends the
 # time that remains.
 DEADLINE_HEADER = "Deadline-Ms"
+# Longest time, 11 days, that is taken for a deadline.
+_MAX_DEADLINE_MS = 1e9
 # Id of the start of the only replica that may run the request.
 TARGET_HEADER = "Target-Instance"
 LAST_EVENT_HEADER = "Last-Event-Id"
@@ -239,9 +241,11 @@
 
 def _decode_deadline(text: str, arrived_at: float) -> float | None:
     try:
-        return arrived_at + float(text) / 1000
+        left_ms = float(text)
     except ValueError:
         return None
+    # ``float`` also accepts "nan" and "inf", with which later arithmetic fails.
+    return arrived_at + left_ms / 1000 if abs(left_ms) <= _MAX_DEADLINE_MS else None
 
 
 def _decode_program(by_name: dict[str, str], arrived_at: float) -> ProgramInfo | None:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -131,6 +131,21 @@
                 self.assertIsNone(PlatformWire().decode(200, load).load)
                 self.assertIsNone(event_number(text))
 
+    def test_deadlines_that_are_not_finite_are_ignored(self) -> None:
+        """Guards against requests that fail because a time has no whole milliseconds.
+
+        The refusal and the log line round the time that is left.
+        """
+        for value in ("nan", "inf", "-inf", "1e300", "1e400"):
+            with self.subTest(value):
+                call = self._call(
+                    ("Deadline-Ms", value),
+                    ("Program-Id", "p"),
+                    ("Program-Deadline-Ms", value),
+                )
+                self.assertIsNone(call.deadline)
+                self.assertIsNone(call.program.deadline)
+
     def test_internal_headers_of_callers_are_not_forwarded(self) -> None:
         call = self._call(
             ("Hold", "h"),
