--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -275,13 +275,15 @@
             share = state.ranking.share(state.controller.level, call.priority)
             wait_s = (position(_name(call)) - share) / RECOVERY_PER_S
         wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        deadline = call.deadline
-        if deadline is None and call.program is not None:
-            deadline = call.program.deadline
-        if deadline is not None:
-            honoured_s = HONOURED_RETRY_SHARE * max(0.0, deadline - now)
-            wait_s = min(wait_s, honoured_s)
-        return wait_s * (1 - RETRY_SPREAD_SHARE * self._draw())
+        stated = [call.deadline, call.program.deadline if call.program else None]
+        # Of a program that is late only the request's own deadline is ahead. A caller
+        # without any should not return at once.
+        ahead = [item for item in stated if item is not None and item > now]
+        if ahead:
+            wait_s = min(wait_s, HONOURED_RETRY_SHARE * (ahead[0] - now))
+        wait_s *= 1 - RETRY_SPREAD_SHARE * self._draw()
+        # Sent with two decimals; rounded up it would exceed what callers honour.
+        return math.floor(100 * wait_s) / 100
 
 
 def _name(call: Call) -> str:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -204,6 +204,22 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def test_retry_after_is_within_a_third_of_the_time_left_and_not_zero(self) -> None:
+        """Guards against callers that give up, and against immediate retries."""
+        policy = AdmissionPolicy(lambda _service, _now: [(FULL, 0.0)], lambda: 0.0)
+        for tick in range(40):
+            policy.service(SERVICE).advance(tick / 10)
+        for left_s, limit_s in ((0.5, 0.5 / 3), (0.2, 0.2 / 3), (-0.1, 1), (-9, 1)):
+            with self.subTest(left_s):
+                for number in range(40):
+                    call = a_turn(program=f"{left_s} {number}", left_s=left_s + 4)
+                    decision = policy.decide(
+                        call, ROUTE, SERVICE, is_turn=True, now=4.0
+                    )
+                    if decision.reason:
+                        sent = float(f"{decision.retry_after_s:.2f}")
+                        self.assertTrue(0 < sent <= limit_s, sent)
+
 
 class ProgramGateTest(unittest.IsolatedAsyncioTestCase):
     async def test_service_of_a_turn_is_the_one_that_it_is_sent_to(self) -> None:
