--- a/src/carobspur/gateway/admission/pressure.py
+++ b/src/carobspur/gateway/admission/pressure.py
@@ -32,13 +32,6 @@
 """Reported occupancy below which nothing is refused unless requests wait, and the same
 once new programs are refused. Refusals are a fault below one half; the rest is a margin
 for reports that are out of date."""
-STRETCH_WINDOW_S = 1.0
-MAX_STRETCHES = 64
-MIN_STRETCHES = 3
-"""Turns from which their median stretch counts; fewer are left to the reports."""
-MIN_OCCUPIED = 0.7
-"""Reported occupancy below which nothing is refused unless requests wait. Refusals are
-a fault below one half; the rest is a margin for reports that are out of date."""
 IN_FLIGHT_WEIGHT = 0.01
 """Weight of the newest sample, one in 0.1 s, in the averages of requests in flight."""
 MIN_SAMPLES = 20
