--- a/src/carobspur/gateway/admission/pressure.py
+++ b/src/carobspur/gateway/admission/pressure.py
@@ -32,6 +32,9 @@
 """Reported occupancy below which nothing is refused unless requests wait, and the same
 once new programs are refused. Refusals are a fault below one half; the rest is a margin
 for reports that are out of date."""
+MAX_QUEUE_SHARE = 2.0
+"""Longest queue of an endpoint that counts, in slots per slot. Such queues everywhere
+exceed every limit; without the bound one false report stands for all endpoints."""
 IN_FLIGHT_WEIGHT = 0.01
 """Weight of the newest sample, one in 0.1 s, in the averages of requests in flight."""
 MIN_SAMPLES = 20
@@ -94,7 +97,7 @@
         weight = math.exp((newest - age) / REPORT_DECAY_S)
         slots += weight * load.slots
         occupied += weight * min(load.running, load.slots)
-        queued += weight * load.waiting
+        queued += weight * min(load.waiting, MAX_QUEUE_SHARE * load.slots)
     return LoadView(len(chosen), is_recent, occupied / slots, queued / slots)
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -126,6 +126,15 @@
         )
         self.assertTrue(load_view([(FULL, 0.9)]).may_refuse(is_shedding=False))
 
+    def test_one_false_report_of_a_queue_causes_no_shedding(self) -> None:
+        """Guards against a service that one misreporting endpoint closes."""
+        false = EndpointLoad(8, 10**6, 8)
+        reports = [(false, 0.0)] + [(EndpointLoad(6, 0, 8), 0.0)] * 22
+        policy = AdmissionPolicy(lambda _service, _now: reports, lambda: 0.5)
+        for tick in range(40):
+            policy.service(SERVICE).advance(tick / 10)
+        self.assertFalse(policy.service(SERVICE).controller.is_shedding)
+
     def test_newer_reports_count_more(self) -> None:
         """Guards against refusals by queues that are gone."""
         empty = EndpointLoad(2, 0, 8)
