--- a/src/carobspur/gateway/admission/programs.py
+++ b/src/carobspur/gateway/admission/programs.py
@@ -28,6 +28,9 @@
 MIN_LOOP_COUNT = 16
 """A program with this many turns or prompt parts, and this many times the usual number,
 loops endlessly."""
+MIN_PARTS_WEIGHT = 0.001
+"""Weight of the newest turn by which the least number of prompt parts rises again, so
+that one turn with unusually few parts does not count for good."""
 
 
 class Stage(StrEnum):
@@ -139,9 +142,11 @@
         if call.program.previous_turn:
             return True
         parts = len(call.prompt_parts)
-        least = self._min_parts.get(route)
-        if least is None or parts < least:
-            self._min_parts[route] = least = float(parts)
+        if not parts:
+            return False
+        least = self._min_parts.get(route, float(parts))
+        least = min(parts, least + MIN_PARTS_WEIGHT * (parts - least))
+        self._min_parts[route] = least
         return parts > least + 1
 
     def _is_looping(self, call: Call, route: str, seen: _Seen | None) -> bool:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -51,6 +51,17 @@
         self.tracker.record_admitted(call, ROUTE, is_turn=True, now=0.0)
         self.assertIs(Stage.IN_PROGRESS, self._stage(0.5, program="a", left_s=1.5))
 
+    def test_a_turn_with_few_prompt_parts_does_not_hide_new_programs(self) -> None:
+        """Guards against one odd request that ends admission control of a route."""
+        self.assertIs(Stage.NEW, self._stage(program="a", parts=3))
+        self.assertIs(Stage.NEW, self._stage(program="odd", parts=0))
+        self.assertIs(Stage.NEW, self._stage(program="b", parts=3))
+        self.assertIs(Stage.NEW, self._stage(program="odd", parts=1))
+        for number in range(1000):
+            self._stage(program=f"c{number}", parts=3 + number % 5)
+        self.assertIs(Stage.NEW, self._stage(program="d", parts=3))
+        self.assertIs(Stage.IN_PROGRESS, self._stage(program="e", parts=5))
+
     def test_programs_with_the_same_id_of_two_customers_differ(self) -> None:
         """Guards against a new program that passes as another customer's program."""
         call = a_turn(program="a", customer="c1")
