--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -206,9 +206,11 @@
         stage = self._stage(call, route, state, is_turn=is_turn, now=now)
         if is_turn and stage in (Stage.IN_PROGRESS, Stage.LATE):
             state.controller.record_turn(is_late=stage is Stage.LATE)
+        reason = self._refusal(call, state, stage, is_turn=is_turn, now=now)
         if stage is Stage.NEW:
+            # Counted before the decision, the program itself would be taken for growth
+            # of a customer that rarely sends any.
             state.ranking.record_new(call.customer or "", now)
-        reason = self._refusal(call, state, stage, is_turn=is_turn, now=now)
         level = state.controller.level
         if reason:
             retry_s = self._retry_after_s(call, state, stage, now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 from types import SimpleNamespace
 
 from carobspur.gateway.admission.controller import MIN_LEVEL, ShareController
@@ -224,6 +225,29 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def test_small_customers_are_admitted_as_often_as_a_large_one(self) -> None:
+        """Guards against programs of small customers that count as bursts."""
+        policy, source = AdmissionPolicy(lambda *_: [], lambda: 0.5), random.Random(5)
+        state = policy.service(SERVICE)
+        state.view = load_view([(FULL, 0.0)])
+        state.controller = SimpleNamespace(
+            level=0.4, is_shedding=True, is_due=lambda _now: False
+        )
+        begun, admitted = Counter(), Counter()
+        now = 0.0
+        for number in range(3000):
+            now += source.expovariate(1.0)
+            small = source.random() < 0.7
+            customer = f"s{source.randrange(79)}" if small else "large"
+            call = a_turn(program=f"p{number}", arrived_at=now, customer=customer)
+            decision = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=now)
+            begun[small] += 1
+            admitted[small] += not decision.reason
+        large_share = admitted[False] / begun[False]
+        small_share = admitted[True] / begun[True]
+        self.assertGreater(small_share, 0.85 * large_share)
+        self.assertAlmostEqual(0.4, small_share, delta=0.05)
+
     def test_retry_after_is_within_a_third_of_the_time_left_and_not_zero(self) -> None:
         """Guards against callers that give up, and against immediate retries."""
         policy = AdmissionPolicy(lambda _service, _now: [(FULL, 0.0)], lambda: 0.0)
