--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -289,8 +289,12 @@
 
 
 def _name(call: Call) -> str:
-    """Return the name by which a request is ranked: that of its program, if any."""
-    return program_name(call) or turn_name(call)
+    """Return the name by which a request is ranked: that of its program, if any.
+
+    Requests without any id are ranked by their arrival; with one name for all of them
+    either all or none would be refused.
+    """
+    return program_name(call) or turn_name(call) or str(call.arrived_at)
 
 
 def _engine_priority(stage: Stage, rank: int) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -225,6 +225,24 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def test_requests_without_any_id_are_not_all_refused(self) -> None:
+        """Guards against callers that state no id and are starved."""
+        policy = AdmissionPolicy(lambda *_: [], lambda: 0.5)
+        state = policy.service(SERVICE)
+        state.view = load_view([(FULL, 0.0)])
+        state.controller = SimpleNamespace(
+            level=0.4, is_shedding=True, is_due=lambda _now: False
+        )
+        admitted = 0
+        for number in range(200):
+            call = a_turn("", arrived_at=number / 10)
+            call.program = None
+            decision = policy.decide(
+                call, ROUTE, SERVICE, is_turn=True, now=number / 10
+            )
+            admitted += not decision.reason
+        self.assertAlmostEqual(0.4, admitted / 200, delta=0.1)
+
     def test_small_customers_are_admitted_as_often_as_a_large_one(self) -> None:
         """Guards against programs of small customers that count as bursts."""
         policy, source = AdmissionPolicy(lambda *_: [], lambda: 0.5), random.Random(5)
