--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -95,7 +95,8 @@
         self._reports = reports
         self._stretches = StretchWindow()
         self._own_share = InFlightShare()
-        self._in_flight: dict[str, tuple[float, float]] = {}
+        # By the identity of the call: callers may repeat request ids or state none.
+        self._in_flight: dict[int, tuple[float, float]] = {}
         self.controller = ShareController()
         self.idle = IdleTimes()
         self.ranking = Ranking()
@@ -103,6 +104,11 @@
         self.pressure = 0.0
         self._next_probe_at = 0.0
 
+    @property
+    def in_flight(self) -> int:
+        """Number of turns that this gateway has sent and that have not ended."""
+        return len(self._in_flight)
+
     def advance(self, now: float) -> None:
         """Take the controller's next step if it is due."""
         controller = self.controller
@@ -116,7 +122,7 @@
             if now - began_at > allowed * idle_s
         ]
         stretch = self._stretches.median(overdue, now)
-        own = len(self._in_flight)
+        own = self.in_flight
         self._own_share.record(own, self.view)
         queued = max(self.view.queued, self._own_share.queued(own))
         self.pressure = pressure(stretch, queued, allowed)
@@ -141,11 +147,11 @@
         if len(self._in_flight) < MAX_IN_FLIGHT:
             known = self.idle.is_known
             idle_s = self.idle.turn_s(call.prompt_tokens) if known else math.inf
-            self._in_flight[call.id] = now, idle_s
+            self._in_flight[id(call)] = now, idle_s
 
     def end(self, call: Call) -> None:
         """Record that a turn has ended or failed."""
-        self._in_flight.pop(call.id, None)
+        self._in_flight.pop(id(call), None)
 
     def record_turn(
         self,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -225,6 +225,18 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def test_turns_with_the_same_request_id_are_told_apart(self) -> None:
+        """Guards against a flood that is not seen as its requests share one id."""
+        policy = AdmissionPolicy(lambda *_: [], lambda: 0.5)
+        calls = [a_turn("r", customer=f"c{number}") for number in range(3)]
+        for call in calls:
+            policy.decide(call, ROUTE, SERVICE, is_turn=True, now=0.0)
+        state = policy.service(SERVICE)
+        self.assertEqual(3, state.in_flight)
+        for call in calls:
+            state.end(call)
+        self.assertEqual(0, state.in_flight)
+
     def test_requests_without_any_id_are_not_all_refused(self) -> None:
         """Guards against callers that state no id and are starved."""
         policy = AdmissionPolicy(lambda *_: [], lambda: 0.5)
