--- a/src/carobspur/gateway/admission/ranking.py
+++ b/src/carobspur/gateway/admission/ranking.py
@@ -20,9 +20,9 @@
 """A customer with a larger share of the demand has no others to compare it with."""
 MAX_CUSTOMERS = 4096
 MAX_CLASSES = 8
-FLOOR_SHARE = 0.35
-"""Least admitted share of a class relative to that of all. The bound on starvation is
-a quarter."""
+FLOOR_SHARE = 0.28
+"""Least admitted share of a class or customer relative to that of the most urgent
+class, and so to that of all. The bound on starvation is a quarter."""
 
 
 def position(program: str) -> float:
@@ -39,7 +39,12 @@
         classes: Number of classes.
     """
     share = min(1.0, max(0.0, level * classes - rank))
-    return max(share, FLOOR_SHARE * level)
+    return max(share, floor_share(level, classes))
+
+
+def floor_share(level: float, classes: int) -> float:
+    """Return the admitted share that no class and no customer falls below."""
+    return FLOOR_SHARE * min(1.0, level * classes)
 
 
 class _Demand:
@@ -141,4 +146,5 @@
         share = self.share(level, priority)
         if share >= 1:
             return True
-        return position(program) * self.excess(customer, now) < share
+        floor = floor_share(level, len(self._classes))
+        return position(program) < max(floor, share / self.excess(customer, now))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -103,6 +103,37 @@
                 self.assertGreater(other, (urgent + other) / 2 / 4)
         self.assertEqual(1.0, ranking.share(0.5, 0))
 
+    def test_no_class_or_customer_falls_below_a_quarter_of_all(self) -> None:
+        """Guards against a burst, or a class of few programs, that is starved.
+
+        Urgent programs are three quarters of the load in the deployments, and a
+        customer's programs may all be of the least urgent class.
+        """
+        now = 30.0
+        for level in (0.9, 0.5, 0.3, 0.1):
+            ranking = Ranking()
+            for priority in (0, 1):
+                ranking.rank(priority)
+            for tick in range(300):
+                for _ in range(10):
+                    ranking.record_new("steady", tick / 10)
+                for _ in range(10 if tick >= 270 else tick % 5 == 0):
+                    ranking.record_new("burst", tick / 10)
+
+            def admitted(customer, priority, ranking=ranking, level=level) -> float:
+                programs = (f"p{number}" for number in range(4000))
+                return sum(
+                    ranking.is_admitted(program, customer, priority, level, now)
+                    for program in programs
+                )
+
+            urgent, other = admitted("steady", 0), admitted("steady", 1)
+            every = 0.74 * urgent + 0.26 * other
+            with self.subTest(level):
+                self.assertGreater(other, every / 4)
+                self.assertGreater(admitted("burst", 0), every / 4)
+                self.assertGreater(admitted("burst", 1), every / 4)
+
     def test_gateways_agree_and_retries_change_nothing(self) -> None:
         """Guards against callers that get in by trying at another gateway."""
         admitted = {
