--- a/src/carobspur/gateway/admission/programs.py
+++ b/src/carobspur/gateway/admission/programs.py
@@ -10,6 +10,8 @@
 from collections import OrderedDict
 from enum import StrEnum
 
+import xxhash
+
 from ..calls import Call
 from ..customers.ownership import program_name
 
@@ -53,13 +55,18 @@
         self.turns = 0
 
 
+def _key(call: Call) -> int:
+    """Return the key of a program; a digest, as callers may choose ids of 64 kB."""
+    return xxhash.xxh64_intdigest(program_name(call))
+
+
 class ProgramTracker:
     """Programs that one gateway has admitted, and what is usual on each route."""
 
     __slots__ = ("_counted", "_longest_s", "_min_parts", "_programs", "_usual_count")
 
     def __init__(self) -> None:
-        self._programs: OrderedDict[str, _Seen] = OrderedDict()
+        self._programs: OrderedDict[int, _Seen] = OrderedDict()
         self._longest_s: dict[str, float] = {}
         self._min_parts: dict[str, float] = {}
         self._usual_count: dict[str, float] = {}
@@ -90,7 +97,7 @@
             now: Loop time.
         """
         program = call.program
-        seen = self._programs.get(program_name(call))
+        seen = self._programs.get(_key(call))
         is_known = seen is not None and now - seen.at <= PROGRAM_TTL_S
         has_begun = is_known or not is_turn or self._has_history(call, route)
         if is_turn and program.deadline is not None and not has_begun:
@@ -114,13 +121,13 @@
         self, call: Call, route: str, *, is_turn: bool, now: float
     ) -> None:
         """Remember the program of a request that was admitted."""
-        name = program_name(call)
-        seen = self._programs.get(name)
+        key = _key(call)
+        seen = self._programs.get(key)
         if seen is None:
-            seen = self._programs[name] = _Seen()
+            seen = self._programs[key] = _Seen()
             if len(self._programs) > MAX_PROGRAMS:
                 self._programs.popitem(last=False)
-        self._programs.move_to_end(name)
+        self._programs.move_to_end(key)
         seen.at = now
         if is_turn:
             seen.turns += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import tracemalloc
 import unittest
 from collections import Counter
 from types import SimpleNamespace
@@ -63,6 +64,19 @@
         self.assertIs(Stage.NEW, self._stage(program="d", parts=3))
         self.assertIs(Stage.IN_PROGRESS, self._stage(program="e", parts=5))
 
+    def test_memory_does_not_grow_with_the_length_of_program_ids(self) -> None:
+        """Guards against callers whose long ids fill the memory of a gateway."""
+        tracemalloc.start()
+        try:
+            for number in range(100):
+                call = a_turn(program=f"{number:060000}")
+                call.customer = None
+                self.tracker.record_admitted(call, ROUTE, is_turn=True, now=0.0)
+            del call
+            self.assertLess(tracemalloc.get_traced_memory()[0], 1_000_000)
+        finally:
+            tracemalloc.stop()
+
     def test_programs_with_the_same_id_of_two_customers_differ(self) -> None:
         """Guards against a new program that passes as another customer's program."""
         call = a_turn(program="a", customer="c1")
