--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -268,7 +268,7 @@
             case Stage.LATE if is_turn:
                 share = LATE_PRESSURE / max(state.pressure, LATE_PRESSURE)
                 return "late" if position(_name(call)) >= share else ""
-            case Stage.NEW if not state.ranking.is_admitted(
+            case Stage.NEW if is_turn and not state.ranking.is_admitted(
                 _name(call), call.customer or "", call.priority, controller.level, now
             ):
                 return "shed"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -270,6 +270,17 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def test_plain_calls_without_a_program_are_not_shed(self) -> None:
+        """Guards against calls without an objective refused for a short queue."""
+        policy = AdmissionPolicy(lambda *_: [(FULL, 0.0)], lambda: 0.5)
+        for number in range(100):
+            call = a_turn(f"r{number}", arrived_at=number / 10)
+            call.program = None
+            decision = policy.decide(
+                call, "tool", SERVICE, is_turn=False, now=number / 10
+            )
+            self.assertEqual("", decision.reason)
+
     def test_turns_with_the_same_request_id_are_told_apart(self) -> None:
         """Guards against a flood that is not seen as its requests share one id."""
         policy = AdmissionPolicy(lambda *_: [], lambda: 0.5)
