--- a/src/carobspur/gateway/admission/gate.py
+++ b/src/carobspur/gateway/admission/gate.py
@@ -52,6 +52,10 @@
         if route.kind is RouteKind.STREAM:
             self._policy.service(_service_of(call, route)).end(call)
 
+    def in_flight(self, service: str) -> int:
+        """Return the number of turns that were admitted and have not ended."""
+        return self._policy.service(service).in_flight
+
     def observe_turn(
         self, call: Call, service: str, first_s: float, gap_s: float, events: int
     ) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -270,6 +270,53 @@
         passed = policy.decide(call, "tool", SERVICE, is_turn=False, now=4.0)
         self.assertEqual("", passed.reason)
 
+    def _shedding_policy(self, age_s: float = 0.0) -> AdmissionPolicy:
+        """Return a policy under full load at time 4; its reports then have an age."""
+        ages = [0.0]
+        policy = AdmissionPolicy(lambda *_: [(FULL, ages[0])], lambda: 0.5)
+        for tick in range(40):
+            policy.service(SERVICE).advance(tick / 10)
+        ages[0] = age_s
+        return policy
+
+    def test_looping_programs_are_refused_while_new_ones_are(self) -> None:
+        """Guards against programs in an endless loop that outlast all others."""
+        policy = self._shedding_policy()
+        for number in range(60):
+            call = a_turn(program=f"p{number}", previous="t", arrived_at=4, parts=3)
+            decision = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=4.0)
+            self.assertEqual("", decision.reason)
+        call = a_turn(program="x", previous="t", arrived_at=4, parts=40)
+        decision = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=4.0)
+        self.assertEqual("looping", decision.reason)
+
+    def test_most_late_programs_are_refused_under_high_pressure(self) -> None:
+        """Guards against queues of programs that cannot end on time."""
+        policy = self._shedding_policy()
+        call = a_turn(program="first", arrived_at=4.0, left_s=9)
+        policy.decide(call, ROUTE, SERVICE, is_turn=True, now=4.0)
+        reasons = Counter()
+        for number in range(100):
+            call = a_turn(
+                program=f"p{number}", previous="t", arrived_at=4.0, left_s=-0.1
+            )
+            decision = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=4.0)
+            reasons[decision.reason] += 1
+        self.assertEqual({"", "late"}, set(reasons))
+        self.assertGreater(reasons["late"], 50)
+
+    def test_one_request_at_a_time_passes_to_renew_reports(self) -> None:
+        """Guards against a gateway that refuses all and learns of no recovery."""
+        policy = self._shedding_policy(age_s=2.0)
+        admitted = 0
+        for number in range(100):
+            now = 4.0 + number / 100
+            call = a_turn(program=f"p{number}", arrived_at=now)
+            admitted += not policy.decide(
+                call, ROUTE, SERVICE, is_turn=True, now=now
+            ).reason
+        self.assertTrue(3 <= admitted <= 6, admitted)
+
     def test_plain_calls_without_a_program_are_not_shed(self) -> None:
         """Guards against calls without an objective refused for a short queue."""
         policy = AdmissionPolicy(lambda *_: [(FULL, 0.0)], lambda: 0.5)
@@ -352,6 +399,20 @@
 
 
 class ProgramGateTest(unittest.IsolatedAsyncioTestCase):
+    async def test_turns_that_ended_are_not_counted_in_flight(self) -> None:
+        """Guards against turns that failed and count as overdue for good."""
+        context = SimpleNamespace(
+            endpoints=EndpointIndex(), health=HealthTracker(), telemetry=Telemetry()
+        )
+        gate = ProgramGate(context)
+        services = (WeightedService(SERVICE, 1.0),)
+        route = Route(ROUTE, "h", "/", RouteKind.STREAM, services, 5.0, 1.0, 2)
+        call = a_turn()
+        await gate.admit(call, route, None)
+        self.assertEqual(1, gate.in_flight(SERVICE))
+        gate.finished(call, route, None)
+        self.assertEqual(0, gate.in_flight(SERVICE))
+
     async def test_service_of_a_turn_is_the_one_that_it_is_sent_to(self) -> None:
         """Guards against decisions by the load of another of the route's services."""
         asked: list[str] = []
