--- a/src/carobspur/gateway/admission/policy.py
+++ b/src/carobspur/gateway/admission/policy.py
@@ -32,9 +32,9 @@
 RECOVERY_PER_S = 0.25
 """Growth of the level that is expected when a program's turn comes is estimated."""
 LATE_PRESSURE = 0.5
-"""Pressure from which a share of the late programs is refused. Served behind all others
-they are a queue that keeps new programs out; refused, they may return in time for the
-smaller credit."""
+"""Pressure from which a share of the late programs is refused, if new ones are refused
+too. Served behind all others they are a queue that keeps new programs out; refused,
+they may return in time for the smaller credit."""
 PROBE_INTERVAL_S = 0.3
 """Interval of the requests that are admitted while no report is recent; about the time
 of the turn that brings one."""
@@ -265,7 +265,7 @@
                 return "lost"
             case Stage.LOOPING | Stage.EXPIRED if controller.is_shedding:
                 return stage.value
-            case Stage.LATE if is_turn:
+            case Stage.LATE if is_turn and controller.is_shedding:
                 share = LATE_PRESSURE / max(state.pressure, LATE_PRESSURE)
                 return "late" if position(_name(call)) >= share else ""
             case Stage.NEW if is_turn and not state.ranking.is_admitted(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -28,6 +28,7 @@
 from .turn_requests import a_turn
 
 FULL = EndpointLoad(8, 16, 8)
+BUSY = EndpointLoad(7, 0, 8)
 ROUTE = "urgent"
 
 
@@ -305,6 +306,24 @@
         self.assertEqual({"", "late"}, set(reasons))
         self.assertGreater(reasons["late"], 50)
 
+    def test_no_late_program_is_refused_while_all_new_ones_are_admitted(self) -> None:
+        """Guards against new programs that take precedence over late ones."""
+        queue = EndpointLoad(8, 1, 8)
+        reports = [(queue, 0.0)] * 3 + [(BUSY, 0.0)]
+        policy = AdmissionPolicy(lambda *_: reports, lambda: 0.5)
+        state = policy.service(SERVICE)
+        call = a_turn(program="first", left_s=9)
+        policy.decide(call, ROUTE, SERVICE, is_turn=True, now=0.0)
+        for number in range(100):
+            now = number / 10
+            call = a_turn(
+                program=f"p{number}", previous="t", arrived_at=now, left_s=-0.1
+            )
+            decision = policy.decide(call, ROUTE, SERVICE, is_turn=True, now=now)
+            self.assertFalse(state.controller.is_shedding)
+            self.assertLess(state.pressure, 0.8)
+            self.assertEqual("", decision.reason)
+
     def test_one_request_at_a_time_passes_to_renew_reports(self) -> None:
         """Guards against a gateway that refuses all and learns of no recovery."""
         policy = self._shedding_policy(age_s=2.0)
