--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -201,18 +201,21 @@
         """Remove a replica's registry entry."""
         self.store.put("servers", replica.id, None)
 
-    def start_gateway(self, *, seeds: list[int] | None = None) -> GatewayHandle:
+    def start_gateway(
+        self, *, seeds: list[int] | None = None, sections: str = ""
+    ) -> GatewayHandle:
         """Start one more gateway.
 
         Args:
             seeds: Ports at which peers listen, for the settings.
+            sections: Further sections of the settings.
         """
         ports = gateway_ports()
         name = f"gateway-{next(_ids)}"
         store_port = self.store.listen(HOST)
         handle = GatewayHandle(name, ports, store_port)
         settings = GatewaySettings.parse(
-            settings_text(store_port, ports, name=name, seeds=seeds)
+            settings_text(store_port, ports, name=name, seeds=seeds) + sections
         )
         log = _CollectingLog(handle.lines)
         gateway = Gateway(settings, "/nonexistent", log, Telemetry())
@@ -319,7 +322,12 @@
 
 @asynccontextmanager
 async def world(
-    *, gateways: int = 1, engines: int = 1, tools: int = 1, events: int = 4
+    *,
+    gateways: int = 1,
+    engines: int = 1,
+    tools: int = 1,
+    events: int = 4,
+    sections: str = "",
 ) -> AsyncIterator[World]:
     """Run a deployment, ready to serve, until the context ends."""
     freeze_heap()
@@ -334,7 +342,7 @@
         for _ in range(tools):
             await made.add_replica(TOOLS)
         for _ in range(gateways):
-            made.start_gateway()
+            made.start_gateway(sections=sections)
         try:
             await made.until_ready()
             yield made
