--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -17,6 +17,8 @@
 SECTIONS_WITH_ZEROS = ("rate_limits",)
 """Sections in which a number may be 0: a platform may permit no tolerance."""
 
+ADMISSION_POLICIES = ("programs",)
+
 
 @dataclass(frozen=True, slots=True)
 class InstanceSettings:
@@ -101,6 +103,17 @@
     policy: str = "predicted_time"
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Section ``[admission]``: whether requests are refused under overload.
+
+    Attributes:
+        policy: Name of the policy, one of ``ADMISSION_POLICIES``; empty for none.
+    """
+
+    policy: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """All settings of a gateway, one attribute for each section of the file."""
@@ -112,6 +125,7 @@
     placement: PlacementSettings
     answers: AnswerLimits
     rate_limits: RateLimitTolerance
+    admission: AdmissionSettings
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -158,6 +172,7 @@
             "placement": PlacementSettings,
             "answers": AnswerLimits,
             "rate_limits": RateLimitTolerance,
+            "admission": AdmissionSettings,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
@@ -170,6 +185,12 @@
             errors.append(
                 f"[placement] policy: {policy!r} is none of {', '.join(known_policies)}"
             )
+        admission = parser.get("admission", "policy", fallback="")
+        if admission and admission not in ADMISSION_POLICIES:
+            errors.append(
+                f"[admission] policy: {admission!r} is none of "
+                + ", ".join(ADMISSION_POLICIES)
+            )
         if errors:
             raise SettingsError(f"{name}: " + "; ".join(errors))
         return cls(**values)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -16,6 +16,7 @@
 from ..errors import SettingsError
 from ..gateway.account_rows import TABLE as SPENDING_TABLE
 from ..gateway.accounts import ReleasedAccount
+from ..gateway.admission.gate import ProgramGate
 from ..gateway.call_dispatcher import CallDispatcher
 from ..gateway.context import GatewayContext
 from ..gateway.customers.rate_limit_gate import RateLimitGate
@@ -23,6 +24,7 @@
 from ..gateway.endpoint_client import EndpointClient
 from ..gateway.endpoints import Endpoint, EndpointIndex
 from ..gateway.feed import TableFeed
+from ..gateway.gates import RequestGate
 from ..gateway.health import HealthTracker
 from ..gateway.heartbeats_udp import HeartbeatSender
 from ..gateway.host_port import split_address
@@ -229,7 +231,7 @@
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
             confirm_configuration=self._confirm_configuration,
-            gates=(self._rate_limits,),
+            gates=(self._rate_limits, *self._create_gates()),
         )
         self._ingress = Ingress(self._call_dispatcher, self._limits)
         reporter = LoadReporter(
@@ -314,6 +316,14 @@
         await self._context.wait_for_tasks(max(0.0, end - loop.time()))
         self._log.record("stopped", in_flight=self._call_dispatcher.in_flight)
 
+    def _create_gates(self) -> list[RequestGate]:
+        """Return the decisions that requests pass before they are served."""
+        if not self._settings.admission.policy:
+            return []
+        gate = ProgramGate(self._context)
+        self._context.observe_turn = gate.observe_turn
+        return [gate]
+
     def _create_own_member(self) -> Member:
         settings = self._settings
         return Member(
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -208,21 +208,25 @@
         self.store.put("servers", replica.id, None)
 
     def start_gateway(
-        self, *, seeds: list[int] | None = None, policy: str = "predicted_time"
+        self,
+        *,
+        seeds: list[int] | None = None,
+        policy: str = "predicted_time",
+        sections: str = "",
     ) -> GatewayHandle:
         """Start one more gateway.
 
         Args:
             seeds: Ports at which peers listen, for the settings.
             policy: Name of its placement plug-in.
+            sections: Further sections of the settings.
         """
         ports = gateway_ports()
         name = f"gateway-{next(_ids)}"
         store_port = self.store.listen(HOST)
         handle = GatewayHandle(name, ports, store_port)
-        settings = GatewaySettings.parse(
-            settings_text(store_port, ports, name=name, seeds=seeds, policy=policy)
-        )
+        text = settings_text(store_port, ports, name=name, seeds=seeds, policy=policy)
+        settings = GatewaySettings.parse(text + sections)
         log = _CollectingLog(handle.lines)
         gateway = Gateway(settings, "/nonexistent", log, Telemetry())
         handle.task = asyncio.ensure_future(
@@ -328,7 +332,12 @@
 
 @asynccontextmanager
 async def world(
-    *, gateways: int = 1, engines: int = 1, tools: int = 1, events: int = 4
+    *,
+    gateways: int = 1,
+    engines: int = 1,
+    tools: int = 1,
+    events: int = 4,
+    sections: str = "",
 ) -> AsyncIterator[World]:
     """Run a deployment, ready to serve, until the context ends."""
     freeze_heap()
@@ -343,7 +352,7 @@
         for _ in range(tools):
             await made.add_replica(TOOLS)
         for _ in range(gateways):
-            made.start_gateway()
+            made.start_gateway(sections=sections)
         try:
             await made.until_ready()
             yield made
