--- a/experiments/fault_soak/deployment.py
+++ b/experiments/fault_soak/deployment.py
@@ -109,8 +109,13 @@
         self.processes: list[GatewayProcess] = []
         self.versions = itertools.count(2)
 
-    async def add_process(self, number: int) -> GatewayProcess:
-        """Start one more gateway, with the earlier ones as its seeds."""
+    async def add_process(self, number: int, *, sections: str = "") -> GatewayProcess:
+        """Start one more gateway, with the earlier ones as its seeds.
+
+        Args:
+            number: Number of the gateway.
+            sections: Further sections of its settings file.
+        """
         store_port = self.store.listen(HOST)
         proxy = Proxy(store_port, host=HOST)
         proxy_port = await proxy.listen()
@@ -118,7 +123,8 @@
         seeds = [item.ports["peers"] for item in self.processes]
         name = f"g{number}"
         settings = self.folder / f"{name}.ini"
-        settings.write_text(settings_text(proxy_port, ports, name=name, seeds=seeds))
+        text = settings_text(proxy_port, ports, name=name, seeds=seeds)
+        settings.write_text(text + sections)
         gateway = GatewayProcess(
             name, ports, settings, proxy, self.folder / f"{name}.log"
         )
