--- a/src/carobspur/gateway/answer_limits.py
+++ b/src/carobspur/gateway/answer_limits.py
@@ -47,29 +47,28 @@
 
     Args:
         limits: Limits of one answer and of all together.
+
+    Attributes:
+        total_bytes: Bytes of all answers that are being buffered.
     """
 
-    __slots__ = ("_sizes", "_limits")
+    __slots__ = ("_limits", "_sizes", "total_bytes")
 
     def __init__(self, limits: AnswerLimits) -> None:
         self._limits = limits
         self._sizes: dict[object, int] = {}
+        self.total_bytes = 0
 
     def __repr__(self) -> str:
         return f"BufferedAnswers({len(self._sizes)} answers, {self.total_bytes} bytes)"
 
-    @property
-    def total_bytes(self) -> int:
-        """Bytes of all answers that are being buffered."""
-        return sum(self._sizes.values())
-
     def add(self, answer: object) -> None:
         """Start accounting for an answer."""
         self._sizes[answer] = 0
 
     def remove(self, answer: object) -> None:
         """Stop accounting for an answer."""
-        del self._sizes[answer]
+        self.total_bytes -= self._sizes.pop(answer)
 
     def update(self, answer: object, size: int) -> str:
         """Set the size of an answer so far, and check the limits.
@@ -84,6 +83,7 @@
         Returns:
             Why the answer must be aborted; empty if it may continue.
         """
+        self.total_bytes += size - self._sizes[answer]
         self._sizes[answer] = size
         if size > self._limits.answer_bytes:
             return f"the answer has over {self._limits.answer_bytes} bytes"
--- a/src/carobspur/gateway/endpoint_client.py
+++ b/src/carobspur/gateway/endpoint_client.py
@@ -156,6 +156,11 @@
         self._health = health
         self._telemetry = telemetry
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of all answers that are being buffered completely."""
+        return self._buffered.total_bytes
+
     @asynccontextmanager
     async def exchange(
         self,
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -110,6 +110,12 @@
     status = 0
 
 
+class CallerTooSlowError(CallerDisconnectedError):
+    """The caller does not read its answer, so its connection is closed."""
+
+    cause = "caller_slow"
+
+
 def refusal_headers(error: CarobspurError) -> list[tuple[str, str]]:
     """Return ``Retry-After`` for a refusal whose request has not run; else nothing."""
     if isinstance(error.verdict, NotRun) and error.retry_after_s is not None:
--- a/src/carobspur/gateway/routes.py
+++ b/src/carobspur/gateway/routes.py
@@ -136,12 +136,14 @@
         max_header_bytes: Largest size of a request's head.
         max_body_bytes: Largest size of a request's body.
         idle_timeout_s: Longest time that a connection may be idle between requests,
-            and longest time for reading a head.
+            until the end of the next head.
+        header_timeout_s: Longest time from the first byte of a head to its end.
     """
 
     max_header_bytes: int = 65536
     max_body_bytes: int = 4 * 1024 * 1024
     idle_timeout_s: float = 60.0
+    header_timeout_s: float = 60.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -11,6 +11,7 @@
 from ..plugin_registry import PluginKind, load_plugins, plugin_names
 from .answer_limits import AnswerLimits
 from .host_port import split_address
+from .memory.settings import MemorySettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,7 @@
     times: TimeSettings
     placement: PlacementSettings
     answers: AnswerLimits
+    memory: MemorySettings
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -151,11 +153,14 @@
             "times": TimeSettings,
             "placement": PlacementSettings,
             "answers": AnswerLimits,
+            "memory": MemorySettings,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
             for section, kind in sections.items()
         }
+        if values["memory"] is not None:
+            errors += [f"[memory] {error}" for error in values["memory"].errors()]
         policy = parser.get("placement", "policy", fallback="")
         load_plugins(PluginKind.PLACEMENT)
         known_policies = plugin_names(PluginKind.PLACEMENT)
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -90,3 +90,19 @@
             "Log lines dropped because nobody read standard output.",
             registry=self.registry,
         )
+        self.limits_reached = Counter(
+            "carobspur_limits_reached",
+            "Callers refused or disconnected by the bound that was reached.",
+            ["bound"],
+            registry=self.registry,
+        )
+        self.buffered_bytes = Gauge(
+            "carobspur_buffered_bytes",
+            "Bytes buffered for callers and endpoints.",
+            registry=self.registry,
+        )
+        self.caller_connections = Gauge(
+            "carobspur_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
--- a/src/carobspur/gateway/turn_store.py
+++ b/src/carobspur/gateway/turn_store.py
@@ -18,12 +18,11 @@
 
 from ..errors import NotFoundError
 from ._futures import cancelled_at_exit
+from .memory.settings import MAX_HISTORY_BYTES
 from .row_sweep import CLOCK_MARGIN_S, row_lifetime_s
 from .rows import RowKey
 from .turn_rows import TurnRows
 
-MAX_CACHED_BYTES = 16 * 1024 * 1024
-"""Largest size of the cache of histories: a tenth of the smallest instance's memory."""
 MAX_TEXT_SHARE = 0.7
 """Share of a row's largest size that its text may fill: base64 makes the text a third
 longer."""
@@ -83,12 +82,26 @@
     Args:
         rows: Rows of turns in the row store.
         row_bytes: Largest size of a row's value.
+        cache_bytes: Largest size of the cache of histories.
     """
 
-    __slots__ = ("_cache", "_cached_bytes", "_max_text_bytes", "_rows")
+    __slots__ = (
+        "_cache",
+        "_cache_bytes",
+        "_cached_bytes",
+        "_max_text_bytes",
+        "_rows",
+    )
 
-    def __init__(self, rows: TurnRows, *, row_bytes: int) -> None:
+    def __init__(
+        self,
+        rows: TurnRows,
+        *,
+        row_bytes: int,
+        cache_bytes: int = MAX_HISTORY_BYTES,
+    ) -> None:
         self._rows = rows
+        self._cache_bytes = cache_bytes
         self._max_text_bytes = int(row_bytes * MAX_TEXT_SHARE)
         self._cache: OrderedDict[str, History] = OrderedDict()
         self._cached_bytes = 0
@@ -215,6 +228,6 @@
             return
         self._cache[history.turn] = history
         self._cached_bytes += len(history.text)
-        while self._cached_bytes > MAX_CACHED_BYTES:
+        while self._cached_bytes > self._cache_bytes:
             _, oldest = self._cache.popitem(last=False)
             self._cached_bytes -= len(oldest.text)
--- a/src/carobspur/platform/configuration.py
+++ b/src/carobspur/platform/configuration.py
@@ -74,6 +74,8 @@
     max_header_bytes: int = 65536
     max_body_bytes: int = 4 * 1024 * 1024
     idle_timeout_ms: float = 60_000
+    # Absent or 0: a head is bounded by the idle timeout only.
+    header_timeout_ms: float = 0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -114,6 +116,10 @@
             max_header_bytes=wire.limits.max_header_bytes,
             max_body_bytes=wire.limits.max_body_bytes,
             idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
+            header_timeout_s=(
+                wire.limits.header_timeout_ms or wire.limits.idle_timeout_ms
+            )
+            / 1000,
         ),
         customers=tuple(_customer(item) for item in wire.tenants),
     )
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -29,6 +29,7 @@
 from ..gateway.member_rows import TABLE as MEMBERS_TABLE
 from ..gateway.member_rows import MemberRows
 from ..gateway.members import Member, Membership
+from ..gateway.memory.account import ConnectionUse, MemoryAccount
 from ..gateway.outages import is_outage_confirmed
 from ..gateway.plain_calls import PlainCallHandler
 from ..gateway.routes import CallerLimits
@@ -104,11 +105,12 @@
         self._settings_path = settings_path
         self._log = log
         self._telemetry = telemetry
+        answer_limits = settings.memory.limit_answers(settings.answers)
         self._pool = ConnectionPool(
             on_open=lambda _: self._telemetry.connections.inc(),
-            limits=settings.answers,
+            limits=answer_limits,
         )
-        self._internal_pool = ConnectionPool(limits=settings.answers)
+        self._internal_pool = ConnectionPool(limits=answer_limits)
         self._membership = Membership(self._create_own_member())
         self._store = PlatformRowStore(
             lambda: self._settings.store.address,
@@ -134,8 +136,14 @@
             placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
             log=log,
             telemetry=self._telemetry,
-            answer_limits=settings.answers,
+            answer_limits=answer_limits,
         )
+        self._account = MemoryAccount(
+            settings.memory,
+            other_bytes=lambda: self._context.endpoint_client.buffered_bytes,
+        )
+        self._telemetry.buffered_bytes.set_function(lambda: self._account.total_bytes)
+        self._telemetry.caller_connections.set_function(lambda: len(self._account.uses))
         self._registry = Registry(
             endpoints,
             log,
@@ -168,7 +176,11 @@
             is_unreachable=lambda: self._store.is_unreachable,
             log=log,
         )
-        turn_store = TurnStore(turn_rows, row_bytes=settings.store.row_bytes)
+        turn_store = TurnStore(
+            turn_rows,
+            row_bytes=settings.store.row_bytes,
+            cache_bytes=settings.memory.history_bytes,
+        )
         self._account_owner = AccountOwner(
             self._membership.own.name,
             self._store,
@@ -201,7 +213,12 @@
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
         )
-        self._ingress = Ingress(self._call_dispatcher, self._limits)
+        self._ingress = Ingress(
+            self._call_dispatcher,
+            self._limits,
+            account=self._account,
+            on_limit=self._record_limit,
+        )
         self._heartbeats = HeartbeatSender(
             self._membership,
             health.peers,
@@ -379,6 +396,19 @@
         configuration = self._context.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def _record_limit(self, bound: str, use: ConnectionUse, outcome: str) -> None:
+        self._telemetry.limits_reached.labels(bound).inc()
+        self._log.record(
+            "limit_reached",
+            bound=bound,
+            outcome=outcome,
+            phase=use.phase.value,
+            request_bytes=use.request_bytes,
+            unread_bytes=use.unread_bytes,
+            buffered_bytes=self._account.total_bytes,
+            connections=len(self._account.uses),
+        )
+
     def _is_ready(self) -> bool:
         return not self._context.is_stopping and self._context.configuration is not None
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -7,6 +7,7 @@
 
 from carobspur.errors import SettingsError
 from carobspur.gateway.answer_limits import DEFAULT_LIMITS
+from carobspur.gateway.memory.settings import MemorySettings
 from carobspur.gateway.settings import GatewaySettings
 
 from .platform_world import settings_text
@@ -49,6 +50,18 @@
             GatewaySettings.parse(text)
         self.assertIn("least_loaded, predicted_time", caught.exception.message)
 
+    def test_machine_has_defaults_and_is_checked(self) -> None:
+        text = settings_text(99, PORTS, name="g")
+        # A placeholder of the platform without a value leaves the text empty.
+        empty = GatewaySettings.parse(text + "[memory]\nmachine_mb =\nmax_fds =\n")
+        self.assertEqual(MemorySettings(), empty.memory)
+        small = GatewaySettings.parse(text + "[memory]\nmachine_mb = 136\n").memory
+        self.assertLess(small.buffer_bytes + small.history_bytes, 96_000_000)
+        for line in ("machine_mb = 10", "max_fds = 250", "machine_mb = nan"):
+            with self.subTest(line), self.assertRaises(SettingsError) as caught:
+                GatewaySettings.parse(f"{text}[memory]\n{line}\n")
+            self.assertIn(f"[memory] {line[:7]}", caught.exception.message)
+
     def test_limits_of_answers_have_defaults_and_are_checked(self) -> None:
         text = settings_text(99, PORTS, name="g")
         self.assertEqual(DEFAULT_LIMITS, GatewaySettings.parse(text).answers)
@@ -80,5 +93,6 @@
             if "=" in line
         }
         text = settings_text(99, PORTS, name="g", seeds=[1])
+        text += "[memory]\nmachine_mb = 136\nmax_fds = 1638\n"
         used = {line.partition("=")[0].strip() for line in text.splitlines()}
         self.assertEqual({key for key in used if key and key[0] != "["}, keys)
