--- a/src/carobspur/gateway/context.py
+++ b/src/carobspur/gateway/context.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
@@ -30,6 +31,9 @@
         telemetry: Metrics.
         configuration: Configuration in force; ``None`` until the first is loaded.
         answer_limits: Size limits of endpoints' answers.
+        hold_bytes: Returns a context during which a number of bytes counts towards the
+            bound on buffered bytes. Entering it raises ``OutOfMemoryError`` if there is
+            no room for them.
         is_stopping: Whether the process has received a request to stop.
     """
 
@@ -42,6 +46,7 @@
     telemetry: Telemetry
     configuration: Configuration | None = None
     answer_limits: AnswerLimits = DEFAULT_LIMITS
+    hold_bytes: Callable[[int], AbstractContextManager] = nullcontext
     is_stopping: bool = False
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -63,6 +63,14 @@
     default_verdict = NOT_RUN
 
 
+class OutOfMemoryError(CarobspurError):
+    """The bytes to send would exceed the bound on buffered bytes; nothing was sent."""
+
+    cause = "out_of_memory"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class StateUnavailableError(CarobspurError):
     """The row store was not available to prepare a turn; nothing was sent."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -78,10 +78,11 @@
         turn = TurnState(call, route, deadline, last_event_id=call.last_event_id)
         try:
             await self._turn_lifecycle.prepare(turn)
-            status = await self._send_until_done(turn, responder)
-            if turn.has_ended:
-                await self._turn_lifecycle.commit(turn)
-                responder.finish()
+            with self._context.hold_bytes(len(turn.history.text)):
+                status = await self._send_until_done(turn, responder)
+                if turn.has_ended:
+                    await self._turn_lifecycle.commit(turn)
+                    responder.finish()
             return Served(status, turn.is_on_time)
         except TimeoutError:
             raise self._deadline_error(turn) from None
--- a/src/carobspur/platform/connections.py
+++ b/src/carobspur/platform/connections.py
@@ -24,7 +24,11 @@
     overdue,
 )
 from ..gateway.memory.settings import MemorySettings
-from ..gateway.refusals import CallerDisconnectedError, CallerTooSlowError
+from ..gateway.refusals import (
+    CallerDisconnectedError,
+    CallerTooSlowError,
+    OutOfMemoryError,
+)
 
 READ_BYTES = 16384
 """Most bytes of a connection that are read before they are handled. What a connection
@@ -39,6 +43,9 @@
 """Interval of checks whether a slow caller has read its answer."""
 LINGER_S = 1.0
 """Time for which a refusal may still be read before its connection is closed."""
+MEMORY_RETRY_AFTER_S = 1.0
+"""Retry-After of a request refused for lack of memory; the default time after which a
+body counts as stalled and is dropped first."""
 
 _NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -254,6 +261,10 @@
         self._on_limit = on_limit
         self._by_use: dict[ConnectionUse, CallerConnection] = {}
 
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._by_use)
+
     @contextmanager
     def listening(self, host: str, port: int, *, backlog: int) -> Iterator[None]:
         """Accept connections until the context ends."""
@@ -268,6 +279,28 @@
                 loop.remove_reader(listener)
                 listener.close()
 
+    @contextmanager
+    def holding(self, size: int) -> Iterator[None]:
+        """Count the bytes of a stored history, of which copies are sent, as a request.
+
+        Raises:
+            OutOfMemoryError: There is no room for them.
+        """
+        use = ConnectionUse()
+        self.account.add(use)
+        try:
+            fits, dropped = self.account.retain(use, size, _now())
+            self.drop_all(dropped, "buffer_bytes")
+            if not fits:
+                self.record_limit("buffer_bytes", use, "refused")
+                raise OutOfMemoryError(
+                    "the history exceeds the bound on buffered bytes",
+                    retry_after_s=MEMORY_RETRY_AFTER_S,
+                )
+            yield
+        finally:
+            self.account.remove(use)
+
     async def sweep_forever(self) -> None:
         """Close connections that exceed a time limit, until cancelled."""
         while True:
@@ -307,7 +340,7 @@
                     raise
                 self._pause_accepting(listener)
                 return
-            is_full = len(self.account.uses) >= self.account.settings.connections
+            is_full = len(self) >= self.account.settings.connections
             if is_full and not self._make_room("connections"):
                 sock.close()
                 self._on_limit("connections", ConnectionUse(), "closed")
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -219,6 +219,10 @@
             account=self._account,
             on_limit=self._record_limit,
         )
+        self._context.hold_bytes = self._ingress.connections.holding
+        self._telemetry.caller_connections.set_function(
+            lambda: len(self._ingress.connections)
+        )
         self._heartbeats = HeartbeatSender(
             self._membership,
             health.peers,
@@ -406,7 +410,7 @@
             request_bytes=use.request_bytes,
             unread_bytes=use.unread_bytes,
             buffered_bytes=self._account.total_bytes,
-            connections=len(self._account.uses),
+            connections=len(self._ingress.connections),
         )
 
     def _is_ready(self) -> bool:
--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -27,6 +27,7 @@
 from ..gateway.routes import CallerLimits
 from .connections import (
     LINGER_S,
+    MEMORY_RETRY_AFTER_S,
     READ_BYTES,
     CallerConnection,
     CallerConnections,
@@ -42,10 +43,6 @@
 LINGER_BYTES = 256 * 1024
 """Bytes of a refused body that are read and discarded before its connection is closed.
 A connection closed with unread bytes is reset, and the refusal could be lost."""
-MEMORY_RETRY_AFTER_S = 1.0
-"""Retry-After of a request refused for lack of memory; the default time after which a
-body counts as stalled and is dropped first."""
-
 FLUSH_POLL_S = 0.05
 """Time between checks whether an answer was sent; the same as ``STOP_POLL_S``."""
 
@@ -311,6 +308,9 @@
         limits: Returns the limits in force for callers.
         account: Counts the bytes that are buffered for callers.
         on_limit: Called when a bound is reached; see :class:`CallerConnections`.
+
+    Attributes:
+        connections: All open connections.
     """
 
     def __init__(
@@ -332,7 +332,7 @@
             max_body_size=NO_BODY_LIMIT,
             chunk_size=READ_BYTES,
         )
-        self._connections = CallerConnections(
+        self.connections = CallerConnections(
             account or MemoryAccount(MemorySettings()),
             self._server.handle_stream,
             head_s=lambda: self._limits().header_timeout_s,
@@ -348,7 +348,7 @@
         caller = (
             stream.caller
             if isinstance(stream, CallerStream)
-            else CallerConnection(self._connections, None)
+            else CallerConnection(self.connections, None)
         )
         caller.begin_request()
         reader = _RequestReader(
@@ -369,9 +369,9 @@
     ) -> AsyncIterator[None]:
         """Accept connections until the context ends, then close the open ones."""
         self._listeners.enter_context(
-            self._connections.listening(host, port, backlog=backlog)
+            self.connections.listening(host, port, backlog=backlog)
         )
-        sweeping = asyncio.ensure_future(self._connections.sweep_forever())
+        sweeping = asyncio.ensure_future(self.connections.sweep_forever())
         try:
             yield
         finally:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -201,18 +201,21 @@
         """Remove a replica's registry entry."""
         self.store.put("servers", replica.id, None)
 
-    def start_gateway(self, *, seeds: list[int] | None = None) -> GatewayHandle:
+    def start_gateway(
+        self, *, seeds: list[int] | None = None, sections: str = ""
+    ) -> GatewayHandle:
         """Start one more gateway.
 
         Args:
             seeds: Ports at which peers listen, for the settings.
+            sections: Further sections of the settings.
         """
         ports = gateway_ports()
         name = f"gateway-{next(_ids)}"
         store_port = self.store.listen(HOST)
         handle = GatewayHandle(name, ports, store_port)
         settings = GatewaySettings.parse(
-            settings_text(store_port, ports, name=name, seeds=seeds)
+            settings_text(store_port, ports, name=name, seeds=seeds) + sections
         )
         log = _CollectingLog(handle.lines)
         gateway = Gateway(settings, "/nonexistent", log, Telemetry())
@@ -289,12 +292,13 @@
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
     try:
-        return await _read_answer(reader)
+        return await read_answer(reader)
     finally:
         writer.close()
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+async def read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+    """Read an answer as far as it comes."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -319,9 +323,22 @@
 
 @asynccontextmanager
 async def world(
-    *, gateways: int = 1, engines: int = 1, tools: int = 1, events: int = 4
+    *,
+    gateways: int = 1,
+    engines: int = 1,
+    tools: int = 1,
+    events: int = 4,
+    sections: str = "",
 ) -> AsyncIterator[World]:
-    """Run a deployment, ready to serve, until the context ends."""
+    """Run a deployment, ready to serve, until the context ends.
+
+    Args:
+        gateways: Number of gateways.
+        engines: Number of model engines.
+        tools: Number of replicas of the plain service.
+        events: Events of each stream.
+        sections: Further sections of the gateways' settings.
+    """
     freeze_heap()
     # The event loop's debug mode takes more time than a dozen gateways.
     asyncio.get_running_loop().set_debug(False)
@@ -334,7 +351,7 @@
         for _ in range(tools):
             await made.add_replica(TOOLS)
         for _ in range(gateways):
-            made.start_gateway()
+            made.start_gateway(sections=sections)
         try:
             await made.until_ready()
             yield made
