--- a/src/carobspur/platform/connections.py
+++ b/src/carobspur/platform/connections.py
@@ -218,14 +218,17 @@
         self._check_closed()
         self._unread_bytes += len(data)
         future = super().write(data)
-        self.caller.record_unread(self._unread_bytes, sent=0)
+        # Usually the socket takes everything at once.
+        if self._unread_bytes or self.caller.use.unread_bytes:
+            self.caller.record_unread(self._unread_bytes, sent=0)
         return future
 
     def write_to_fd(self, data: memoryview) -> int:
         """Send to the socket; see the base class."""
         count = super().write_to_fd(data)
         self._unread_bytes -= count
-        self.caller.record_unread(self._unread_bytes, sent=count)
+        if self.caller.use.unread_bytes:
+            self.caller.record_unread(self._unread_bytes, sent=count)
         return count
 
     def close_fd(self) -> None:
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -82,6 +82,11 @@
 still be missing for this much longer.
 """
 SETTINGS_POLL_S = 1.0
+SMALL_BODY_BYTES = 4096
+"""Largest body of a request for readiness, addresses or metrics; none needs a body."""
+SMALL_SERVER_IDLE_S = 60.0
+"""Longest time for which a connection to one of these or from a peer may be idle, and
+for which a body may take to arrive."""
 
 
 class Gateway:
@@ -248,12 +253,13 @@
             await stack.enter_async_context(
                 self._heartbeats.running(*split_address(listen.heartbeats))
             )
-            for application, address in (
+            for application, address, body_bytes in (
                 (
                     peer_application(self._store, self._account_owner, self._snapshot),
                     listen.peers,
+                    None,
                 ),
-                (ready_application(self._is_ready), listen.ready),
+                (ready_application(self._is_ready), listen.ready, SMALL_BODY_BYTES),
                 (
                     directory_application(
                         self._membership,
@@ -261,11 +267,18 @@
                         max_ttl_s=self._settings.times.address_ttl_s,
                     ),
                     listen.directory,
+                    SMALL_BODY_BYTES,
+                ),
+                (
+                    metrics_application(self._telemetry.registry),
+                    listen.metrics,
+                    SMALL_BODY_BYTES,
                 ),
-                (metrics_application(self._telemetry.registry), listen.metrics),
             ):
                 if address:
-                    await stack.enter_async_context(_serving(application, address))
+                    await stack.enter_async_context(
+                        _serving(application, address, body_bytes=body_bytes)
+                    )
             await stack.enter_async_context(
                 background(
                     *(feed.follow for feed in self._feeds.values()),
@@ -480,9 +493,23 @@
 
 
 @asynccontextmanager
-async def _serving(application, address: str) -> AsyncIterator[None]:
+async def _serving(
+    application, address: str, *, body_bytes: int | None = None
+) -> AsyncIterator[None]:
+    """Serve an application until the context ends.
+
+    Args:
+        application: The application.
+        address: Address to listen on.
+        body_bytes: Largest size of a request's body; ``None`` for tornado's limit.
+    """
     host, port = split_address(address)
-    server = HTTPServer(application)
+    server = HTTPServer(
+        application,
+        max_body_size=body_bytes,
+        idle_connection_timeout=SMALL_SERVER_IDLE_S,
+        body_timeout=SMALL_SERVER_IDLE_S,
+    )
     server.listen(port, host, backlog=BACKLOG_CONNECTIONS)
     try:
         yield
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -195,6 +195,16 @@
         self.assertEqual(["head_time"], bounds)
 
 
+class SmallServersTest(IsolatedAsyncioTestCase):
+    async def test_bodies_to_the_other_servers_are_not_read(self) -> None:
+        async with world() as deployment:
+            ports = deployment.gateways[0].ports
+            for name in ("ready", "directory", "metrics"):
+                answer = await _send(ports[name], "Content-Length: 100000000")
+                with self.subTest(name):
+                    self.assertEqual(400, answer.status)
+
+
 class SlowCallersTest(IsolatedAsyncioTestCase):
     async def _begin(self, deployment: World, events: int) -> socket.socket:
         """Request a stream of events of 60 kB without reading it."""
