--- a/src/carobspur/gateway/memory/settings.py
+++ b/src/carobspur/gateway/memory/settings.py
@@ -55,7 +55,7 @@
     """
 
     machine_mb: float = 1024.0
-    max_fds: int = 4096
+    max_fds: float = 4096.0
     small_bytes: int = 64 * KIB
     stall_s: float = 1.0
     body_idle_s: float = 30.0
@@ -76,7 +76,7 @@
     @property
     def connections(self) -> int:
         """Most connections of callers at the same time."""
-        sockets = self.max_fds - FILE_DESCRIPTORS
+        sockets = int(self.max_fds) - FILE_DESCRIPTORS
         own = max(MIN_OWN_DESCRIPTORS, int(sockets * OWN_SHARE))
         by_memory = int((self.machine_mb - PROCESS_MB) * CONNECTIONS_PER_MB)
         return min(sockets - own, by_memory)
@@ -86,7 +86,7 @@
         found = []
         if not MIN_MACHINE_MB <= self.machine_mb < float("inf"):
             found.append(f"machine_mb: {self.machine_mb} is less than {MIN_MACHINE_MB}")
-        if self.max_fds < MIN_FDS:
+        if not MIN_FDS <= self.max_fds < float("inf"):
             found.append(f"max_fds: {self.max_fds} is less than {MIN_FDS}")
         return found
 
--- a/src/carobspur/platform/connections.py
+++ b/src/carobspur/platform/connections.py
@@ -55,7 +55,7 @@
 
     Args:
         connections: All connections.
-        stream: Its stream; ``None`` in tests without a socket.
+        stream: Its stream, until it is closed; ``None`` in tests without a socket.
 
     Attributes:
         use: What it takes up.
@@ -173,21 +173,26 @@
 
     def record_closed(self) -> None:
         """Stop counting the connection, which has been closed."""
-        self.refuse = None
         self._connections.remove(self)
+        # Without these the objects of the connection would refer to each other and
+        # remain in memory until the next garbage collection.
+        self.refuse = None
+        self._stream = None
 
     def _set_request(self, size: int, now: float) -> None:
         dropped = self._connections.account.set_request(self.use, size, now)
         self._connections.drop_all(dropped, "buffer_bytes")
 
     def _close(self) -> None:
-        if self._stream is None:
+        stream = self._stream
+        if stream is None:
             return
-        if self.refuse is not None and not self._stream.closed():
-            self.refuse()
-            asyncio.get_running_loop().call_later(LINGER_S, self._stream.close)
-        else:
-            self._stream.close()
+        if self.refuse is None:
+            stream.close()
+            return
+        # Closes the stream once the refusal has been sent.
+        self.refuse()
+        asyncio.get_running_loop().call_later(LINGER_S, stream.close)
 
 
 class CallerStream(IOStream):
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -61,6 +61,11 @@
                 is_alive = gateway.is_alive and gateway.process.pid == pid
                 if is_alive:
                     peak.sample(pid)
+            faults = [
+                line
+                for line in gateway.lines.splitlines()
+                if "unseen_error" in line or "Traceback" in line
+            ]
         failures = []
         if not is_alive:
             failures.append("the process ended")
@@ -72,6 +77,7 @@
             )
         if answer.status != 200:
             failures.append(f"an ordinary request got {answer.status}")
+        failures += faults[:3]
         self.assertEqual([], failures, f"{kind}; {peak}")
 
     async def _ordinary_request(self, port: int) -> CallerAnswer:
