--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -30,7 +30,6 @@
 """Bytes that an incomplete body lacks."""
 FAR_OVER_BYTES = 16 * 1024 * 1024
 """Bytes of a body far over the limit."""
-LONG_ANSWER_BYTES = 2 * 1024 * 1024
 LARGE_CHUNK, SMALL_CHUNK = 65536, 256
 PIPELINED = 2000
 HALF_HEAD_BYTES = 8192
@@ -57,6 +56,7 @@
     HALF_HEAD = "half a head"
     PIPELINED = "many requests at once without reading answers"
     UNREAD = "long answers that are not read"
+    UNREAD_IN_TURN = "longer answers that are not read, requested one after another"
 
 
 CLIENTS = {
@@ -68,7 +68,15 @@
     Hostile.HALF_HEAD: 240,
     Hostile.PIPELINED: 60,
     Hostile.UNREAD: 60,
+    Hostile.UNREAD_IN_TURN: 30,
 }
+ANSWER_BYTES = {
+    Hostile.UNREAD: 2 * 1024 * 1024,
+    # The kernel takes over 2 MiB of each answer.
+    Hostile.UNREAD_IN_TURN: 6 * 1024 * 1024,
+}
+TURN_S = 0.2
+"""Pause between requests of clients that come one after another."""
 
 
 @dataclass(slots=True)
@@ -123,9 +131,9 @@
     kind: Hostile, world: SoakWorld, gateway: GatewayProcess
 ) -> AsyncIterator[Peak]:
     """Keep hostile clients connected; the context begins when they have sent all."""
-    if kind is Hostile.UNREAD:
+    if kind in ANSWER_BYTES:
         (replica,) = world.replicas.values()
-        replica.scripts.extend([_long_answer()] * CLIENTS[kind])
+        replica.scripts.extend([_long_answer(ANSWER_BYTES[kind])] * CLIENTS[kind])
     peak = Peak()
     with _sockets(CLIENTS[kind]) as clients:
         measuring = asyncio.ensure_future(_measure(peak, gateway))
@@ -170,6 +178,8 @@
 async def _send(client: socket.socket, port: int, kind: Hostile, number: int) -> None:
     loop = asyncio.get_running_loop()
     with suppress(OSError):
+        if kind is Hostile.UNREAD_IN_TURN:
+            await asyncio.sleep(number * TURN_S)
         await loop.sock_connect(client, (HOST, port))
         for data in _parts(kind, number):
             if data == PAUSE:
@@ -209,7 +219,7 @@
         case Hostile.PIPELINED:
             for request in range(PIPELINED):
                 yield _head(f"{number}-{request}", "Content-Length: 0")
-        case Hostile.UNREAD:
+        case Hostile.UNREAD | Hostile.UNREAD_IN_TURN:
             yield _head(number, "Content-Length: 0")
 
 
@@ -220,9 +230,9 @@
     ).encode()
 
 
-def _long_answer() -> ScriptedAnswer:
+def _long_answer(size: int) -> ScriptedAnswer:
     head = (
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.1\r\n"
-        f"Content-Length: {LONG_ANSWER_BYTES}\r\n\r\n"
+        f"Content-Length: {size}\r\n\r\n"
     )
-    return ScriptedAnswer(head.encode() + b"x" * LONG_ANSWER_BYTES)
+    return ScriptedAnswer(head.encode() + b"x" * size)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -51,6 +51,9 @@
     async def test_long_answers_that_are_not_read(self) -> None:
         await self._check(Hostile.UNREAD)
 
+    async def test_long_answers_one_after_another_that_are_not_read(self) -> None:
+        await self._check(Hostile.UNREAD_IN_TURN)
+
     async def _check(self, kind: Hostile) -> None:
         asyncio.get_running_loop().set_debug(False)
         async with small_deployment() as world:
