--- a/src/carobspur/platform/connections.py
+++ b/src/carobspur/platform/connections.py
@@ -61,9 +61,10 @@
         use: What it takes up.
         refuse: Refuses its incomplete request instead of just closing the connection;
             ``None`` while it has none.
+        on_closed: Called once when the connection has been closed.
     """
 
-    __slots__ = ("_connections", "_stream", "refuse", "use")
+    __slots__ = ("_connections", "_stream", "on_closed", "refuse", "use")
 
     def __init__(
         self, connections: CallerConnections, stream: CallerStream | None
@@ -72,6 +73,7 @@
         self._stream = stream
         self.use = ConnectionUse()
         self.refuse: Callable[[], None] | None = None
+        self.on_closed: Callable[[], None] | None = None
 
     @property
     def settings(self) -> MemorySettings:
@@ -174,9 +176,11 @@
     def record_closed(self) -> None:
         """Stop counting the connection, which has been closed."""
         self._connections.remove(self)
+        if self.on_closed is not None:
+            self.on_closed()
         # Without these the objects of the connection would refer to each other and
         # remain in memory until the next garbage collection.
-        self.refuse = None
+        self.refuse = self.on_closed = None
         self._stream = None
 
     def _set_request(self, size: int, now: float) -> None:
--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import ExitStack, asynccontextmanager
+from functools import partial
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -358,6 +359,13 @@
             self._readers,
             caller,
         )
+        # Tornado reports no close to a reader that waits for a head, and starts a
+        # reader after the last answer of a connection too.
+        forget = partial(self._readers.idle.discard, reader)
+        if stream is not None and stream.closed():
+            forget()
+        else:
+            caller.on_closed = forget
         if self._has_stopped_accepting:
             # Accepted before the server stopped listening, or kept alive.
             reader.close_idle()
@@ -400,6 +408,11 @@
         """Whether a request was received whose answer is not sent yet."""
         return bool(self._readers.busy)
 
+    @property
+    def idle_count(self) -> int:
+        """Number of open connections that wait for the head of a request."""
+        return len(self._readers.idle)
+
     def disable_keep_alive(self) -> None:
         """Close every connection after its next answer."""
         self._server.conn_params.no_keep_alive = True
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,7 +1,7 @@
-"""Requests that arrive just as a stopping gateway stops accepting them.
+"""The server for callers without a gateway behind it.
 
-A head may be read just before its idle connection is closed. Such a request must not
-run, as its answer can't be sent.
+When a gateway stops, a head may be read just before its idle connection is closed. Such
+a request must not run, as its answer can't be sent.
 """
 
 from __future__ import annotations
@@ -14,6 +14,8 @@
 from carobspur.gateway.routes import CallerLimits
 from carobspur.platform.ingress import Ingress
 
+from .ports import HOST, free_port
+
 
 class _Connection:
     stream = None
@@ -55,3 +57,36 @@
         await self._request()
         self.ingress.stop_accepting()
         self.assertEqual(1, self.call_dispatcher.handled)
+
+
+class _AnsweringCallDispatcher:
+    async def handle(self, call, responder) -> None:
+        responder.reply(200, [], b"answer")
+
+
+class ClosedConnectionsTest(IsolatedAsyncioTestCase):
+    async def test_nothing_is_kept_of_closed_connections(self) -> None:
+        # Each closed connection left an idle reader with its stream in memory.
+        ingress = Ingress(_AnsweringCallDispatcher(), CallerLimits)
+        port = free_port()
+        heads = (
+            b"",
+            b"GET /a HTTP/1.1\r\nRequest-Id: r\r\n",
+            b"GET /a HTTP/1.1\r\nRequest-Id: r\r\nHost: h\r\n\r\n",
+            b"GET /a HTTP/1.0\r\nRequest-Id: r\r\n\r\n",
+        )
+        async with ingress.listening(HOST, port, backlog=8), asyncio.timeout(20):
+            for head in heads:
+                reader, writer = await asyncio.open_connection(HOST, port)
+                writer.write(head)
+                if head.endswith(b"\r\n\r\n"):
+                    await reader.readuntil(b"answer")
+                else:
+                    while not ingress.connections:
+                        await asyncio.sleep(0.01)
+                writer.close()
+                while ingress.connections:
+                    await asyncio.sleep(0.01)
+            # Tornado starts a last reader after the answer of a closed connection.
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, ingress.idle_count)
