--- a/src/carobspur/platform/ingress.py
+++ b/src/carobspur/platform/ingress.py
@@ -60,18 +60,22 @@
         has_started: Whether the head of the answer was sent.
     """
 
-    __slots__ = ("_caller", "_connection", "has_started")
+    __slots__ = ("_caller", "_connection", "_method", "has_started")
 
-    def __init__(self, connection: HTTP1Connection, caller: CallerConnection) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, caller: CallerConnection, method: str
+    ) -> None:
         self._connection = connection
         self._caller = caller
+        self._method = method
         self.has_started = False
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         fields = _to_http_headers(headers)
         fields["Content-Length"] = str(len(body))
-        self._write_head(status, fields, body)
+        # Tornado closes the connection if the answer to HEAD has a body.
+        self._write_head(status, fields, b"" if self._method == "HEAD" else body)
         self.finish()
 
     def refuse_unread(self, status: int) -> None:
@@ -183,7 +187,7 @@
             fields,
             arrived_at=asyncio.get_running_loop().time(),
         )
-        self._responder = _Responder(self._connection, self._caller)
+        self._responder = _Responder(self._connection, self._caller, start_line.method)
         self._caller.begin_body()
         self._caller.refuse = self._refuse_for_memory
         if size > self._limits.max_header_bytes:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -90,3 +90,20 @@
             # Tornado starts a last reader after the answer of a closed connection.
             await asyncio.sleep(0.1)
             self.assertEqual(0, ingress.idle_count)
+
+
+class HeadTest(IsolatedAsyncioTestCase):
+    async def test_head_is_answered_without_a_body(self) -> None:
+        # The connection was closed without an answer, also to a refusal with a text.
+        ingress = Ingress(_AnsweringCallDispatcher(), CallerLimits)
+        port = free_port()
+        head = b"HEAD /a HTTP/1.1\r\nRequest-Id: r\r\nHost: h\r\n\r\n"
+        async with ingress.listening(HOST, port, backlog=8), asyncio.timeout(20):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            for _ in range(2):
+                writer.write(head)
+                answer = await reader.readuntil(b"\r\n\r\n")
+                self.assertEqual(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n", answer
+                )
+            writer.close()
