--- a/src/carobspur/gateway/memory/settings.py
+++ b/src/carobspur/gateway/memory/settings.py
@@ -48,8 +48,8 @@
         body_idle_s: Longest time in seconds without progress in a body.
         unread_bytes: Most bytes of a streamed answer that wait for a slow caller while
             the endpoint's answer is read on.
-        unread_s: Seconds that a caller with more unread bytes than that may take to
-            read any of them.
+        unread_s: Seconds that a caller with more unread bytes than that may go
+            without receiving any of them.
         unread_idle_s: Longest time in seconds in which a caller reads nothing of an
             answer that waits for it.
     """
--- a/src/carobspur/platform/connections.py
+++ b/src/carobspur/platform/connections.py
@@ -8,7 +8,10 @@
 
 import asyncio
 import errno
+import fcntl
 import socket
+import sys
+import termios
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -140,10 +143,15 @@
                 slowly.
         """
         loop = asyncio.get_running_loop()
+        fewest_bytes = None
         end = loop.time() + self.settings.unread_s
         while self.use.unread_bytes > self.settings.unread_bytes:
             if self._stream is None or self._stream.closed():
                 raise CallerDisconnectedError("caller closed the connection")
+            unsent_bytes = self._stream.unsent_bytes
+            if fewest_bytes is None or unsent_bytes < fewest_bytes:
+                fewest_bytes = unsent_bytes
+                end = loop.time() + self.settings.unread_s
             if loop.time() >= end:
                 self.drop("unread_bytes")
                 raise CallerTooSlowError(
@@ -215,6 +223,17 @@
         self.caller = CallerConnection(connections, self)
         self._unread_bytes = 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the process and in the kernel that the caller has not received.
+
+        The kernel takes no more bytes before a third of its buffer is free, which may
+        be over 1 MB, so the bytes in the process alone do not show a slow caller's
+        progress.
+        """
+        count = fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(4))
+        return self._unread_bytes + int.from_bytes(count, sys.byteorder)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket; see the base class."""
         count = super().read_from_fd(buf)
