--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -64,6 +64,14 @@
     default_verdict = NOT_RUN
 
 
+class OutOfMemoryError(CarobspurError):
+    """The bytes to send would exceed the bound on buffered bytes; nothing was sent."""
+
+    cause = "out_of_memory"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class StateUnavailableError(CarobspurError):
     """The row store was not available to prepare a turn; nothing was sent."""
 
@@ -111,6 +119,12 @@
     status = 0
 
 
+class CallerTooSlowError(CallerDisconnectedError):
+    """The caller does not read its answer, so its connection is closed."""
+
+    cause = "caller_slow"
+
+
 def refusal_headers(error: CarobspurError) -> list[tuple[str, str]]:
     """Return the header fields of a refusal.
 
--- a/src/carobspur/gateway/settings.py
+++ b/src/carobspur/gateway/settings.py
@@ -13,6 +13,7 @@
 from .answer_limits import AnswerLimits
 from .customers.rate_limit_times import RateLimitTolerance
 from .host_port import split_address
+from .memory.settings import MemorySettings
 
 SECTIONS_WITH_ZEROS = ("rate_limits",)
 """Sections in which a number may be 0: a platform may permit no tolerance."""
@@ -126,6 +127,7 @@
     answers: AnswerLimits
     rate_limits: RateLimitTolerance
     admission: AdmissionSettings
+    memory: MemorySettings
 
     @classmethod
     def read(cls, path: str | Path) -> GatewaySettings:
@@ -173,11 +175,14 @@
             "answers": AnswerLimits,
             "rate_limits": RateLimitTolerance,
             "admission": AdmissionSettings,
+            "memory": MemorySettings,
         }
         values = {
             section: _parse_section(kind, section, parser, errors)
             for section, kind in sections.items()
         }
+        if values["memory"] is not None:
+            errors += [f"[memory] {error}" for error in values["memory"].errors()]
         policy = parser.get("placement", "policy", fallback="")
         load_plugins(PluginKind.PLACEMENT)
         known_policies = plugin_names(PluginKind.PLACEMENT)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -33,6 +33,7 @@
 from ..gateway.member_rows import TABLE as MEMBERS_TABLE
 from ..gateway.member_rows import MemberRows
 from ..gateway.members import Member, Membership
+from ..gateway.memory.account import ConnectionUse, MemoryAccount
 from ..gateway.outages import is_outage_confirmed
 from ..gateway.plain_calls import PlainCallHandler
 from ..gateway.routes import CallerLimits
@@ -93,6 +94,11 @@
 still be missing for this much longer.
 """
 SETTINGS_POLL_S = 1.0
+SMALL_BODY_BYTES = 4096
+"""Largest body of a request for readiness, addresses or metrics; none needs a body."""
+SMALL_SERVER_IDLE_S = 60.0
+"""Longest time for which a connection to one of these or from a peer may be idle, and
+for which a body may take to arrive."""
 
 
 class Gateway:
@@ -117,11 +123,12 @@
         self._log = log
         self._telemetry = telemetry
         self._has_refused_configuration = False
+        answer_limits = settings.memory.limit_answers(settings.answers)
         self._pool = ConnectionPool(
             on_open=lambda _: self._telemetry.connections.inc(),
-            limits=settings.answers,
+            limits=answer_limits,
         )
-        self._internal_pool = ConnectionPool(limits=settings.answers)
+        self._internal_pool = ConnectionPool(limits=answer_limits)
         self._membership = Membership(self._create_own_member())
         self._store = PlatformRowStore(
             lambda: self._settings.store.address,
@@ -147,8 +154,14 @@
             placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
             log=log,
             telemetry=self._telemetry,
-            answer_limits=settings.answers,
+            answer_limits=answer_limits,
         )
+        self._account = MemoryAccount(
+            settings.memory,
+            other_bytes=lambda: self._context.endpoint_client.buffered_bytes,
+        )
+        self._telemetry.buffered_bytes.set_function(lambda: self._account.total_bytes)
+        self._telemetry.caller_connections.set_function(lambda: len(self._account.uses))
         self._registry = Registry(
             endpoints,
             log,
@@ -181,7 +194,11 @@
             is_unreachable=lambda: self._store.is_unreachable,
             log=log,
         )
-        turn_store = TurnStore(turn_rows, row_bytes=settings.store.row_bytes)
+        turn_store = TurnStore(
+            turn_rows,
+            row_bytes=settings.store.row_bytes,
+            cache_bytes=settings.memory.history_bytes,
+        )
         self._account_owner = AccountOwner(
             self._membership.own.name,
             self._store,
@@ -233,7 +250,16 @@
             confirm_configuration=self._confirm_configuration,
             gates=(self._rate_limits, *self._create_gates()),
         )
-        self._ingress = Ingress(self._call_dispatcher, self._limits)
+        self._ingress = Ingress(
+            self._call_dispatcher,
+            self._limits,
+            account=self._account,
+            on_limit=self._record_limit,
+        )
+        self._context.hold_bytes = self._ingress.connections.holding
+        self._telemetry.caller_connections.set_function(
+            lambda: len(self._ingress.connections)
+        )
         reporter = LoadReporter(
             self._heartbeats.send_load_report, health, name=self._membership.own.name
         )
@@ -252,12 +278,13 @@
             await stack.enter_async_context(
                 self._heartbeats.running(*split_address(listen.heartbeats))
             )
-            for application, address in (
+            for application, address, body_bytes in (
                 (
                     peer_application(self._store, self._account_owner, self._snapshot),
                     listen.peers,
+                    None,
                 ),
-                (ready_application(self._is_ready), listen.ready),
+                (ready_application(self._is_ready), listen.ready, SMALL_BODY_BYTES),
                 (
                     directory_application(
                         self._membership,
@@ -265,11 +292,18 @@
                         max_ttl_s=self._settings.times.address_ttl_s,
                     ),
                     listen.directory,
+                    SMALL_BODY_BYTES,
+                ),
+                (
+                    metrics_application(self._telemetry.registry),
+                    listen.metrics,
+                    SMALL_BODY_BYTES,
                 ),
-                (metrics_application(self._telemetry.registry), listen.metrics),
             ):
                 if address:
-                    await stack.enter_async_context(_serving(application, address))
+                    await stack.enter_async_context(
+                        _serving(application, address, body_bytes=body_bytes)
+                    )
             await stack.enter_async_context(
                 background(
                     *(feed.follow for feed in self._feeds.values()),
@@ -420,6 +454,19 @@
         configuration = self._context.configuration
         return configuration.limits if configuration else CallerLimits()
 
+    def _record_limit(self, bound: str, use: ConnectionUse, outcome: str) -> None:
+        self._telemetry.limits_reached.labels(bound).inc()
+        self._log.record(
+            "limit_reached",
+            bound=bound,
+            outcome=outcome,
+            phase=use.phase.value,
+            request_bytes=use.request_bytes,
+            unread_bytes=use.unread_bytes,
+            buffered_bytes=self._account.total_bytes,
+            connections=len(self._ingress.connections),
+        )
+
     def _is_ready(self) -> bool:
         return not self._context.is_stopping and self._context.configuration is not None
 
@@ -505,9 +552,23 @@
 
 
 @asynccontextmanager
-async def _serving(application, address: str) -> AsyncIterator[None]:
+async def _serving(
+    application, address: str, *, body_bytes: int | None = None
+) -> AsyncIterator[None]:
+    """Serve an application until the context ends.
+
+    Args:
+        application: The application.
+        address: Address to listen on.
+        body_bytes: Largest size of a request's body; ``None`` for tornado's limit.
+    """
     host, port = split_address(address)
-    server = HTTPServer(application)
+    server = HTTPServer(
+        application,
+        max_body_size=body_bytes,
+        idle_connection_timeout=SMALL_SERVER_IDLE_S,
+        body_timeout=SMALL_SERVER_IDLE_S,
+    )
     server.listen(port, host, backlog=BACKLOG_CONNECTIONS)
     try:
         yield
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -302,12 +302,13 @@
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
     try:
-        return await _read_answer(reader)
+        return await read_answer(reader)
     finally:
         writer.close()
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+async def read_answer(reader: asyncio.StreamReader) -> CallerAnswer:
+    """Read an answer as far as it comes."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -339,7 +340,15 @@
     events: int = 4,
     sections: str = "",
 ) -> AsyncIterator[World]:
-    """Run a deployment, ready to serve, until the context ends."""
+    """Run a deployment, ready to serve, until the context ends.
+
+    Args:
+        gateways: Number of gateways.
+        engines: Number of model engines.
+        tools: Number of replicas of the plain service.
+        events: Events of each stream.
+        sections: Further sections of the gateways' settings.
+    """
     freeze_heap()
     # The event loop's debug mode takes more time than a dozen gateways.
     asyncio.get_running_loop().set_debug(False)
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -7,6 +7,7 @@
 import logging
 import unittest
 from base64 import b64encode
+from contextlib import nullcontext
 from unittest import IsolatedAsyncioTestCase, mock
 
 import msgspec
@@ -344,7 +345,7 @@
         configuration = decode()
         route = next(item for item in configuration.routes if item.name == "walk")
         for customer in ("a", "b", None):
-            context = mock.Mock(configuration=configuration)
+            context = mock.Mock(configuration=configuration, hold_bytes=nullcontext)
             context.endpoints.usable.return_value = []
             context.placement.engine.return_value = None
             lifecycle = mock.Mock(prepare=mock.AsyncMock())
