--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+from carobspur.gateway.calls import EndpointLoad, PromptPart
 from carobspur.gateway.endpoints import Endpoint
 from carobspur.gateway.events import event_number
 from carobspur.gateway.routes import RouteKind
@@ -131,6 +132,33 @@
                 self.assertIsNone(PlatformWire().decode(200, load).load)
                 self.assertIsNone(event_number(text))
 
+    def test_load_with_a_fourth_figure_is_kept(self) -> None:
+        """Guards against endpoints whose queue is never seen.
+
+        The header was dropped whole, and queues at engines looked like free slots.
+        """
+        for text, slowdown in (("7,4,8", 1.0), ("7,4,8,250", 2.5)):
+            with self.subTest(text):
+                load = PlatformWire().decode(200, [("Instance-Load", text)]).load
+                self.assertEqual(EndpointLoad(7, 4, 8, slowdown), load)
+        damaged = PlatformWire().decode(200, [("Instance-Load", "7,4,8,1,1")]).load
+        self.assertIsNone(damaged)
+
+    def test_decodes_parts_of_prompts_and_hints(self) -> None:
+        """Guards against a damaged list of parts that is taken for a shorter prompt."""
+        call = self._call(
+            ("Prompt-Prefix", "5c1e:800, 91bd:410"), ("Length-Hint", "73")
+        )
+        self.assertEqual(
+            (PromptPart("5c1e", 800), PromptPart("91bd", 410)), call.prompt_parts
+        )
+        self.assertEqual(73, call.expected_tokens)
+        for damaged in ("5c1e", "5c1e:x", "5c1e:1,,"):
+            with self.subTest(damaged):
+                self.assertEqual(
+                    (), self._call(("Prompt-Prefix", damaged)).prompt_parts
+                )
+
     def test_deadlines_that_are_not_finite_are_ignored(self) -> None:
         """Guards against requests that fail because a time has no whole milliseconds.
 
