--- a/src/carobspur/gateway/admission/gate.py
+++ b/src/carobspur/gateway/admission/gate.py
@@ -35,7 +35,7 @@
         self._shedding: set[str] = set()
 
     async def admit(self, call: Call, route: Route, customer: Customer | None) -> None:
-        """Let a request pass or refuse it; see :class:`~.gates.RequestGate`."""
+        """Let a request pass or refuse it; see :class:`.request_gate.RequestGate`."""
         now = asyncio.get_running_loop().time()
         is_turn = route.kind is RouteKind.STREAM
         service = _service_of(call, route)
--- a/src/carobspur/gateway/gates.py
+++ b/src/carobspur/gateway/admission/request_gate.py
@@ -4,10 +4,10 @@
 
 from typing import Protocol
 
-from .calls import Call
-from .customers.customer import Customer
-from .objectives import Served
-from .routes import Route
+from ..calls import Call
+from ..customers.customer import Customer
+from ..objectives import Served
+from ..routes import Route
 
 
 class RequestGate(Protocol):
--- a/src/carobspur/gateway/call_dispatcher.py
+++ b/src/carobspur/gateway/call_dispatcher.py
@@ -8,11 +8,11 @@
 
 from ..errors import CarobspurError
 from ..verdict import verdict_name
+from .admission.request_gate import RequestGate
 from .calls import Call, Responder
 from .context import GatewayContext
 from .customers.authentication import authenticate
 from .customers.customer import Customer
-from .gates import RequestGate
 from .objectives import Served, objective_of
 from .plain_calls import PlainCallHandler
 from .refusals import (
--- a/src/carobspur/gateway/customers/rate_limit_gate.py
+++ b/src/carobspur/gateway/customers/rate_limit_gate.py
@@ -119,7 +119,7 @@
         self._named = frozenset(item.name for item in largest[:MAX_NAMED_CUSTOMERS])
 
     async def admit(self, call: Call, route: Route, customer: Customer | None) -> None:
-        """Admit a request or refuse it; see :class:`..gates.RequestGate`.
+        """Admit a request or refuse it; see :class:`.RequestGate`.
 
         Raises:
             OverLimitError: The customer's limit is reached.
--- a/src/carobspur/gateway/work/endpoint_speed.py
+++ b/src/carobspur/gateway/expected_cost/endpoint_speed.py
@@ -1,7 +1,7 @@
 """Current speed of one endpoint from its observed pace and its reports; pure.
 
 It handles endpoints that differ in speed, that slow down for seconds, that report their
-slowdown in ``Instance-Load``, and that report nonsense: what was observed calibrates
+slowdown in their load reports, and that report nonsense: what was observed calibrates
 what is reported.
 """
 
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -17,6 +17,7 @@
 from ..gateway.account_rows import TABLE as SPENDING_TABLE
 from ..gateway.accounts import ReleasedAccount
 from ..gateway.admission.gate import ProgramGate
+from ..gateway.admission.request_gate import RequestGate
 from ..gateway.call_dispatcher import CallDispatcher
 from ..gateway.context import GatewayContext
 from ..gateway.customers.rate_limit_gate import RateLimitGate
@@ -24,7 +25,6 @@
 from ..gateway.endpoint_client import EndpointClient
 from ..gateway.endpoints import Endpoint, EndpointIndex
 from ..gateway.feed import TableFeed
-from ..gateway.gates import RequestGate
 from ..gateway.health import HealthTracker
 from ..gateway.heartbeats_udp import HeartbeatSender
 from ..gateway.host_port import split_address
--- a/src/carobspur/plugins/placement_expected_cost.py
+++ b/src/carobspur/plugins/placement_expected_cost.py
@@ -1,6 +1,6 @@
 """Placement by expected cost: the request's own time and the delay to others.
 
-It learns from each request that it places; see :mod:`carobspur.gateway.work`.
+It learns from each request that it places; see :mod:`carobspur.gateway.expected_cost`.
 """
 
 from __future__ import annotations
@@ -10,9 +10,7 @@
 from dataclasses import dataclass
 
 from ..gateway.endpoints import Endpoint
-from ..gateway.health import LOAD_REPORT_TTL_S, EndpointHealth, HealthTracker
-from ..gateway.placement import Need, SendObservation, penalty_ms
-from ..gateway.work.choice import (
+from ..gateway.expected_cost.choice import (
     CandidateCost,
     EndpointView,
     ReusedPrompt,
@@ -22,15 +20,17 @@
     discount_stale_counts,
     turn_cost,
 )
-from ..gateway.work.estimates import Reuse
-from ..gateway.work.observations import (
+from ..gateway.expected_cost.estimates import Reuse
+from ..gateway.expected_cost.observations import (
     NEW_ENDPOINT,
     CallObservation,
     EndpointState,
     TurnObservation,
 )
-from ..gateway.work.prompt_cache import DEFAULT_CAPACITY, RECENT_S, PromptCache
-from ..gateway.work.request_cost import RouteModel, ServiceModel
+from ..gateway.expected_cost.prompt_cache import DEFAULT_CAPACITY, RECENT_S, PromptCache
+from ..gateway.expected_cost.request_cost import RouteModel, ServiceModel
+from ..gateway.health import LOAD_REPORT_TTL_S, EndpointHealth, HealthTracker
+from ..gateway.placement import Need, SendObservation, penalty_ms
 from ..placement import first_of
 from ..plugin_registry import PluginKind, register
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -10,10 +10,10 @@
 
 from carobspur.gateway.calls import EndpointLoad, PromptPart
 from carobspur.gateway.endpoints import Endpoint
+from carobspur.gateway.expected_cost.prompt_cache import PromptCache
 from carobspur.gateway.health import HealthTracker
 from carobspur.gateway.load_sharing import LoadReport, name_hash
 from carobspur.gateway.placement import Need, observe
-from carobspur.gateway.work.prompt_cache import PromptCache
 from carobspur.plugins.placement_expected_cost import ExpectedCostPlacement
 
 from .engine_load import SLOTS, Site
