--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -68,6 +68,7 @@
         name: Name of the gateway.
         store_port: Port at which it reaches the store.
         machine_mb: Memory of its machine.
+        max_fds: Descriptors of its machine.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         *,
         store_port: int | None = None,
         machine_mb: int = MACHINE_MB,
+        max_fds: int = MAX_FDS,
     ) -> None:
         self.name = name
         self.ports = gateway_ports()
@@ -87,6 +89,7 @@
         port = store_port or world.store.listen(HOST)
         self.store_port = port
         self._machine_mb = machine_mb
+        self._max_fds = max_fds
 
     def write_settings(self, seeds: list[int]) -> None:
         """Write the settings file.
@@ -104,7 +107,7 @@
             f"[times]\nstop_s = {GRACE_S}\naddress_ttl_s = 5\n\n"
             "[placement]\npolicy = expected_cost\n\n[admission]\npolicy =\n\n"
             "[rate_limits]\nwindow_s =\noverage =\nslack =\n\n"
-            f"[memory]\nmachine_mb = {self._machine_mb}\nmax_fds = {MAX_FDS}\n"
+            f"[memory]\nmachine_mb = {self._machine_mb}\nmax_fds = {self._max_fds}\n"
         )
 
     @property
