Log and count the rate limits that endpoints name in their answers

Change: answers' limits are decoded into a typed field, the newest statement of each endpoint is kept, and its start, change and end are logged with their age and counted. Routing does not change.

--- a/src/carobspur/gateway/calls.py
+++ b/src/carobspur/gateway/calls.py
@@ -138,6 +138,8 @@
         is_event_stream: Whether its body is a stream of events.
         load: Load of the endpoint, if reported.
         is_draining: Whether the endpoint announces that it accepts no new requests.
+        rate_limit: Requests a second that the endpoint takes from all gateways
+            together; ``None`` if it names no limit, NaN if that is unreadable.
     """
 
     status: int
@@ -147,6 +149,7 @@
     is_event_stream: bool = False
     load: EndpointLoad | None = None
     is_draining: bool = False
+    rate_limit: float | None = None
 
 
 class Responder(Protocol):
--- a/src/carobspur/gateway/endpoint_client.py
+++ b/src/carobspur/gateway/endpoint_client.py
@@ -17,6 +17,9 @@
 from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 from .telemetry import Telemetry
 
+AnswerObserver = Callable[[Endpoint, AnswerHead, float], None]
+"""Takes an endpoint, the head of its answer, and the loop time."""
+
 
 class EndpointCodec(Protocol):
     """Encodes requests for endpoints and decodes the heads of their answers."""
@@ -129,11 +132,13 @@
         telemetry: Counts requests by outcome.
         on_draining: Called with an endpoint whose answer announces that it accepts no
             new requests.
+        on_answer: Called with an endpoint, the head of its answer and the loop time.
     """
 
     __slots__ = (
         "_health",
         "_buffered",
+        "_on_answer",
         "_on_draining",
         "_pool",
         "_telemetry",
@@ -148,7 +153,9 @@
         telemetry: Telemetry,
         *,
         on_draining: Callable[[Endpoint], None],
+        on_answer: AnswerObserver = lambda endpoint, head, now: None,
     ) -> None:
+        self._on_answer = on_answer
         self._on_draining = on_draining
         self._codec = codec
         self._pool = pool
@@ -216,6 +223,7 @@
             )
             head = self._codec.decode(message.status, message.raw_headers)
             self._health.record_load(endpoint.key, head.load, loop.time())
+            self._on_answer(endpoint, head, loop.time())
             if head.is_draining:
                 self._on_draining(endpoint)
             exchange = Exchange(endpoint, connection, message, head, self._buffered)
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -103,6 +103,17 @@
             ["service"],
             registry=self.registry,
         )
+        self.endpoint_limits = Gauge(
+            "carobspur_endpoint_limits",
+            "Endpoints that name a rate limit at present.",
+            registry=self.registry,
+        )
+        self.endpoint_limit_changes = Counter(
+            "carobspur_endpoint_limit_changes",
+            "Rate limits of endpoints that started, changed or ended.",
+            ["change"],
+            registry=self.registry,
+        )
         self.log_lines_dropped = Counter(
             "carobspur_log_lines_dropped",
             "Log lines dropped because nobody read standard output.",
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -23,6 +23,7 @@
 from ..gateway.customers.rate_limit_gate import RateLimitGate
 from ..gateway.decisions import DecisionLog
 from ..gateway.endpoint_client import EndpointClient
+from ..gateway.endpoint_limits.gate import EndpointLimitGate
 from ..gateway.endpoints import Endpoint, EndpointIndex
 from ..gateway.feed import TableFeed
 from ..gateway.health import HealthTracker
@@ -140,6 +141,7 @@
         )
         health = HealthTracker()
         endpoints = EndpointIndex()
+        self._endpoint_limits = EndpointLimitGate(log, telemetry)
         self._context = GatewayContext(
             data_centre=settings.instance.data_centre,
             endpoint_client=EndpointClient(
@@ -148,6 +150,7 @@
                 health,
                 self._telemetry,
                 on_draining=self._record_draining,
+                on_answer=self._endpoint_limits.record_answer,
             ),
             endpoints=endpoints,
             health=health,
@@ -516,6 +519,7 @@
     def _drop_endpoint(self, key: str) -> None:
         self._pool.close_idle(key)
         self._context.health.forget(key)
+        self._endpoint_limits.forget(key)
 
     def _record_draining(self, endpoint: Endpoint) -> None:
         if self._context.endpoints.record_leaving(endpoint):
--- a/src/carobspur/platform/headers.py
+++ b/src/carobspur/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..gateway.calls import (
     AnswerHead,
     Call,
@@ -35,6 +37,9 @@
 # "1" in all answers of a replica that shuts down, even if its registry entry says
 # "ready".
 _LEAVING_HEADER = "server-leaving"
+# Requests a second that the replica takes from all gateways together, as a decimal
+# number; in its answers for as long as the limit holds.
+_LIMIT_HEADER = "server-limit"
 # Prompt tokens and the maximum of output tokens, separated by a comma; despite the
 # name not the tokens that were used.
 _TOKENS_HEADER = "token-usage"
@@ -178,6 +183,7 @@
             is_event_stream=media_type == _EVENT_STREAM,
             load=_decode_load(by_name.get(_LOAD_HEADER, "")),
             is_draining=by_name.get(_LEAVING_HEADER, "") == "1",
+            rate_limit=_decode_limit(by_name.get(_LIMIT_HEADER)),
         )
 
 
@@ -270,6 +276,16 @@
     )
 
 
+def _decode_limit(text: str | None) -> float | None:
+    """Return the requests a second; ``None`` without the field, NaN if malformed."""
+    if text is None:
+        return None
+    whole, _, fraction = text.strip().partition(".")
+    if parse_decimal(whole) is None or (fraction and parse_decimal(fraction) is None):
+        return math.nan
+    return float(text)
+
+
 def _decode_load(text: str) -> EndpointLoad | None:
     numbers = [parse_decimal(item.strip()) for item in text.split(",")]
     if len(numbers) not in (3, 4) or None in numbers:
