Log which requests an endpoint had when it crashed

Cause: no log names the content of a request, so that nothing shows whether the same request was at several endpoints that ended. Change: a lost answer makes the gateway open one connection to the endpoint; if it is refused, the endpoint has crashed, and the digests of its lost requests are logged with their progress. Numbers in load reports about limits have bounds. Routing does not change.

--- a/src/carobspur/gateway/context.py
+++ b/src/carobspur/gateway/context.py
@@ -15,6 +15,7 @@
 from .endpoints import EndpointIndex
 from .health import HealthTracker
 from .placement import PlacementPolicy
+from .quarantine.crash_watch import CrashWatch
 from .routes import Configuration
 from .telemetry import Telemetry
 
@@ -33,6 +34,7 @@
         endpoints: Registered endpoints.
         health: Load, speed and failures of endpoints.
         limits: Rate limits that endpoints name.
+        crash_watch: Finds out which requests endpoints had when they crashed.
         placement: Chooses the endpoint of each request.
         log: Decision log.
         telemetry: Metrics.
@@ -50,6 +52,7 @@
     endpoints: EndpointIndex
     health: HealthTracker
     limits: EndpointLimitGate
+    crash_watch: CrashWatch
     placement: PlacementPolicy
     log: DecisionLog
     telemetry: Telemetry
--- a/src/carobspur/gateway/endpoint_limits/policy.py
+++ b/src/carobspur/gateway/endpoint_limits/policy.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
@@ -41,6 +42,10 @@
 THOUSANDTHS = 1000
 
 
+# Anybody may send to an open port, so that numbers in datagrams have bounds.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+
+
 class LimitUse(msgspec.Struct, frozen=True, array_like=True):
     """What a load report says about one limited endpoint; integers save bytes.
 
@@ -52,9 +57,9 @@
             an answer without a limit.
     """
 
-    sends: int
-    age_ms: int | None = None
-    rate: int | None = None
+    sends: _Count
+    age_ms: _Count | None = None
+    rate: _Count | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -20,7 +20,12 @@
 from .answer_limits import DEFAULT_LIMITS, AnswerLimits
 from .answer_parser import AnswerParser, Message
 from .decimals import parse_decimal
-from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
+from .send_errors import (
+    EndlessAnswerError,
+    LostAnswerError,
+    NotSentError,
+    RefusedConnectionError,
+)
 
 CONNECT_TIMEOUT_S = 0.3
 """A handshake within a region takes about 2 ms. The timeout does not wait for the
@@ -93,6 +98,7 @@
         """Open a connection.
 
         Raises:
+            RefusedConnectionError: Nobody listens at the address.
             NotSentError: No connection could be opened within ``timeout_s``.
         """
         stream = IOStream(_create_socket())
@@ -102,9 +108,10 @@
         except (OSError, TimeoutError, StreamClosedError) as error:
             stream.close()
             reason = stream.error or error
-            raise NotSentError(
-                f"cannot connect to {host}:{port}: {reason!r}"
-            ) from error
+            text = f"cannot connect to {host}:{port}: {reason!r}"
+            if isinstance(reason, ConnectionRefusedError):
+                raise RefusedConnectionError(text) from error
+            raise NotSentError(text) from error
         except asyncio.CancelledError:
             stream.close()
             raise
@@ -122,6 +129,10 @@
             < self._idle_timeout_s - IDLE_MARGIN_S
         )
 
+    def mark_idle(self) -> None:
+        """Record that the connection is idle from now on."""
+        self.idle_since = time.monotonic()
+
     def close(self) -> None:
         """Close the connection immediately."""
         self._stream.close()
@@ -206,7 +217,7 @@
         ):
             self.close()
             return False
-        self.idle_since = time.monotonic()
+        self.mark_idle()
         self.is_reused = True
         return not self._stream.closed()
 
--- a/src/carobspur/gateway/http_pool.py
+++ b/src/carobspur/gateway/http_pool.py
@@ -59,6 +59,22 @@
             host, port, timeout_s=timeout_s, limits=self.limits
         )
 
+    async def probe(self, key: str, host: str, port: int) -> None:
+        """Open a new connection, to find out whether anybody listens, and keep it.
+
+        Takes the arguments of :meth:`acquire`.
+
+        Raises:
+            RefusedConnectionError: Nobody listens at the address.
+            NotSentError: No connection could be opened in time.
+        """
+        self._on_open(key)
+        connection = await Connection.open(
+            host, port, timeout_s=CONNECT_TIMEOUT_S, limits=self.limits
+        )
+        connection.mark_idle()
+        self.release(key, connection)
+
     def release(self, key: str, connection: Connection) -> None:
         """Keep a connection for reuse, once its answer has been read to its end."""
         self._idle.setdefault(key, []).append(connection)
--- a/src/carobspur/gateway/load_sharing.py
+++ b/src/carobspur/gateway/load_sharing.py
@@ -10,7 +10,7 @@
 import zlib
 from collections.abc import Callable
 from functools import lru_cache
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
@@ -52,7 +52,9 @@
     counts: dict[int, int]
     failures: dict[int, tuple[float, float]] = msgspec.field(default_factory=dict)
     limit_uses: dict[int, LimitUse] = msgspec.field(default_factory=dict)
-    limit_demands: dict[int, int] = msgspec.field(default_factory=dict)
+    limit_demands: dict[int, Annotated[int, msgspec.Meta(ge=0)]] = msgspec.field(
+        default_factory=dict
+    )
 
 
 @lru_cache(maxsize=MAX_CACHED_HASHES)
--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -30,13 +30,14 @@
     observe,
     uses_call_affinity,
 )
+from .quarantine.crash_history import Progress
 from .refusals import (
     DeadlineExceededError,
     EndpointFailedError,
     NoEndpointError,
 )
 from .routes import Route
-from .send_errors import LostAnswerError, NotSentError
+from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
 
 RETRY_AFTER_S = 0.15
 """Retry-After of refused calls; about the time of two plain calls."""
@@ -279,6 +280,10 @@
             return NotRunThere(error.message)
         except LostAnswerError as error:
             health.record_failure(endpoint.key, loop.time())
+            if not isinstance(error, EndlessAnswerError):
+                self._context.crash_watch.record_loss(
+                    endpoint, call, Progress.SENT, reason=error.message
+                )
             return Lost(error.message)
         if head.has_not_run:
             health.record_full(endpoint.key, loop.time())
--- /dev/null
+++ b/src/carobspur/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash the endpoints that run them."""
--- a/src/carobspur/gateway/send_errors.py
+++ b/src/carobspur/gateway/send_errors.py
@@ -20,6 +20,12 @@
     default_verdict = NOT_RUN
 
 
+class RefusedConnectionError(NotSentError):
+    """Nobody listens at the endpoint's address: its process has ended."""
+
+    cause = "connection_refused"
+
+
 class LostAnswerError(SendError):
     """At least part of the request may have been sent, but no complete answer came."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -20,6 +20,7 @@
 from .objectives import Served
 from .outcomes import MAX_SENDS
 from .placement import Need, SendObservation, observe
+from .quarantine.crash_history import Progress
 from .refusals import (
     DeadlineExceededError,
     DeadlineExceededUnsentError,
@@ -116,6 +117,7 @@
                     continue
                 break
             resume_at = None
+            earlier_events, earlier_runs = turn.events, turn.runs
             try:
                 async with asyncio.timeout_at(turn.deadline):
                     status = await self._attempt(turn, engine, responder)
@@ -127,6 +129,15 @@
                 continue
             except LostAnswerError as error:
                 reason = error.message
+                if not isinstance(error, EndlessAnswerError):
+                    progress = Progress.SENT
+                    if turn.events > earlier_events:
+                        progress = Progress.PRODUCING
+                    elif turn.runs > earlier_runs:
+                        progress = Progress.BEGUN
+                    self._context.crash_watch.record_loss(
+                        engine, turn.call, progress, reason=reason
+                    )
                 self._record_failure(turn, engine, "lost", reason)
                 resumes += 1
                 if not turn.is_resumable or resumes > MAX_RESUMES:
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -120,6 +120,11 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.endpoint_crashes = Counter(
+            "carobspur_endpoint_crashes",
+            "Endpoints that crashed while this gateway had requests there.",
+            registry=self.registry,
+        )
         self.log_lines_dropped = Counter(
             "carobspur_log_lines_dropped",
             "Log lines dropped because nobody read standard output.",
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -37,6 +37,8 @@
 from ..gateway.memory.account import ConnectionUse, MemoryAccount
 from ..gateway.outages import is_outage_confirmed
 from ..gateway.plain_calls import PlainCallHandler
+from ..gateway.quarantine.crash_history import CrashHistory
+from ..gateway.quarantine.crash_watch import CrashWatch
 from ..gateway.routes import CallerLimits
 from ..gateway.row_sweep import RowSweeper
 from ..gateway.rows import Row
@@ -148,6 +150,15 @@
             telemetry,
             group_share=self._membership.load_report_share,
         )
+        self._crashes = CrashHistory()
+        self._crash_watch = CrashWatch(
+            self._crashes,
+            self._pool,
+            name=self._membership.own.name,
+            spawn=lambda coroutine: self._context.spawn(coroutine),
+            log=log,
+            telemetry=telemetry,
+        )
         self._context = GatewayContext(
             data_centre=settings.instance.data_centre,
             endpoint_client=EndpointClient(
@@ -161,6 +172,7 @@
             endpoints=endpoints,
             health=health,
             limits=self._endpoint_limits,
+            crash_watch=self._crash_watch,
             placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
             log=log,
             telemetry=self._telemetry,
