Quarantine requests that crash endpoints

Cause: a lost request was charged to its endpoint only; with another id it was new to every gateway. Class: a poison message that retries spread. Change: requests at endpoints that crash are recognized by content, blamed by their progress, shared with all gateways, and refused with 503 once they are convicted; suspected ones run alone, and not while endpoints are missing. A complete answer acquits.

--- a/src/carobspur/gateway/context.py
+++ b/src/carobspur/gateway/context.py
@@ -16,6 +16,7 @@
 from .health import HealthTracker
 from .placement import PlacementPolicy
 from .quarantine.crash_watch import CrashWatch
+from .quarantine.gate import QuarantineGate
 from .routes import Configuration
 from .telemetry import Telemetry
 
@@ -34,6 +35,7 @@
         endpoints: Registered endpoints.
         health: Load, speed and failures of endpoints.
         limits: Rate limits that endpoints name.
+        quarantine: Refuses requests that crash endpoints.
         crash_watch: Finds out which requests endpoints had when they crashed.
         placement: Chooses the endpoint of each request.
         log: Decision log.
@@ -52,6 +54,7 @@
     endpoints: EndpointIndex
     health: HealthTracker
     limits: EndpointLimitGate
+    quarantine: QuarantineGate
     crash_watch: CrashWatch
     placement: PlacementPolicy
     log: DecisionLog
--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -19,7 +19,10 @@
     Member,
     Membership,
 )
+from .quarantine.messages import Acquittal, CrashReport
 
+CrashMessageHandler = Callable[[CrashReport | Acquittal], None]
+"""Receives a message on crashes of endpoints."""
 RateMessageHandler = Callable[[RateRequest | RateAnswer, tuple[str, int]], None]
 """Receives a message on rate limits and the address of its sender."""
 LoadReportHandler = Callable[[LoadReport, float], None]
@@ -34,14 +37,16 @@
         on_store_unreachable: Callable[[], None],
         on_rate_message: RateMessageHandler,
         on_load_report: LoadReportHandler,
+        on_crash_message: CrashMessageHandler,
     ) -> None:
         self._on_store_unreachable = on_store_unreachable
         self._on_rate_message = on_rate_message
         self._on_load_report = on_load_report
+        self._on_crash_message = on_crash_message
         self._membership = membership
         self._loads = loads
         self._decoder = msgspec.msgpack.Decoder(
-            Heartbeat | LoadReport | RateRequest | RateAnswer
+            Heartbeat | LoadReport | RateRequest | RateAnswer | CrashReport | Acquittal
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -61,6 +66,8 @@
                 self._on_load_report(message, now)
             case RateRequest() | RateAnswer():
                 self._on_rate_message(message, addr)
+            case CrashReport() | Acquittal():
+                self._on_crash_message(message)
 
     def error_received(self, exc: OSError) -> None:
         """Ignore refused datagrams: missing heartbeats already show a dead peer."""
@@ -82,6 +89,8 @@
         on_rate_message: Receives messages on rate limits; set before :meth:`running`.
         on_load_report: Receives load reports after ``loads``; set before
             :meth:`running`.
+        on_crash_message: Receives messages on crashes; set before :meth:`running`.
+        on_peer_alive: Called with a member that has become alive.
     """
 
     __slots__ = (
@@ -93,7 +102,9 @@
         "_sent",
         "_state",
         "_transport",
+        "on_crash_message",
         "on_load_report",
+        "on_peer_alive",
         "on_rate_message",
     )
 
@@ -116,6 +127,8 @@
         self._sent = 0
         self.on_rate_message: RateMessageHandler = lambda message, address: None
         self.on_load_report: LoadReportHandler = lambda report, now: None
+        self.on_crash_message: CrashMessageHandler = lambda message: None
+        self.on_peer_alive: Callable[[Member], None] = lambda member: None
 
     @asynccontextmanager
     async def running(self, host: str, port: int) -> AsyncIterator[None]:
@@ -128,6 +141,7 @@
                 self._on_store_unreachable,
                 self.on_rate_message,
                 self.on_load_report,
+                self.on_crash_message,
             ),
             local_addr=(host, port),
         )
@@ -185,6 +199,22 @@
         if not self._transport.is_closing():
             self._transport.sendto(msgspec.msgpack.encode(message), address)
 
+    def broadcast(self, message: CrashReport | Acquittal) -> None:
+        """Send a message to all other gateways, alive or not."""
+        self.send_crash_messages(self._membership.others(), [message])
+
+    def send_crash_messages(
+        self,
+        members: Iterable[Member],
+        messages: Iterable[CrashReport | Acquittal],
+    ) -> None:
+        """Send messages on crashes to some gateways."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        recipients = list(members)
+        for message in messages:
+            self._send_to(recipients, msgspec.msgpack.encode(message))
+
     def _send_to(self, members: Iterable[Member], data: bytes) -> None:
         for member in members:
             self._transport.sendto(data, split_address(member.heartbeats))
@@ -194,6 +224,9 @@
         alive = {member.name for member in self._membership.alive(now)}
         for name in alive - self._alive:
             self._log.record("peer_alive", peer=name)
+            member = self._membership.get(name)
+            if member is not None:
+                self.on_peer_alive(member)
         for name in self._alive - alive:
             is_leaving = self._membership.is_leaving(name)
             self._log.record("peer_silent", peer=name, is_leaving=is_leaving)
--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -97,6 +97,10 @@
             is_retryable = may_retry(outcome, route, runs=runs, sends=len(tried))
             if not is_retryable or asyncio.get_running_loop().time() >= deadline:
                 break
+            if isinstance(outcome, Lost):
+                await self._context.crash_watch.settle(endpoint)
+                if self._context.quarantine.blocks(call, route):
+                    break
         if call.limited_for_s is not None and not runs:
             service = route.service_for(self._affinity(call, route) or call.id)
             raise self._context.limits.refusal(call, service)
@@ -112,6 +116,7 @@
         allowed = context.limits.allowed(
             self._untried(call, route, tried), call, route, now, is_hedge=is_hedge
         )
+        allowed = context.quarantine.isolate(allowed, call, now)
         return context.placement.plain(
             allowed, self._need(call, route), context.health, now
         )
--- a/src/carobspur/gateway/quarantine/crash_history.py
+++ b/src/carobspur/gateway/quarantine/crash_history.py
@@ -175,6 +175,8 @@
                 progress if known is None else max(known, progress)
             )
             self._by_request.setdefault(request, set()).add(endpoint)
+            if request in self._convicted:
+                self.verdict(request, at)
         return is_new
 
     def verdict(self, request: int, now: float) -> Verdict:
@@ -218,6 +220,10 @@
             self._crashes[endpoint].requests.pop(request, None)
         return was_known
 
+    def is_remembered(self, request: int) -> bool:
+        """Return whether a request was at an endpoint that crashed."""
+        return request in self._by_request
+
     def has_crashed(self, endpoint: int) -> bool:
         """Return whether a start of an endpoint is known to have ended."""
         return endpoint in self._crashes
@@ -235,6 +241,11 @@
         return [item for item in self._crashes.items() if item[1].requests]
 
     def _expire(self, now: float) -> None:
+        while self._convicted:
+            request, conviction = next(iter(self._convicted.items()))
+            if now - conviction.until < MAX_QUARANTINE_S:
+                break
+            del self._convicted[request]
         while self._crashes:
             endpoint, crash = next(iter(self._crashes.items()))
             if now - crash.at < CRASH_TTL_S:
--- a/src/carobspur/gateway/quarantine/crash_watch.py
+++ b/src/carobspur/gateway/quarantine/crash_watch.py
@@ -16,6 +16,9 @@
 from .messages import CrashReport
 from .request_digest import request_digest
 
+SETTLE_S = 0.02
+"""Longest wait for a probe: several round trips within a region."""
+
 
 class CrashWatch:
     """Records crashes of endpoints with the requests that this gateway had there.
@@ -42,6 +45,7 @@
         "_losses",
         "_name",
         "_pool",
+        "_probes",
         "_spawn",
         "_telemetry",
         "on_crash",
@@ -53,7 +57,7 @@
         pool: ConnectionPool,
         *,
         name: str,
-        spawn: Callable[[Coroutine[None, None, None]], object],
+        spawn: Callable[[Coroutine[None, None, None]], asyncio.Task],
         log: DecisionLog,
         telemetry: Telemetry,
     ) -> None:
@@ -63,8 +67,9 @@
         self._spawn = spawn
         self._log = log
         self._telemetry = telemetry
-        # Lost requests by the key of an endpoint that is being probed.
+        # Lost requests and probes by the key of an endpoint that is being probed.
         self._losses: dict[str, dict[int, Progress]] = {}
+        self._probes: dict[str, asyncio.Task] = {}
         self.on_crash: Callable[[CrashReport], None] = lambda report: None
 
     def record_loss(
@@ -81,10 +86,21 @@
         losses = self._losses.get(endpoint.key)
         if losses is None:
             losses = self._losses[endpoint.key] = {}
-            self._spawn(self._probe(endpoint, reason))
+            probe = self._spawn(self._probe(endpoint, reason))
+            self._probes[endpoint.key] = probe
         if len(losses) < MAX_SUSPECTS:
             losses[request_digest(call)] = progress
 
+    async def settle(self, endpoint: Endpoint) -> None:
+        """Wait until it is known whether an endpoint has crashed, for a moment at most.
+
+        A request is not sent to another endpoint before that: it may crash that one,
+        too.
+        """
+        probe = self._probes.get(endpoint.key)
+        if probe is not None:
+            await asyncio.wait([probe], timeout=SETTLE_S)
+
     async def _probe(self, endpoint: Endpoint, reason: str) -> None:
         try:
             if not self._history.has_crashed(name_hash(endpoint.key)):
@@ -101,6 +117,7 @@
                 self._record_crash(endpoint, reason)
         finally:
             self._losses.pop(endpoint.key, None)
+            self._probes.pop(endpoint.key, None)
 
     def _record_crash(self, endpoint: Endpoint, reason: str) -> None:
         losses = self._losses[endpoint.key]
--- /dev/null
+++ b/src/carobspur/gateway/quarantine/gate.py
@@ -0,0 +1,232 @@
+"""Keeps requests that crash endpoints away from the endpoints that are left."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from ..admission.request_gate import RequestGate
+from ..calls import Call
+from ..customers.customer import Customer
+from ..customers.ownership import program_name
+from ..decisions import DecisionLog
+from ..endpoints import Endpoint, EndpointIndex
+from ..health import HealthTracker
+from ..load_sharing import name_hash
+from ..objectives import Served
+from ..refusals import QuarantinedError
+from ..routes import Route, RouteKind
+from ..telemetry import Telemetry
+from .crash_history import RECOVERY_S, CrashHistory, Verdict
+from .messages import Acquittal, CrashReport
+from .request_digest import request_digest
+
+REPEATS_S = (0.3, 1.5)
+"""Delays after which a report is sent again, as datagrams may be lost."""
+MAX_TOLD_CRASHES = 64
+"""Most crashes that a peer that has just become alive is told."""
+
+
+class QuarantineGate(RequestGate):
+    """Refuses requests in quarantine, and suspected ones while endpoints are missing.
+
+    Args:
+        history: Crashes with their suspects.
+        endpoints: Registered endpoints.
+        health: Requests under way at endpoints.
+        name: Name of this gateway's process.
+        broadcast: Sends a message to all other gateways.
+        log: Decision log.
+        telemetry: Metrics.
+    """
+
+    __slots__ = (
+        "_broadcast",
+        "_endpoints",
+        "_health",
+        "_history",
+        "_log",
+        "_name",
+        "_telemetry",
+    )
+
+    def __init__(
+        self,
+        history: CrashHistory,
+        endpoints: EndpointIndex,
+        health: HealthTracker,
+        *,
+        name: str,
+        broadcast: Callable[[CrashReport | Acquittal], None],
+        log: DecisionLog,
+        telemetry: Telemetry,
+    ) -> None:
+        self._history = history
+        self._endpoints = endpoints
+        self._health = health
+        self._name = name
+        self._broadcast = broadcast
+        self._log = log
+        self._telemetry = telemetry
+        telemetry.quarantined_requests.set_function(lambda: history.convicted)
+
+    async def admit(self, call: Call, route: Route, customer: Customer | None) -> None:
+        """Let a request pass or refuse it; see :class:`RequestGate`."""
+        self.check(call, route)
+
+    def finished(self, call: Call, route: Route, served: Served | None) -> None:
+        """Acquit a suspected request that was answered completely."""
+        if served is None or self._history.is_empty:
+            return
+        request = request_digest(call)
+        if self._history.acquit(request):
+            self._log.record(
+                "request_acquitted", request=call.id, digest=f"{request:016x}"
+            )
+            self._broadcast(Acquittal(self._name, request))
+
+    def check(self, call: Call, route: Route) -> None:
+        """Raise the refusal of a request that may not be sent to an endpoint now.
+
+        Raises:
+            QuarantinedError: It has crashed endpoints, or may have crashed one while
+                too few are left.
+        """
+        if self._history.is_empty:
+            return
+        now = asyncio.get_running_loop().time()
+        request = request_digest(call)
+        verdict = self._history.verdict(request, now)
+        if verdict.quarantined_until is not None:
+            self._refuse(
+                call, request, verdict, "quarantined", verdict.quarantined_until - now
+            )
+        elif verdict.is_suspected and self._is_depleted(call, route, now):
+            self._refuse(call, request, verdict, "suspected", RECOVERY_S)
+
+    def blocks(self, call: Call, route: Route) -> bool:
+        """Return whether a request that was lost may not be sent once more."""
+        try:
+            self.check(call, route)
+        except QuarantinedError:
+            return True
+        return False
+
+    def isolate(
+        self, endpoints: Sequence[Endpoint], call: Call, now: float
+    ) -> Sequence[Endpoint]:
+        """Return the endpoints that a request may be sent to.
+
+        For a suspected request this is the one with the fewest requests: all that it
+        has are lost if it crashes.
+        """
+        if self._history.is_empty or not endpoints:
+            return endpoints
+        if not self._history.verdict(request_digest(call), now).is_suspected:
+            return endpoints
+        alive = [
+            item
+            for item in endpoints
+            if not self._history.has_crashed(name_hash(item.key))
+        ]
+        return [
+            min(
+                alive or endpoints,
+                key=lambda item: self._health.running(item.key, now) / item.slots,
+            )
+        ]
+
+    def receive(self, message: CrashReport | Acquittal) -> None:
+        """Record a message of a peer."""
+        now = asyncio.get_running_loop().time()
+        match message:
+            case CrashReport():
+                is_new = self._history.record(
+                    message.endpoint,
+                    message.service,
+                    now - message.age_ms / 1000,
+                    requests=message.requests,
+                    reporter=message.reporter,
+                )
+                if is_new:
+                    self._log.record(
+                        "peer_reported_crash",
+                        peer=message.reporter,
+                        age_ms=message.age_ms,
+                        requests=[f"{request:016x}" for request in message.requests],
+                    )
+            case Acquittal():
+                self._history.acquit(message.request)
+
+    def report_crash(self, report: CrashReport) -> None:
+        """Tell the peers about a crash, several times as datagrams may be lost."""
+        loop = asyncio.get_running_loop()
+        self._broadcast(report)
+        for delay_s in REPEATS_S:
+            loop.call_later(delay_s, self._repeat, report, round(1000 * delay_s))
+
+    def _repeat(self, report: CrashReport, age_ms: int) -> None:
+        remaining = {
+            request: progress
+            for request, progress in report.requests.items()
+            if self._history.is_remembered(request)
+        }
+        if remaining:
+            self._broadcast(
+                CrashReport(
+                    self._name, report.endpoint, report.service, age_ms, remaining
+                )
+            )
+
+    def reports(self) -> list[CrashReport]:
+        """Return what a gateway that has just started is told."""
+        now = asyncio.get_running_loop().time()
+        return [
+            CrashReport(
+                self._name,
+                endpoint,
+                crash.service,
+                round(1000 * max(0.0, now - crash.at)),
+                crash.requests,
+            )
+            for endpoint, crash in self._history.crashes(now)[-MAX_TOLD_CRASHES:]
+        ]
+
+    def _is_depleted(self, call: Call, route: Route, now: float) -> bool:
+        """Return whether as many endpoints are missing as are left, or more."""
+        is_turn = route.kind is RouteKind.STREAM
+        service = route.service_for((is_turn and program_name(call)) or call.id)
+        missing = self._history.missing(name_hash(service), now)
+        if not missing:
+            return False
+        left = sum(
+            not self._history.has_crashed(name_hash(item.key))
+            for item in self._endpoints.usable(service)
+        )
+        return left <= missing
+
+    def _refuse(
+        self,
+        call: Call,
+        request: int,
+        verdict: Verdict,
+        state: str,
+        retry_after_s: float,
+    ) -> None:
+        self._telemetry.quarantine_refusals.labels(state).inc()
+        self._log.record(
+            "request_quarantined",
+            request=call.id,
+            program=call.program.id if call.program else "",
+            digest=f"{request:016x}",
+            state=state,
+            crashes=verdict.crashes,
+            blame=round(verdict.blame, 2),
+            reporters=verdict.reporters,
+            retry_after_s=round(retry_after_s, 1),
+        )
+        raise QuarantinedError(
+            f"requests with this content were running when {verdict.crashes} endpoints "
+            f"crashed ({state})",
+            retry_after_s=retry_after_s,
+        )
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -72,6 +72,14 @@
     default_verdict = NOT_RUN
 
 
+class QuarantinedError(CarobspurError):
+    """Endpoints crashed while they ran the same request; it was not sent again."""
+
+    cause = "quarantined"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class OutOfMemoryError(CarobspurError):
     """The bytes to send would exceed the bound on buffered bytes; nothing was sent."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -142,6 +142,9 @@
                 resumes += 1
                 if not turn.is_resumable or resumes > MAX_RESUMES:
                     break
+                await self._context.crash_watch.settle(engine)
+                if self._context.quarantine.blocks(turn.call, turn.route):
+                    break
                 # Resuming at the same engine does not count against the route's limit.
                 resume_at = engine
                 continue
@@ -189,6 +192,7 @@
         allowed = context.limits.allowed(
             self._untried(turn), turn.call, turn.route, now
         )
+        allowed = context.quarantine.isolate(allowed, turn.call, now)
         return context.placement.engine(allowed, self._need(turn), context.health, now)
 
     def _need(self, turn: TurnState) -> Need:
--- a/src/carobspur/gateway/telemetry.py
+++ b/src/carobspur/gateway/telemetry.py
@@ -125,6 +125,17 @@
             "Endpoints that crashed while this gateway had requests there.",
             registry=self.registry,
         )
+        self.quarantined_requests = Gauge(
+            "carobspur_quarantined_requests",
+            "Different requests that were found to crash endpoints.",
+            registry=self.registry,
+        )
+        self.quarantine_refusals = Counter(
+            "carobspur_quarantine_refusals",
+            "Requests refused because the same request crashed endpoints, or may have.",
+            ["state"],
+            registry=self.registry,
+        )
         self.log_lines_dropped = Counter(
             "carobspur_log_lines_dropped",
             "Log lines dropped because nobody read standard output.",
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -39,6 +39,7 @@
 from ..gateway.plain_calls import PlainCallHandler
 from ..gateway.quarantine.crash_history import CrashHistory
 from ..gateway.quarantine.crash_watch import CrashWatch
+from ..gateway.quarantine.gate import QuarantineGate
 from ..gateway.routes import CallerLimits
 from ..gateway.row_sweep import RowSweeper
 from ..gateway.rows import Row
@@ -150,15 +151,25 @@
             telemetry,
             group_share=self._membership.load_report_share,
         )
-        self._crashes = CrashHistory()
-        self._crash_watch = CrashWatch(
-            self._crashes,
+        crashes = CrashHistory()
+        self._quarantine = QuarantineGate(
+            crashes,
+            endpoints,
+            health,
+            name=self._membership.own.name,
+            broadcast=lambda message: self._heartbeats.broadcast(message),
+            log=log,
+            telemetry=telemetry,
+        )
+        crash_watch = CrashWatch(
+            crashes,
             self._pool,
             name=self._membership.own.name,
             spawn=lambda coroutine: self._context.spawn(coroutine),
             log=log,
             telemetry=telemetry,
         )
+        crash_watch.on_crash = self._quarantine.report_crash
         self._context = GatewayContext(
             data_centre=settings.instance.data_centre,
             endpoint_client=EndpointClient(
@@ -172,7 +183,8 @@
             endpoints=endpoints,
             health=health,
             limits=self._endpoint_limits,
-            crash_watch=self._crash_watch,
+            quarantine=self._quarantine,
+            crash_watch=crash_watch,
             placement=plugin(PluginKind.PLACEMENT, settings.placement.policy)(),
             log=log,
             telemetry=self._telemetry,
@@ -264,6 +276,8 @@
             telemetry=self._telemetry,
         )
         self._heartbeats.on_rate_message = self._rate_limits.receive
+        self._heartbeats.on_crash_message = self._quarantine.receive
+        self._heartbeats.on_peer_alive = self._tell_about_crashes
         self._heartbeats.on_load_report = self._endpoint_limits.record_report
         self._call_dispatcher = CallDispatcher(
             self._context,
@@ -271,7 +285,7 @@
             StreamCallHandler(self._context, turn_lifecycle),
             is_configuration_current=self._is_configuration_current,
             confirm_configuration=self._confirm_configuration,
-            gates=(self._rate_limits, *self._create_gates()),
+            gates=(self._quarantine, self._rate_limits, *self._create_gates()),
         )
         self._ingress = Ingress(
             self._call_dispatcher,
@@ -378,6 +392,9 @@
         await self._context.wait_for_tasks(max(0.0, end - loop.time()))
         self._log.record("stopped", in_flight=self._call_dispatcher.in_flight)
 
+    def _tell_about_crashes(self, member: Member) -> None:
+        self._heartbeats.send_crash_messages([member], self._quarantine.reports())
+
     def _create_gates(self) -> list[RequestGate]:
         """Return the decisions that requests pass before they are served."""
         if not self._settings.admission.policy:
--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -129,6 +129,9 @@
         numbers_events: Whether events have ids.
         is_leaving: Whether every answer says that the replica is draining.
         rate_limit: Requests a second that every answer names as the replica's limit.
+        crashes_on: Content of a request under which the replica crashes once it has
+            begun to execute it; empty for none.
+        has_crashed: Whether it crashed, so that nobody listens at its address.
         faults: Faults of the next requests, first one first; ``None`` for a correct
             answer.
         scripts: Answers to the next requests that are executed, first one first.
@@ -148,6 +151,8 @@
     numbers_events: bool = True
     is_leaving: bool = False
     rate_limit: float | None = None
+    crashes_on: bytes = b""
+    has_crashed: bool = False
     faults: deque[ReplicaFault | None] = field(default_factory=deque)
     scripts: deque[ScriptedAnswer | None] = field(default_factory=deque)
     seen: list[SeenRequest] = field(default_factory=list)
@@ -158,6 +163,7 @@
     _last_answer: bytes = b""
     _last_refusal: bytes = b""
     _words: dict[str, str] = field(default_factory=dict)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def listen(self, host: str, port: int = 0) -> int:
         """Start to serve; port 0 picks a free one. Returns the port."""
@@ -168,6 +174,13 @@
         """Stop accepting connections; open ones are still served."""
         self._server.close()
 
+    def crash(self) -> None:
+        """End at once, with all connections."""
+        self.has_crashed = True
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
     @property
     def ran(self) -> list[SeenRequest]:
         """Requests that the replica began to execute."""
@@ -177,6 +190,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 continue
@@ -184,6 +198,7 @@
             # The sender closed the connection.
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(
@@ -234,6 +249,13 @@
         if fault is ReplicaFault.HANG:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.work_s)
+        if self.crashes_on and self.crashes_on in request.body:
+            if self.events:
+                writer.write(self._head(request.headers.get("request-id", ""), None))
+                await writer.drain()
+                await asyncio.sleep(self.event_s)
+            self.crash()
+            return False
         script = self.scripts.popleft() if self.scripts else None
         if script is not None:
             return await self._follow_script(script, request, writer)
--- a/tests/test_placement_path.py
+++ b/tests/test_placement_path.py
@@ -70,6 +70,7 @@
         context.health.usual_s.return_value = 0.05
         context.endpoints.usable.return_value = []
         context.limits.allowed.side_effect = lambda endpoints, *_, **__: endpoints
+        context.quarantine.isolate.side_effect = lambda endpoints, *_: endpoints
         handler = PlainCallHandler(context)
         call = replace(CALL, customer=customer)
         with mock.patch("asyncio.get_running_loop"):
