Quarantine targets whose requests crash endpoints with changing bodies

Cause: on routes without stored history it comes with a body of another length each time, so that no two attempts had the same digest. Change: the request without its body is judged as well, by stricter conditions, and not while any request for it is answered completely. Evidence: two tests of the pure module, one for the conviction, one for the path that works.

--- a/src/carobspur/gateway/quarantine/crash_history.py
+++ b/src/carobspur/gateway/quarantine/crash_history.py
@@ -9,6 +9,8 @@
 - Blame for a crash is divided among its requests, and convicts only with a number of
   crashes: one crash never does.
 - A complete answer acquits a request.
+- Callers may change the body a little with each attempt. So a target (a request without
+  its body) is judged as well, but only while no request for it is answered completely.
 """
 
 from __future__ import annotations
@@ -18,18 +20,27 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-MAX_CRASHES = 512
+from .request_identity import RequestIdentity
+
+MAX_CRASHES = 256
 """Most crashes that are remembered."""
-MAX_SUSPECTS = 96
-"""Most requests that are remembered for a crash."""
+MAX_SUSPECTS = 48
+"""Most requests that are remembered for a crash; those that came furthest without any
+output are kept."""
 MAX_CONVICTED = 4096
-"""Most requests in quarantine."""
+"""Most requests and targets in quarantine."""
+MAX_ANSWERED = 8192
+"""Most targets that are remembered as answered."""
+ANSWERED_TTL_S = 60.0
+"""How long a target is beyond suspicion after a complete answer."""
 CRASH_TTL_S = 300.0
 """How long a crash counts against its suspects, and the first quarantine lasts; each
 further crash after that doubles it."""
 MAX_QUARANTINE_S = 3600.0
 CONVICTIONS = ((2, 1.2), (3, 0.5), (5, 0.0))
 """Crashes that convict a request, each with the least blame for all of them."""
+TARGET_CONVICTIONS = ((3, 1.2), (5, 0.5))
+"""The same for a target."""
 DOUBLED_FROM = 3
 """Crashes from which each further one doubles the quarantine."""
 RECOVERY_S = 5.0
@@ -59,27 +70,43 @@
     Attributes:
         service: Hash of the endpoint's service.
         at: Loop time at which it became known.
-        requests: Digests of the requests that were lost, with their progress.
+        requests: Requests that were lost, with their progress.
         reporters: Names of the gateways that reported some of them.
+        digests: Digests of all requests and targets, acquitted ones included.
     """
 
     service: int
     at: float
-    requests: dict[int, Progress] = field(default_factory=dict)
+    requests: dict[RequestIdentity, Progress] = field(default_factory=dict)
     reporters: set[str] = field(default_factory=set)
-
-    def is_suspect(self, request: int) -> bool:
-        """Return whether a request may have caused the crash.
-
-        One with output is suspected only if no other was under way without any.
+    digests: set[int] = field(default_factory=set)
+
+    def add(self, request: RequestIdentity, progress: Progress) -> bool:
+        """Add a request; returns whether there was room for it."""
+        known = self.requests.get(request)
+        if known is None and len(self.requests) >= MAX_SUSPECTS:
+            least = min(self.requests, key=self.requests.__getitem__)
+            if self.requests[least] >= progress:
+                return False
+            del self.requests[least]
+        self.requests[request] = progress if known is None else max(known, progress)
+        self.digests.update((request.request, request.target))
+        return True
+
+    def blame(self, digest: int) -> float:
+        """Return the share of the blame of a request or of a target.
+
+        It is 0 for one with output if any other request was under way without.
         """
-        progress = self.requests[request]
-        return progress > Progress.PRODUCING or not any(self.requests.values())
-
-    def blame(self, request: int) -> float:
-        """Return a request's share of the blame."""
+        suspects = [
+            progress
+            for request, progress in self.requests.items()
+            if digest in (request.request, request.target)
+        ]
+        if not any(suspects) and any(self.requests.values()):
+            return 0.0
         total = sum(WEIGHTS[progress] for progress in self.requests.values())
-        return WEIGHTS[self.requests[request]] / total
+        return sum(WEIGHTS[progress] for progress in suspects) / total
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +119,14 @@
         quarantined_until: Loop time at which its quarantine ends; ``None`` if it is not
             in quarantine.
         reporters: Names of the gateways that reported it.
+        is_target: Whether not this body is blamed but all requests for the target.
     """
 
     crashes: int = 0
     blame: float = 0.0
     quarantined_until: float | None = None
     reporters: tuple[str, ...] = ()
+    is_target: bool = False
 
     @property
     def is_suspected(self) -> bool:
@@ -125,21 +154,24 @@
     Endpoints are identified by the hash of their key, which is new with each start.
     """
 
-    __slots__ = ("_by_request", "_convicted", "_crashes")
+    __slots__ = ("_answered", "_at_crashes", "_convicted", "_crashes")
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[int, Crash] = OrderedDict()
-        self._by_request: dict[int, set[int]] = {}
+        # Endpoints that crashed, by the digest of a request or target that was there.
+        self._at_crashes: dict[int, set[int]] = {}
         self._convicted: OrderedDict[int, _Conviction] = OrderedDict()
+        # Loop time of the newest complete answer, by target.
+        self._answered: OrderedDict[int, float] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
         """Whether no request is suspected or in quarantine."""
-        return not self._by_request and not self._convicted
+        return not self._at_crashes and not self._convicted
 
     @property
     def convicted(self) -> int:
-        """Number of requests that were found guilty and not acquitted since."""
+        """Number of requests and targets found guilty and not acquitted since."""
         return len(self._convicted)
 
     def record(
@@ -148,7 +180,7 @@
         service: int,
         at: float,
         *,
-        requests: Mapping[int, Progress],
+        requests: Mapping[RequestIdentity, Progress],
         reporter: str,
     ) -> bool:
         """Add what one gateway knows of a crash; returns whether it is a new crash.
@@ -157,7 +189,7 @@
             endpoint: The endpoint.
             service: Hash of its service.
             at: Loop time at which the crash became known.
-            requests: Digests of requests that were lost, with their progress.
+            requests: Requests that were lost, with their progress.
             reporter: Name of the gateway.
         """
         crash = self._crashes.get(endpoint)
@@ -168,61 +200,90 @@
                 self._drop(next(iter(self._crashes)))
         crash.reporters.add(reporter)
         for request, progress in requests.items():
-            known = crash.requests.get(request)
-            if known is None and len(crash.requests) >= MAX_SUSPECTS:
+            if not crash.add(request, progress):
                 continue
-            crash.requests[request] = (
-                progress if known is None else max(known, progress)
-            )
-            self._by_request.setdefault(request, set()).add(endpoint)
-            if request in self._convicted:
-                self.verdict(request, at)
+            for digest in (request.request, request.target):
+                self._at_crashes.setdefault(digest, set()).add(endpoint)
+                if digest in self._convicted:
+                    self._judge(digest, CONVICTIONS, at)
         return is_new
 
-    def verdict(self, request: int, now: float) -> Verdict:
+    def verdict(self, request: RequestIdentity, now: float) -> Verdict:
         """Return what is known of a request, and convict it if that suffices."""
         self._expire(now)
+        verdict = self._judge(request.request, CONVICTIONS, now)
+        if verdict.quarantined_until is not None or self._is_answered(
+            request.target, now
+        ):
+            return verdict
+        target = self._judge(request.target, TARGET_CONVICTIONS, now, is_target=True)
+        is_worse = target.quarantined_until is not None or not verdict.is_suspected
+        return target if is_worse else verdict
+
+    def _judge(
+        self,
+        digest: int,
+        convictions: tuple[tuple[int, float], ...],
+        now: float,
+        *,
+        is_target: bool = False,
+    ) -> Verdict:
         crashes = [
-            crash
-            for crash in map(self._crashes.get, self._by_request.get(request, ()))
-            if crash.is_suspect(request)
+            (crash, crash.blame(digest))
+            for crash in map(self._crashes.get, self._at_crashes.get(digest, ()))
         ]
-        conviction = self._convicted.get(request)
+        crashes = [(crash, blame) for crash, blame in crashes if blame]
+        conviction = self._convicted.get(digest)
         if not crashes and conviction is None:
             return INNOCENT
-        blame = sum(crash.blame(request) for crash in crashes)
-        last_at = max((crash.at for crash in crashes), default=0.0)
+        total = sum(blame for _, blame in crashes)
+        last_at = max((crash.at for crash, _ in crashes), default=0.0)
         if conviction is None:
             if any(
-                len(crashes) >= count and blame >= least for count, least in CONVICTIONS
+                len(crashes) >= count and total >= least for count, least in convictions
             ):
                 conviction = _Conviction(DOUBLED_FROM, last_at)
-                self._convicted[request] = conviction
+                self._convicted[digest] = conviction
                 if len(self._convicted) > MAX_CONVICTED:
                     self._convicted.popitem(last=False)
         elif last_at > conviction.until:
             conviction.crashes += 1
             conviction.last_at = last_at
         until = conviction.until if conviction else 0.0
-        reporters = {name for crash in crashes for name in crash.reporters}
+        reporters = {name for crash, _ in crashes for name in crash.reporters}
         return Verdict(
             len(crashes),
-            blame,
+            total,
             until if until > now else None,
             tuple(sorted(reporters)),
+            is_target,
         )
 
-    def acquit(self, request: int) -> bool:
-        """Forget a request that was answered completely; returns if it was known."""
-        was_known = request in self._by_request or request in self._convicted
-        self._convicted.pop(request, None)
-        for endpoint in self._by_request.pop(request, ()):
+    def acquit(self, request: RequestIdentity, now: float) -> bool:
+        """Record that a request was answered completely.
+
+        Returns:
+            Whether that is news about a suspect, which the peers should be told.
+        """
+        is_news = self.is_remembered(request) or request.request in self._convicted
+        if request.target in self._at_crashes or request.target in self._convicted:
+            is_news = is_news or not self._is_answered(request.target, now)
+        self._answered[request.target] = now
+        self._answered.move_to_end(request.target)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+        for digest in (request.request, request.target):
+            self._convicted.pop(digest, None)
+        for endpoint in self._at_crashes.pop(request.request, ()):
             self._crashes[endpoint].requests.pop(request, None)
-        return was_known
+        return is_news
+
+    def _is_answered(self, target: int, now: float) -> bool:
+        return now - self._answered.get(target, float("-inf")) < ANSWERED_TTL_S
 
-    def is_remembered(self, request: int) -> bool:
+    def is_remembered(self, request: RequestIdentity) -> bool:
         """Return whether a request was at an endpoint that crashed."""
-        return request in self._by_request
+        return request.request in self._at_crashes
 
     def has_crashed(self, endpoint: int) -> bool:
         """Return whether a start of an endpoint is known to have ended."""
@@ -242,10 +303,10 @@
 
     def _expire(self, now: float) -> None:
         while self._convicted:
-            request, conviction = next(iter(self._convicted.items()))
+            digest, conviction = next(iter(self._convicted.items()))
             if now - conviction.until < MAX_QUARANTINE_S:
                 break
-            del self._convicted[request]
+            del self._convicted[digest]
         while self._crashes:
             endpoint, crash = next(iter(self._crashes.items()))
             if now - crash.at < CRASH_TTL_S:
@@ -253,9 +314,8 @@
             self._drop(endpoint)
 
     def _drop(self, endpoint: int) -> None:
-        crash = self._crashes.pop(endpoint)
-        for request in crash.requests:
-            endpoints = self._by_request.get(request, set())
+        for digest in self._crashes.pop(endpoint).digests:
+            endpoints = self._at_crashes.get(digest, set())
             endpoints.discard(endpoint)
             if not endpoints:
-                self._by_request.pop(request, None)
+                self._at_crashes.pop(digest, None)
--- a/src/carobspur/gateway/quarantine/crash_watch.py
+++ b/src/carobspur/gateway/quarantine/crash_watch.py
@@ -14,7 +14,7 @@
 from ..telemetry import Telemetry
 from .crash_history import MAX_SUSPECTS, CrashHistory, Progress
 from .messages import CrashReport
-from .request_digest import request_digest
+from .request_identity import RequestIdentity
 
 SETTLE_S = 0.02
 """Longest wait for a probe: several round trips within a region."""
@@ -68,7 +68,7 @@
         self._log = log
         self._telemetry = telemetry
         # Lost requests and probes by the key of an endpoint that is being probed.
-        self._losses: dict[str, dict[int, Progress]] = {}
+        self._losses: dict[str, dict[RequestIdentity, Progress]] = {}
         self._probes: dict[str, asyncio.Task] = {}
         self.on_crash: Callable[[CrashReport], None] = lambda report: None
 
@@ -89,7 +89,7 @@
             probe = self._spawn(self._probe(endpoint, reason))
             self._probes[endpoint.key] = probe
         if len(losses) < MAX_SUSPECTS:
-            losses[request_digest(call)] = progress
+            losses[RequestIdentity.of(call)] = progress
 
     async def settle(self, endpoint: Endpoint) -> None:
         """Wait until it is known whether an endpoint has crashed, for a moment at most.
@@ -136,17 +136,17 @@
             endpoint=endpoint.id,
             service=endpoint.service,
             requests={
-                f"{request:016x}": progress.name.lower()
+                f"{request.request:016x}": progress.name.lower()
                 for request, progress in losses.items()
             },
+            targets=sorted({f"{request.target:016x}" for request in losses}),
             reason=reason,
         )
         self.on_crash(
-            CrashReport(
+            CrashReport.create(
                 self._name,
                 name_hash(endpoint.key),
                 name_hash(endpoint.service),
-                0,
                 losses,
             )
         )
--- a/src/carobspur/gateway/quarantine/gate.py
+++ b/src/carobspur/gateway/quarantine/gate.py
@@ -19,7 +19,7 @@
 from ..telemetry import Telemetry
 from .crash_history import RECOVERY_S, CrashHistory, Verdict
 from .messages import Acquittal, CrashReport
-from .request_digest import request_digest
+from .request_identity import RequestIdentity
 
 REPEATS_S = (0.3, 1.5)
 """Delays after which a report is sent again, as datagrams may be lost."""
@@ -75,15 +75,19 @@
         self.check(call, route)
 
     def finished(self, call: Call, route: Route, served: Served | None) -> None:
-        """Acquit a suspected request that was answered completely."""
-        if served is None or self._history.is_empty:
+        """Acquit a request that was answered completely."""
+        if served is None:
             return
-        request = request_digest(call)
-        if self._history.acquit(request):
+        now = asyncio.get_running_loop().time()
+        identity = RequestIdentity.of(call)
+        if self._history.acquit(identity, now):
             self._log.record(
-                "request_acquitted", request=call.id, digest=f"{request:016x}"
+                "request_acquitted",
+                request=call.id,
+                digest=f"{identity.request:016x}",
+                target=f"{identity.target:016x}",
             )
-            self._broadcast(Acquittal(self._name, request))
+            self._broadcast(Acquittal(self._name, identity.request, identity.target))
 
     def check(self, call: Call, route: Route) -> None:
         """Raise the refusal of a request that may not be sent to an endpoint now.
@@ -95,14 +99,13 @@
         if self._history.is_empty:
             return
         now = asyncio.get_running_loop().time()
-        request = request_digest(call)
-        verdict = self._history.verdict(request, now)
+        identity = RequestIdentity.of(call)
+        verdict = self._history.verdict(identity, now)
         if verdict.quarantined_until is not None:
-            self._refuse(
-                call, request, verdict, "quarantined", verdict.quarantined_until - now
-            )
+            left_s = verdict.quarantined_until - now
+            self._refuse(call, identity, verdict, "quarantined", left_s)
         elif verdict.is_suspected and self._is_depleted(call, route, now):
-            self._refuse(call, request, verdict, "suspected", RECOVERY_S)
+            self._refuse(call, identity, verdict, "suspected", RECOVERY_S)
 
     def blocks(self, call: Call, route: Route) -> bool:
         """Return whether a request that was lost may not be sent once more."""
@@ -122,7 +125,7 @@
         """
         if self._history.is_empty or not endpoints:
             return endpoints
-        if not self._history.verdict(request_digest(call), now).is_suspected:
+        if not self._history.verdict(RequestIdentity.of(call), now).is_suspected:
             return endpoints
         alive = [
             item
@@ -145,7 +148,7 @@
                     message.endpoint,
                     message.service,
                     now - message.age_ms / 1000,
-                    requests=message.requests,
+                    requests=message.progress,
                     reporter=message.reporter,
                 )
                 if is_new:
@@ -153,10 +156,10 @@
                         "peer_reported_crash",
                         peer=message.reporter,
                         age_ms=message.age_ms,
-                        requests=[f"{request:016x}" for request in message.requests],
+                        requests=[f"{item.request:016x}" for item in message.requests],
                     )
             case Acquittal():
-                self._history.acquit(message.request)
+                self._history.acquit(message.identity, now)
 
     def report_crash(self, report: CrashReport) -> None:
         """Tell the peers about a crash, several times as datagrams may be lost."""
@@ -168,13 +171,17 @@
     def _repeat(self, report: CrashReport, age_ms: int) -> None:
         remaining = {
             request: progress
-            for request, progress in report.requests.items()
+            for request, progress in report.progress.items()
             if self._history.is_remembered(request)
         }
         if remaining:
             self._broadcast(
-                CrashReport(
-                    self._name, report.endpoint, report.service, age_ms, remaining
+                CrashReport.create(
+                    self._name,
+                    report.endpoint,
+                    report.service,
+                    remaining,
+                    age_ms=age_ms,
                 )
             )
 
@@ -182,12 +189,12 @@
         """Return what a gateway that has just started is told."""
         now = asyncio.get_running_loop().time()
         return [
-            CrashReport(
+            CrashReport.create(
                 self._name,
                 endpoint,
                 crash.service,
-                round(1000 * max(0.0, now - crash.at)),
                 crash.requests,
+                age_ms=round(1000 * max(0.0, now - crash.at)),
             )
             for endpoint, crash in self._history.crashes(now)[-MAX_TOLD_CRASHES:]
         ]
@@ -208,7 +215,7 @@
     def _refuse(
         self,
         call: Call,
-        request: int,
+        identity: RequestIdentity,
         verdict: Verdict,
         state: str,
         retry_after_s: float,
@@ -218,7 +225,9 @@
             "request_quarantined",
             request=call.id,
             program=call.program.id if call.program else "",
-            digest=f"{request:016x}",
+            digest=f"{identity.request:016x}",
+            target=f"{identity.target:016x}",
+            is_target=verdict.is_target,
             state=state,
             crashes=verdict.crashes,
             blame=round(verdict.blame, 2),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -18,7 +18,7 @@
     CrashHistory,
     Progress,
 )
-from carobspur.gateway.quarantine.request_digest import request_digest
+from carobspur.gateway.quarantine.request_identity import RequestIdentity
 from carobspur_standins.platform_replica import ReplicaFault
 
 from .platform_world import ENGINES, TOOLS, CallerAnswer, World, world
@@ -28,6 +28,11 @@
 DEADLY = b"deadly"
 
 
+def identity(number: int, target: int = 0) -> RequestIdentity:
+    """Return the identity of a request, by default with a target of its own."""
+    return RequestIdentity(number, target or 10**6 + number)
+
+
 class CrashHistoryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.history = CrashHistory()
@@ -35,17 +40,21 @@
 
     def crash(self, at: float, requests: dict[int, Progress]) -> None:
         self.endpoints += 1
+        identities = {
+            identity(number): progress for number, progress in requests.items()
+        }
         self.history.record(
-            self.endpoints, SERVICE, at, requests=requests, reporter="a"
+            self.endpoints, SERVICE, at, requests=identities, reporter="a"
         )
 
-    def is_quarantined(self, request: int, now: float) -> bool:
-        return self.history.verdict(request, now).quarantined_until is not None
+    def is_quarantined(self, number: int, now: float) -> bool:
+        verdict = self.history.verdict(identity(number), now)
+        return verdict.quarantined_until is not None
 
     def test_two_crashes_as_the_only_request_without_output_convict(self) -> None:
         self.crash(0.0, {GUILTY: Progress.BEGUN, 5: Progress.PRODUCING})
         self.assertFalse(self.is_quarantined(GUILTY, 0.1))
-        self.assertTrue(self.history.verdict(GUILTY, 0.1).is_suspected)
+        self.assertTrue(self.history.verdict(identity(GUILTY), 0.1).is_suspected)
         self.crash(1.0, {GUILTY: Progress.BEGUN, 6: Progress.SENT})
         self.assertTrue(self.is_quarantined(GUILTY, 1.1))
 
@@ -74,10 +83,10 @@
 
     def test_crashes_for_other_reasons_convict_nobody_who_is_answered(self) -> None:
         self.crash(0.0, {GUILTY: Progress.BEGUN})
-        self.assertTrue(self.history.acquit(GUILTY))
+        self.assertTrue(self.history.acquit(identity(GUILTY), 0.5))
         self.crash(1.0, {GUILTY: Progress.BEGUN})
         self.assertFalse(self.is_quarantined(GUILTY, 1.1))
-        self.assertFalse(self.history.acquit(77))
+        self.assertFalse(self.history.acquit(identity(77), 1.1))
 
     def test_a_report_that_comes_late_divides_the_blame(self) -> None:
         for endpoint in (1, 2):
@@ -86,10 +95,10 @@
                     endpoint,
                     SERVICE,
                     0.0,
-                    requests={request: Progress.BEGUN},
+                    requests={identity(request): Progress.BEGUN},
                     reporter=f"gateway-{request}",
                 )
-        verdict = self.history.verdict(GUILTY, 0.1)
+        verdict = self.history.verdict(identity(GUILTY), 0.1)
         self.assertEqual(2, verdict.crashes)
         self.assertAlmostEqual(2 / 3, verdict.blame)
         self.assertIsNone(verdict.quarantined_until)
@@ -104,12 +113,51 @@
         self.assertTrue(self.is_quarantined(GUILTY, 3.0 * CRASH_TTL_S))
         self.assertFalse(self.is_quarantined(GUILTY, 3.3 * CRASH_TTL_S))
 
+    def test_a_request_whose_body_changes_a_little_is_convicted_by_its_target(
+        self,
+    ) -> None:
+        """Guards against BUDGET: crashes under bodies of different lengths."""
+        for number in range(3):
+            self.history.record(
+                number,
+                SERVICE,
+                float(number),
+                requests={identity(50 + number, target=7): Progress.BEGUN},
+                reporter="a",
+            )
+        verdict = self.history.verdict(identity(60, target=7), 3.0)
+        self.assertIsNotNone(verdict.quarantined_until)
+        self.assertTrue(verdict.is_target)
+        self.assertFalse(self.is_quarantined(60, 3.0))
+
+    def test_a_target_whose_requests_are_answered_is_never_convicted(self) -> None:
+        """Guards against refusing all callers of a path for one of its requests."""
+        for number in range(8):
+            now = float(number)
+            self.history.acquit(identity(100 + number, target=7), now)
+            self.history.record(
+                number,
+                SERVICE,
+                now,
+                requests={identity(GUILTY, target=7): Progress.BEGUN},
+                reporter="a",
+            )
+            other = self.history.verdict(identity(200, target=7), now + 0.1)
+            self.assertFalse(other.is_suspected)
+        guilty = self.history.verdict(identity(GUILTY, target=7), 8.0)
+        self.assertIsNotNone(guilty.quarantined_until)
+        self.assertFalse(guilty.is_target)
+
     def test_memory_is_bounded(self) -> None:
         for number in range(3 * MAX_CRASHES):
             requests = range(number * 200, number * 200 + 2 * MAX_SUSPECTS)
             self.crash(0.0, dict.fromkeys(requests, Progress.SENT))
         self.assertEqual(MAX_CRASHES, len(self.history.crashes(0.0)))
-        self.assertLessEqual(len(self.history._by_request), MAX_CRASHES * MAX_SUSPECTS)
+        digests = len(self.history._at_crashes)
+        self.assertLessEqual(digests, 2 * MAX_CRASHES * MAX_SUSPECTS)
+        crowd = dict.fromkeys(range(1000, 1100), Progress.SENT)
+        self.crash(0.0, crowd | {GUILTY: Progress.BEGUN})
+        self.assertTrue(self.history.is_remembered(identity(GUILTY)))
         self.assertEqual([], self.history.crashes(CRASH_TTL_S))
         self.assertTrue(self.history.is_empty)
 
@@ -120,12 +168,12 @@
         self.assertEqual(0, self.history.missing(SERVICE, RECOVERY_S))
 
 
-class RequestDigestTest(unittest.TestCase):
+class RequestIdentityTest(unittest.TestCase):
     CALL = Call("r1", "POST", "/pay/1?x=1", "host", [("A", "1")], b"body", 0.0)
 
     def test_another_attempt_has_the_same_digest(self) -> None:
         again = replace(self.CALL, id="r2", headers=[("A", "2")], arrived_at=9.0)
-        self.assertEqual(request_digest(self.CALL), request_digest(again))
+        self.assertEqual(RequestIdentity.of(self.CALL), RequestIdentity.of(again))
 
     def test_other_content_or_another_caller_has_another_digest(self) -> None:
         others = [
@@ -138,9 +186,19 @@
             replace(self.CALL, key_digest=b"k"),
             replace(self.CALL, target="/pay/1?x=1\x004:", body=b""),
         ]
-        digests = {request_digest(call) for call in [self.CALL, *others]}
+        digests = {RequestIdentity.of(call).request for call in [self.CALL, *others]}
         self.assertEqual(1 + len(others), len(digests))
 
+    def test_only_the_body_does_not_count_for_the_target(self) -> None:
+        target = RequestIdentity.of(self.CALL).target
+        again = replace(self.CALL, id="r2", body=b"another")
+        self.assertEqual(target, RequestIdentity.of(again).target)
+        for other in (
+            replace(self.CALL, target="/pay/2"),
+            replace(self.CALL, customer="a"),
+        ):
+            self.assertNotEqual(target, RequestIdentity.of(other).target)
+
 
 @asynccontextmanager
 async def _restarting(made: World, service: str) -> AsyncIterator[list[str]]:
