Probe only endpoints that ended a connection

Change: a connection that ended is an error of its own, and only that makes the gateway probe. Measured: test_repeated_refusals and test_quarantine pass.

--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -21,6 +21,7 @@
 from .answer_parser import AnswerParser, Message
 from .decimals import parse_decimal
 from .send_errors import (
+    ConnectionEndedError,
     EndlessAnswerError,
     LostAnswerError,
     NotSentError,
@@ -237,7 +238,8 @@
             Whether more bytes may follow.
 
         Raises:
-            LostAnswerError: The connection ended, or its bytes are not HTTP.
+            ConnectionEndedError: The connection ended.
+            LostAnswerError: Its bytes are not HTTP.
         """
         if self._pending_read.done():
             # Without this, a server that sends as fast as it is read would block the
@@ -250,7 +252,7 @@
             if may_end_at_close and self._stream.error is None:
                 return False
             reason = self._stream.error or "closed"
-            raise LostAnswerError(f"the connection ended: {reason}") from error
+            raise ConnectionEndedError(f"the connection ended: {reason}") from error
         self._pending_read = self._start_read()
         try:
             self._parser.feed(data)
--- a/src/carobspur/gateway/plain_calls.py
+++ b/src/carobspur/gateway/plain_calls.py
@@ -37,7 +37,7 @@
     NoEndpointError,
 )
 from .routes import Route
-from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
+from .send_errors import ConnectionEndedError, LostAnswerError, NotSentError
 
 RETRY_AFTER_S = 0.15
 """Retry-After of refused calls; about the time of two plain calls."""
@@ -285,7 +285,7 @@
             return NotRunThere(error.message)
         except LostAnswerError as error:
             health.record_failure(endpoint.key, loop.time())
-            if not isinstance(error, EndlessAnswerError):
+            if isinstance(error, ConnectionEndedError):
                 self._context.crash_watch.record_loss(
                     endpoint, call, Progress.SENT, reason=error.message
                 )
--- a/src/carobspur/gateway/quarantine/crash_watch.py
+++ b/src/carobspur/gateway/quarantine/crash_watch.py
@@ -75,7 +75,7 @@
     def record_loss(
         self, endpoint: Endpoint, call: Call, progress: Progress, *, reason: str
     ) -> None:
-        """Record a request whose answer broke off or did not begin.
+        """Record a request whose connection ended before its answer was complete.
 
         Args:
             endpoint: Where it was lost.
--- a/src/carobspur/gateway/send_errors.py
+++ b/src/carobspur/gateway/send_errors.py
@@ -33,6 +33,12 @@
     default_verdict = MAY_HAVE_RUN
 
 
+class ConnectionEndedError(LostAnswerError):
+    """The endpoint or the network ended the connection before the answer's end."""
+
+    cause = "connection_ended"
+
+
 class EndlessAnswerError(LostAnswerError):
     """An answer exceeds a size limit that no correct answer reaches."""
 
--- a/src/carobspur/gateway/stream_calls.py
+++ b/src/carobspur/gateway/stream_calls.py
@@ -29,7 +29,12 @@
     TurnNotResumableError,
 )
 from .routes import Route
-from .send_errors import EndlessAnswerError, LostAnswerError, NotSentError
+from .send_errors import (
+    ConnectionEndedError,
+    EndlessAnswerError,
+    LostAnswerError,
+    NotSentError,
+)
 from .turn_lifecycle import TurnLifecycle
 from .turn_state import TurnState
 
@@ -129,7 +134,7 @@
                 continue
             except LostAnswerError as error:
                 reason = error.message
-                if not isinstance(error, EndlessAnswerError):
+                if isinstance(error, ConnectionEndedError):
                     progress = Progress.SENT
                     if turn.events > earlier_events:
                         progress = Progress.PRODUCING
