Answers with an invalid status are lost answers

What callers would see: held until their deadline where a replica answers with status 000 or 099, and statuses of 600 and more as answers (MIXED). Cause: any status below 200 was taken for an informational answer, and none was too high. Change: statuses other than 100 to 599 end the exchange at once as a lost answer. Evidence: test_invalid_status, 19 failing cases before, none now.

--- a/src/carobspur/gateway/http1.py
+++ b/src/carobspur/gateway/http1.py
@@ -40,6 +40,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 """TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay unacknowledged
 for this long."""
+STATUSES = range(100, 600)
+"""Statuses that HTTP defines; an answer with another one is not passed on."""
 IDLE_MARGIN_S = 0.4
 """Idle connections are no longer used this long before the server's idle timeout."""
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -162,12 +164,16 @@
                 the answer that is waited for.
 
         Raises:
-            LostAnswerError: The connection ended, carried invalid HTTP, or exceeded a
-                size limit.
+            LostAnswerError: The connection ended, carried invalid HTTP or an invalid
+                status, or exceeded a size limit.
         """
         stray_answers = stray_bytes = 0
         while True:
             message = await self._next_message()
+            if message.status not in STATUSES:
+                raise LostAnswerError(
+                    f"the answer has the invalid status {message.status:03}"
+                )
             if message.status >= 200 and is_expected(message.headers):
                 return message
             async for piece in self.body(message):
