Answer requests before a stopping gateway ends

What callers would see: no answer, also to requests that may not be repeated, if an endpoint still runs them 7.2 s after the signal (LOST), among them requests taken late in the grace. Cause: the process ended with whatever was in progress, and a body that came after the gateway had stopped taking requests was still passed on. Change: what is in progress 0.25 s before the end gets 504, or 503 if it was not sent; requests that are complete too late get 503 at once.

--- a/src/carobspur/gateway/call_dispatcher.py
+++ b/src/carobspur/gateway/call_dispatcher.py
@@ -16,8 +16,10 @@
 from .objectives import Served, objective_of
 from .plain_calls import PlainCallHandler
 from .refusals import (
+    DeadlineExceededError,
     NoConfigurationError,
     NoRouteError,
+    StoppingError,
     UnknownKeyError,
     refusal_headers,
 )
@@ -26,6 +28,8 @@
 
 STARTUP_RETRY_AFTER_S = 0.3
 """Retry-After of a gateway without a current configuration; about its start-up time."""
+STOPPING_RETRY_AFTER_S = 0.05
+"""Retry-After of a gateway that stops: other gateways can serve the request at once."""
 
 
 class CallDispatcher:
@@ -50,10 +54,13 @@
     __slots__ = (
         "_confirm_configuration",
         "_context",
+        "_end_at",
         "_gates",
+        "_is_closed",
         "_is_configuration_current",
         "_plain_calls",
         "_stream_calls",
+        "_time_limits",
         "in_flight",
     )
 
@@ -73,8 +80,26 @@
         self._is_configuration_current = is_configuration_current
         self._confirm_configuration = confirm_configuration
         self._gates = tuple(gates)
+        self._is_closed = False
+        # Loop time at which the gateway answers what is still in progress.
+        self._end_at: float | None = None
+        self._time_limits: set[asyncio.Timeout] = set()
         self.in_flight = 0
 
+    def close(self) -> None:
+        """Refuse all requests from now on; those in progress are served."""
+        self._is_closed = True
+
+    def end_by(self, end_at: float) -> None:
+        """Answer all requests by a loop time, at which the gateway stops.
+
+        A request that an endpoint is still running then gets 504, one that was not sent
+        503; streams that have begun are cut.
+        """
+        self._end_at = end_at
+        for time_limit in self._time_limits:
+            time_limit.reschedule(end_at)
+
     async def handle(self, call: Call, responder: Responder) -> None:
         """Answer a request.
 
@@ -85,8 +110,14 @@
         with self._count_in_flight():
             route = None
             try:
+                if self._is_closed:
+                    raise StoppingError(
+                        "the gateway stops", retry_after_s=STOPPING_RETRY_AFTER_S
+                    )
                 route = self._route(call)
-                served = await self._admit_and_serve(call, route, responder)
+                with self._limit_time(call) as time_limit:
+                    async with time_limit:
+                        served = await self._admit_and_serve(call, route, responder)
             except CarobspurError as error:
                 self._refuse(call, route, responder, error)
             except asyncio.CancelledError:
@@ -117,6 +148,22 @@
             self.in_flight -= 1
             self._context.telemetry.in_flight.set(self.in_flight)
 
+    @contextmanager
+    def _limit_time(self, call: Call) -> Iterator[asyncio.Timeout]:
+        """Give a time limit by which the gateway stops, if it does."""
+        time_limit = asyncio.timeout_at(self._end_at)
+        self._time_limits.add(time_limit)
+        try:
+            yield time_limit
+        except TimeoutError:
+            if call.was_sent:
+                raise DeadlineExceededError("the gateway stops") from None
+            raise StoppingError(
+                "the gateway stops", retry_after_s=STOPPING_RETRY_AFTER_S
+            ) from None
+        finally:
+            self._time_limits.discard(time_limit)
+
     def _route(self, call: Call) -> Route:
         configuration = self._context.configuration
         if configuration is None:
--- a/src/carobspur/gateway/refusals.py
+++ b/src/carobspur/gateway/refusals.py
@@ -32,6 +32,14 @@
     default_verdict = NOT_RUN
 
 
+class StoppingError(CarobspurError):
+    """The gateway is about to end; the request was not sent."""
+
+    cause = "stopping"
+    status = UNAVAILABLE
+    default_verdict = NOT_RUN
+
+
 class UnknownKeyError(CarobspurError):
     """No customer holds the API key, and the configuration is known to be current."""
 
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -91,6 +91,9 @@
 STOP_MARGIN_S = 0.8
 """Time reserved before the platform kills the process."""
 STOP_POLL_S = 0.05
+ANSWER_MARGIN_S = 0.25
+"""Time before the end of a stop at which requests in progress are answered, so that
+callers still receive the answers."""
 LOSS_WINDOW_MARGIN_S = 10.0
 """Part of the loss window beyond the longest retention of turns.
 
@@ -379,6 +382,7 @@
         end = loop.time() + self._settings.times.stop_s - STOP_MARGIN_S
         self._context.is_stopping = True
         self._log.record("stopping", in_flight=self._call_dispatcher.in_flight)
+        self._call_dispatcher.end_by(end - ANSWER_MARGIN_S)
         self._heartbeats.send()
         self._ingress.disable_keep_alive()
         self._context.spawn(self._account_owner.move_all(self._spending.move))
@@ -387,6 +391,8 @@
         # Callers that know no other address would otherwise send requests until the
         # process ends.
         self._ingress.stop_accepting()
+        # Heads that were read before may still be followed by their bodies.
+        self._call_dispatcher.close()
         while self._ingress.is_busy and loop.time() < end:
             await asyncio.sleep(STOP_POLL_S)
         await self._context.wait_for_tasks(max(0.0, end - loop.time()))
