--- a/tests/floods.py
+++ b/tests/floods.py
@@ -33,6 +33,8 @@
     HEADS = "answers to somebody else"
     EVENT = "an event"
     EVENTS = "events"
+    INFORMATIONAL = "informational answers"
+    BLANK = "blank lines before an answer"
 
 
 _START = "HTTP/1.1 200 OK\r\n"
@@ -58,7 +60,7 @@
             return head + _CHUNKED + "0\r\nX-Filler: "
         case Flood.STRAY:
             return f"{_START}Request-Id: other\r\nContent-Length: {1 << 40}\r\n\r\n"
-        case Flood.HEADS:
+        case Flood.HEADS | Flood.INFORMATIONAL | Flood.BLANK:
             return ""
 
 
@@ -79,6 +81,11 @@
         case Flood.HEADS:
             head = f"{_START}Request-Id: other\r\nContent-Length: 0\r\n\r\n".encode()
             return head * (PIECE_BYTES // len(head))
+        case Flood.INFORMATIONAL:
+            head = b"HTTP/1.1 100 Continue\r\n\r\n"
+            return head * (PIECE_BYTES // len(head))
+        case Flood.BLANK:
+            return b"\r\n" * (PIECE_BYTES // 2)
         case _:
             return b"x" * PIECE_BYTES
 
