--- a/experiments/fault_soak/run.py
+++ b/experiments/fault_soak/run.py
@@ -10,6 +10,7 @@
 
 from .callers import Caller
 from .deployment import SoakWorld, deployment
+from .endpoint_troubles import EndpointTroubles
 from .faults import inject
 from .guarantees import CallLog
 from .proxy import LinkFault
@@ -69,6 +70,9 @@
             )
             for _ in range(INJECTORS)
         ]
+        # Draws last, so that the other choices of recorded seeds stay the same.
+        troubles = EndpointTroubles(world, call_log, random.Random(rng.random()))
+        injectors.append(asyncio.ensure_future(troubles.run(faults_stopped)))
         await asyncio.sleep(seconds)
         faults_stopped.set()
         await asyncio.gather(*injectors)
@@ -80,6 +84,7 @@
         await asyncio.gather(*callers)
         _check_recovered(call_log, first_after_recovery)
         call_log.check_whole_run(world)
+        troubles.check()
         if call_log.complaints and keep_logs:
             _copy_logs(world, Path(keep_logs) / str(seed))
     served = sum(call.answer.status == 200 for call in call_log.calls)
@@ -92,6 +97,7 @@
     world.store.faults.lose_answers = 0
     for replica in world.replicas.values():
         replica.faults.clear()
+        replica.crashes_on = b""
     for gateway in world.processes:
         gateway.store_proxy.set_fault(LinkFault.NONE)
         if not gateway.is_alive:
