Gateways without traffic for a path do not convict it

Cause: only a gateway that has answered a target itself knew that its requests are answered; one that has just started is told the crashes and nothing else. Class: evidence against is shared, evidence for is not. Change: a gateway that hears of a crash tells the others which of its targets are answered, and a gateway that starts is told so first.

--- a/src/carobspur/gateway/heartbeats_udp.py
+++ b/src/carobspur/gateway/heartbeats_udp.py
@@ -19,9 +19,14 @@
     Member,
     Membership,
 )
-from .quarantine.messages import Acquittal, CrashReport
+from .quarantine.messages import (
+    Acquittal,
+    AnsweredTargets,
+    CrashMessage,
+    CrashReport,
+)
 
-CrashMessageHandler = Callable[[CrashReport | Acquittal], None]
+CrashMessageHandler = Callable[[CrashMessage], None]
 """Receives a message on crashes of endpoints."""
 RateMessageHandler = Callable[[RateRequest | RateAnswer, tuple[str, int]], None]
 """Receives a message on rate limits and the address of its sender."""
@@ -46,7 +51,7 @@
         self._membership = membership
         self._loads = loads
         self._decoder = msgspec.msgpack.Decoder(
-            Heartbeat | LoadReport | RateRequest | RateAnswer | CrashReport | Acquittal
+            Heartbeat | LoadReport | RateRequest | RateAnswer | CrashMessage
         )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -66,7 +71,7 @@
                 self._on_load_report(message, now)
             case RateRequest() | RateAnswer():
                 self._on_rate_message(message, addr)
-            case CrashReport() | Acquittal():
+            case CrashReport() | AnsweredTargets() | Acquittal():
                 self._on_crash_message(message)
 
     def error_received(self, exc: OSError) -> None:
@@ -199,14 +204,14 @@
         if not self._transport.is_closing():
             self._transport.sendto(msgspec.msgpack.encode(message), address)
 
-    def broadcast(self, message: CrashReport | Acquittal) -> None:
+    def broadcast(self, message: CrashMessage) -> None:
         """Send a message to all other gateways, alive or not."""
         self.send_crash_messages(self._membership.others(), [message])
 
     def send_crash_messages(
         self,
         members: Iterable[Member],
-        messages: Iterable[CrashReport | Acquittal],
+        messages: Iterable[CrashMessage],
     ) -> None:
         """Send messages on crashes to some gateways."""
         if self._transport is None or self._transport.is_closing():
--- a/src/carobspur/gateway/quarantine/crash_history.py
+++ b/src/carobspur/gateway/quarantine/crash_history.py
@@ -212,7 +212,7 @@
         """Return what is known of a request, and convict it if that suffices."""
         self._expire(now)
         verdict = self._judge(request.request, CONVICTIONS, now)
-        if verdict.quarantined_until is not None or self._is_answered(
+        if verdict.quarantined_until is not None or self.is_answered(
             request.target, now
         ):
             return verdict
@@ -266,19 +266,37 @@
             Whether that is news about a suspect, which the peers should be told.
         """
         is_news = self.is_remembered(request) or request.request in self._convicted
-        if request.target in self._at_crashes or request.target in self._convicted:
-            is_news = is_news or not self._is_answered(request.target, now)
-        self._answered[request.target] = now
-        self._answered.move_to_end(request.target)
-        if len(self._answered) > MAX_ANSWERED:
-            self._answered.popitem(last=False)
-        for digest in (request.request, request.target):
-            self._convicted.pop(digest, None)
+        if not self.is_answered(request.target, now):
+            is_news = is_news or self.is_suspected_target(request.target)
+        self.record_answered(request.target, now)
+        self._convicted.pop(request.request, None)
         for endpoint in self._at_crashes.pop(request.request, ()):
             self._crashes[endpoint].requests.pop(request, None)
         return is_news
 
-    def _is_answered(self, target: int, now: float) -> bool:
+    def record_answered(self, target: int, now: float) -> None:
+        """Record that requests for a target are answered, here or at a peer."""
+        self._answered[target] = now
+        self._answered.move_to_end(target)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+        self._convicted.pop(target, None)
+
+    def is_suspected_target(self, target: int) -> bool:
+        """Return whether a request for a target was at an endpoint that crashed."""
+        return target in self._at_crashes
+
+    def answered_targets(self, now: float) -> list[int]:
+        """Return the targets of recent crashes whose requests are answered."""
+        targets = {
+            request.target
+            for crash in self._crashes.values()
+            for request in crash.requests
+        }
+        return [target for target in targets if self.is_answered(target, now)]
+
+    def is_answered(self, target: int, now: float) -> bool:
+        """Return whether a request for a target was answered completely of late."""
         return now - self._answered.get(target, float("-inf")) < ANSWERED_TTL_S
 
     def is_remembered(self, request: RequestIdentity) -> bool:
--- a/src/carobspur/gateway/quarantine/gate.py
+++ b/src/carobspur/gateway/quarantine/gate.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+import random
+from collections.abc import Callable, Iterable, Sequence
 
 from ..admission.request_gate import RequestGate
 from ..calls import Call
@@ -17,12 +18,15 @@
 from ..refusals import QuarantinedError
 from ..routes import Route, RouteKind
 from ..telemetry import Telemetry
-from .crash_history import RECOVERY_S, CrashHistory, Verdict
-from .messages import Acquittal, CrashReport
+from .crash_history import MAX_SUSPECTS, RECOVERY_S, CrashHistory, Verdict
+from .messages import Acquittal, AnsweredTargets, CrashMessage, CrashReport
 from .request_identity import RequestIdentity
 
 REPEATS_S = (0.3, 1.5)
 """Delays after which a report is sent again, as datagrams may be lost."""
+TOLD_TTL_S = 10.0
+"""Time for which the peers need not be told again that a target is answered."""
+MAX_TELL_DELAY_S = 0.05
 MAX_TOLD_CRASHES = 64
 """Most crashes that a peer that has just become alive is told."""
 
@@ -48,6 +52,7 @@
         "_log",
         "_name",
         "_telemetry",
+        "_told_at",
     )
 
     def __init__(
@@ -57,7 +62,7 @@
         health: HealthTracker,
         *,
         name: str,
-        broadcast: Callable[[CrashReport | Acquittal], None],
+        broadcast: Callable[[CrashMessage], None],
         log: DecisionLog,
         telemetry: Telemetry,
     ) -> None:
@@ -68,6 +73,8 @@
         self._broadcast = broadcast
         self._log = log
         self._telemetry = telemetry
+        # Loop time at which the peers were told that a target is answered.
+        self._told_at: dict[int, float] = {}
         telemetry.quarantined_requests.set_function(lambda: history.convicted)
 
     async def admit(self, call: Call, route: Route, customer: Customer | None) -> None:
@@ -139,7 +146,7 @@
             )
         ]
 
-    def receive(self, message: CrashReport | Acquittal) -> None:
+    def receive(self, message: CrashMessage) -> None:
         """Record a message of a peer."""
         now = asyncio.get_running_loop().time()
         match message:
@@ -158,13 +165,43 @@
                         age_ms=message.age_ms,
                         requests=[f"{item.request:016x}" for item in message.requests],
                     )
+                self._answer_for(item.target for item in message.requests)
+            case AnsweredTargets():
+                for target in message.targets:
+                    self._history.record_answered(target, now)
+                    self._told_at[target] = now
             case Acquittal():
                 self._history.acquit(message.identity, now)
+                self._told_at[message.target] = now
+
+    def _answer_for(self, targets: Iterable[int]) -> None:
+        """Tell the peers soon which of these targets are answered here.
+
+        Gateways wait for different times, so that one of them is enough.
+        """
+        now = asyncio.get_running_loop().time()
+        answered = [item for item in targets if self._history.is_answered(item, now)]
+        if answered:
+            delay_s = random.uniform(0, MAX_TELL_DELAY_S)
+            asyncio.get_running_loop().call_later(
+                delay_s, self._tell_answered, answered
+            )
+
+    def _tell_answered(self, targets: Iterable[int]) -> None:
+        now = asyncio.get_running_loop().time()
+        for target, told_at in list(self._told_at.items()):
+            if now - told_at >= TOLD_TTL_S:
+                del self._told_at[target]
+        news = [item for item in dict.fromkeys(targets) if item not in self._told_at]
+        if news:
+            self._told_at.update(dict.fromkeys(news, now))
+            self._broadcast(AnsweredTargets(self._name, news[:MAX_SUSPECTS]))
 
     def report_crash(self, report: CrashReport) -> None:
         """Tell the peers about a crash, several times as datagrams may be lost."""
         loop = asyncio.get_running_loop()
         self._broadcast(report)
+        self._answer_for(item.target for item in report.requests)
         for delay_s in REPEATS_S:
             loop.call_later(delay_s, self._repeat, report, round(1000 * delay_s))
 
@@ -185,10 +222,16 @@
                 )
             )
 
-    def reports(self) -> list[CrashReport]:
+    def reports(self) -> list[CrashMessage]:
         """Return what a gateway that has just started is told."""
         now = asyncio.get_running_loop().time()
-        return [
+        answered = self._history.answered_targets(now)
+        # Before the crashes, so that no target is convicted in between.
+        messages: list[CrashMessage] = [
+            AnsweredTargets(self._name, answered[start : start + MAX_SUSPECTS])
+            for start in range(0, len(answered), MAX_SUSPECTS)
+        ]
+        return messages + [
             CrashReport.create(
                 self._name,
                 endpoint,
--- a/src/carobspur/gateway/quarantine/messages.py
+++ b/src/carobspur/gateway/quarantine/messages.py
@@ -77,6 +77,21 @@
         return {item.identity: item.progress for item in self.requests}
 
 
+class AnsweredTargets(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Targets of lost requests for which other requests are answered.
+
+    A gateway that has sent no request to such a target, as one that has just started,
+    would otherwise take all requests for it for those that crash endpoints.
+
+    Attributes:
+        reporter: Name of the gateway's process.
+        targets: Digests of the targets.
+    """
+
+    reporter: _Name
+    targets: Annotated[list[_Digest], msgspec.Meta(max_length=MAX_SUSPECTS)]
+
+
 class Acquittal(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """A suspected request that was answered completely.
 
@@ -94,3 +109,7 @@
     def identity(self) -> RequestIdentity:
         """Identity of the request."""
         return RequestIdentity(self.request, self.target)
+
+
+CrashMessage = CrashReport | AnsweredTargets | Acquittal
+"""What gateways send each other about crashes."""
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -15,6 +15,7 @@
     2016: "killed, then started on a damaged settings file; the soak left it down",
     2106: "the same",
     2210: "the same",
+    4956: "gateways that started after crashes refused all requests of a path",
 }
 """Seeds that failed once, with the cause. They run as long as they did then."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -282,6 +282,37 @@
             self.assertEqual(503, answer.status)
             self.assertEqual(before, len(crashed))
 
+    async def test_a_gateway_that_starts_later_refuses_all_requests_of_a_path(
+        self,
+    ) -> None:
+        """Guards against a quarantine of everybody at gateways without traffic before.
+
+        Found by the soak with seed 4956.
+        """
+        async with (
+            world(gateways=2, engines=5) as made,
+            _restarting(made, ENGINES) as crashed,
+        ):
+            made.start_gateway()
+            await made.until_ready()
+            for number in range(4):
+                content = DEADLY + str(number).encode()
+                for replica in made.replicas.values():
+                    replica.crashes_on = content
+                await made.call("/walk/x", via=number % 2, body=b"sound")
+                await made.call("/walk/x", via=number % 2, body=content)
+                await asyncio.sleep(0.3)
+            self.assertGreaterEqual(len(crashed), 3)
+            for replica in made.replicas.values():
+                replica.crashes_on = b""
+            made.start_gateway()
+            await made.until_ready()
+            await asyncio.sleep(1.0)
+            for via in range(4):
+                for _ in range(3):
+                    answer = await made.call("/walk/x", via=via, body=b"sound")
+                    self.assertEqual(200, answer.status, via)
+
     async def test_lost_answers_of_running_endpoints_make_nobody_suspect(self) -> None:
         async with world(gateways=2, engines=2) as made:
             for replica in made.replicas.values():
