A target whose requests were acquitted has no blame

What callers would see: a connection cut without an answer (LOST), for a request on a path whose requests were lost in a crash and answered since, if it comes over 60 s after the last answer there and within 300 s of the crash. Cause: the blame of a target was divided by the weight of all requests of the crash, also when these were all acquitted: a division by zero in the gate. Change: without a suspect the blame is 0.

--- a/src/carobspur/gateway/quarantine/crash_history.py
+++ b/src/carobspur/gateway/quarantine/crash_history.py
@@ -103,7 +103,7 @@
             for request, progress in self.requests.items()
             if digest in (request.request, request.target)
         ]
-        if not any(suspects) and any(self.requests.values()):
+        if not suspects or (not any(suspects) and any(self.requests.values())):
             return 0.0
         total = sum(WEIGHTS[progress] for progress in self.requests.values())
         return sum(WEIGHTS[progress] for progress in suspects) / total
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 
 from carobspur.gateway.calls import Call
 from carobspur.gateway.quarantine.crash_history import (
+    ANSWERED_TTL_S,
     CRASH_TTL_S,
     MAX_CRASHES,
     MAX_SUSPECTS,
@@ -88,6 +89,13 @@
         self.assertFalse(self.is_quarantined(GUILTY, 1.1))
         self.assertFalse(self.history.acquit(identity(77), 1.1))
 
+    def test_a_target_of_acquitted_requests_cuts_the_next_caller(self) -> None:
+        """Guards against a division by zero long after a crash, as LOST."""
+        self.crash(0.0, {GUILTY: Progress.BEGUN})
+        self.history.acquit(identity(GUILTY), 1.0)
+        verdict = self.history.verdict(identity(GUILTY), 2.0 + ANSWERED_TTL_S)
+        self.assertFalse(verdict.is_suspected)
+
     def test_a_report_that_comes_late_divides_the_blame(self) -> None:
         for endpoint in (1, 2):
             for request in (GUILTY, 20 + endpoint, 30 + endpoint):
