Bound the targets that peers were told about

Cause: each acquittal from a peer added an entry that was removed only when this gateway told the others something itself, so the map had no bound. Change: 4,096 entries at most, the oldest go first.

--- a/src/carobspur/gateway/quarantine/gate.py
+++ b/src/carobspur/gateway/quarantine/gate.py
@@ -26,6 +26,8 @@
 """Delays after which a report is sent again, as datagrams may be lost."""
 TOLD_TTL_S = 10.0
 """Time for which the peers need not be told again that a target is answered."""
+MAX_TOLD_TARGETS = 4096
+"""Most targets of which it is remembered that the peers were told."""
 MAX_TELL_DELAY_S = 0.05
 MAX_TOLD_CRASHES = 64
 """Most crashes that a peer that has just become alive is told."""
@@ -169,10 +171,16 @@
             case AnsweredTargets():
                 for target in message.targets:
                     self._history.record_answered(target, now)
-                    self._told_at[target] = now
+                    self._record_told(target, now)
             case Acquittal():
                 self._history.acquit(message.identity, now)
-                self._told_at[message.target] = now
+                self._record_told(message.target, now)
+
+    def _record_told(self, target: int, now: float) -> None:
+        self._told_at.pop(target, None)
+        if len(self._told_at) >= MAX_TOLD_TARGETS:
+            del self._told_at[next(iter(self._told_at))]
+        self._told_at[target] = now
 
     def _answer_for(self, targets: Iterable[int]) -> None:
         """Tell the peers soon which of these targets are answered here.
@@ -194,7 +202,8 @@
                 del self._told_at[target]
         news = [item for item in dict.fromkeys(targets) if item not in self._told_at]
         if news:
-            self._told_at.update(dict.fromkeys(news, now))
+            for target in news:
+                self._record_told(target, now)
             self._broadcast(AnsweredTargets(self._name, news[:MAX_SUSPECTS]))
 
     def report_crash(self, report: CrashReport) -> None:
