Calls and jobs no longer lose their cancellation to an answer

Cause: in Python 3.11 asyncio.wait_for() returns its result instead of the cancellation if both come at the same moment. Peer calls waited with it, so a background job that calls peers went on after the only cancellation it gets, and the process waited for it without limit.

A session whose renewal is due no longer starts a wait of no length.

--- a/src/carobspur/entry_parts.py
+++ b/src/carobspur/entry_parts.py
@@ -110,6 +110,7 @@
                 break
             await asyncio.sleep(IDLE_AFTER_S / 10)
         try:
-            await asyncio.wait_for(self._no_open_requests.wait(), MAX_STOP_WAIT_S)
+            async with asyncio.timeout(MAX_STOP_WAIT_S):
+                await self._no_open_requests.wait()
         except TimeoutError:
             _logger.warning("stopping with %d requests unfinished", self._open_requests)
--- a/src/carobspur/lifecycle.py
+++ b/src/carobspur/lifecycle.py
@@ -144,7 +144,8 @@
             found = self._get_stoppable(requester, program)
             await self._end(found, reason)
             try:
-                await asyncio.wait_for(self._end_children(found), END_CHILDREN_WAIT_S)
+                async with asyncio.timeout(END_CHILDREN_WAIT_S):
+                    await self._end_children(found)
             except TimeoutError:
                 _logger.info("not all sub-agents of %s have ended; will retry", program)
 
--- a/src/carobspur/peer_client.py
+++ b/src/carobspur/peer_client.py
@@ -100,7 +100,8 @@
             raise PeerUnreachableError("the peer closed the connection") from error
         self._pending[call_id] = pending
         try:
-            return await asyncio.wait_for(pending.future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await pending.future
         except (TimeoutError, asyncio.CancelledError) as error:
             self._cancel(call_id)
             if isinstance(error, asyncio.CancelledError):
@@ -202,7 +203,8 @@
     async def _connect(self, host: str, port: int) -> IOStream:
         connect = self._tcp.connect(host, port, ssl_options=self._ssl_options)
         try:
-            stream = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await connect
         except (TimeoutError, OSError, StreamClosedError) as error:
             raise PeerUnreachableError(f"{host}:{port}: {error!r}") from error
         stream.set_nodelay(True)
--- a/src/carobspur/platform/gateway.py
+++ b/src/carobspur/platform/gateway.py
@@ -577,7 +577,8 @@
         last_text = _read_text(self._settings_path)
         while True:
             try:
-                await asyncio.wait_for(reloading.wait(), SETTINGS_POLL_S)
+                async with asyncio.timeout(SETTINGS_POLL_S):
+                    await reloading.wait()
             except TimeoutError:
                 if _read_text(self._settings_path) == last_text:
                     continue
--- a/src/carobspur/scheduler.py
+++ b/src/carobspur/scheduler.py
@@ -103,7 +103,8 @@
     """
     while not stopping.is_set() and not scheduler.session.is_lost:
         try:
-            await asyncio.wait_for(stopping.wait(), STOP_POLL_S)
+            async with asyncio.timeout(STOP_POLL_S):
+                await stopping.wait()
         except TimeoutError:
             continue
     if scheduler.session.is_lost:
--- a/src/carobspur/scheduler_parts.py
+++ b/src/carobspur/scheduler_parts.py
@@ -255,7 +255,8 @@
         if self._shard_manager is None or self._session is None:
             return
         try:
-            await asyncio.wait_for(self._shard_manager.drain(), DRAIN_TIMEOUT_S)
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await self._shard_manager.drain()
         except (TimeoutError, SessionLostError) as error:
             _logger.warning("not all shards were handed over: %r", error)
         await self._budgets.release()
--- a/src/carobspur/session.py
+++ b/src/carobspur/session.py
@@ -314,8 +314,11 @@
     async def _wait_until_due(self) -> None:
         renewal_s = self._lease_s / RENEWALS_PER_LEASE
         due_s = self._last_sent_s + renewal_s - self._clock.monotonic()
+        if due_s <= 0:
+            return
         try:
-            await asyncio.wait_for(self._wake.wait(), max(0.0, due_s))
+            async with asyncio.timeout(due_s):
+                await self._wake.wait()
         except TimeoutError:
             return
         delay_s = self._pacer.delay_s()
@@ -364,7 +367,8 @@
         writes = [Write(key, msgspec.json.encode(attempt.row)), *attempt.writes]
         timeout_s = self._lease_s / RENEWALS_PER_LEASE
         try:
-            return await asyncio.wait_for(self._table.commit(checks, writes), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self._table.commit(checks, writes)
         except TimeoutError as error:
             raise StoreUnavailableError(
                 f"the table service did not answer within {timeout_s:g} s"
--- a/src/carobspur_standins/app.py
+++ b/src/carobspur_standins/app.py
@@ -210,7 +210,8 @@
         running = asyncio.ensure_future(response_coroutine)
         self._running.setdefault(url, set()).add(running)
         try:
-            response = await asyncio.wait_for(running, request.timeout_s)
+            async with asyncio.timeout(request.timeout_s):
+                response = await running
         except asyncio.CancelledError:
             if url in self._standins:
                 raise
--- a/src/carobspur_standins/platform_store.py
+++ b/src/carobspur_standins/platform_store.py
@@ -217,7 +217,8 @@
     async def wait_changed(self, timeout_s: float) -> None:
         """Wait for the next change of any row, at most ``timeout_s``."""
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             return
 
