A suspected request is told when enough endpoints are back

Cause: Retry-After of a request that is refused as suspected was 5 s, the time an endpoint counts as missing, whatever the age of the crashes. Callers waited up to 5 s longer than the refusal would have lasted.

Change: the time until so many endpoints are back that fewer are missing than left, by the times of the crashes.

--- a/src/carobspur/gateway/quarantine/crash_history.py
+++ b/src/carobspur/gateway/quarantine/crash_history.py
@@ -307,11 +307,16 @@
         """Return whether a start of an endpoint is known to have ended."""
         return endpoint in self._crashes
 
-    def missing(self, service: int, now: float) -> int:
-        """Return how many endpoints of a service are probably being restarted."""
-        return sum(
-            crash.service == service and now - crash.at < RECOVERY_S
+    def recoveries(self, service: int, now: float) -> list[float]:
+        """Return when the endpoints of a service that crashed are probably back.
+
+        Returns:
+            Seconds until each of them is back, in ascending order.
+        """
+        return sorted(
+            crash.at + RECOVERY_S - now
             for crash in self._crashes.values()
+            if crash.service == service and now - crash.at < RECOVERY_S
         )
 
     def crashes(self, now: float) -> list[tuple[int, Crash]]:
--- a/src/carobspur/gateway/quarantine/gate.py
+++ b/src/carobspur/gateway/quarantine/gate.py
@@ -19,7 +19,7 @@
 from ..refusals import QuarantinedError
 from ..routes import Route, RouteKind
 from ..telemetry import Telemetry
-from .crash_history import MAX_SUSPECTS, RECOVERY_S, CrashHistory, Verdict
+from .crash_history import MAX_SUSPECTS, CrashHistory, Verdict
 from .messages import Acquittal, AnsweredTargets, CrashMessage, CrashReport
 from .request_identity import RequestIdentity
 
@@ -261,22 +261,30 @@
         if verdict.quarantined_until is not None:
             left_s = verdict.quarantined_until - now
             return _Block(identity, verdict, "quarantined", left_s)
-        if verdict.is_suspected and self._is_depleted(call, route, now):
-            return _Block(identity, verdict, "suspected", RECOVERY_S)
+        if verdict.is_suspected:
+            depleted_s = self._depleted_s(call, route, now)
+            if depleted_s > 0:
+                return _Block(identity, verdict, "suspected", depleted_s)
         return None
 
-    def _is_depleted(self, call: Call, route: Route, now: float) -> bool:
-        """Return whether as many endpoints are missing as are left, or more."""
+    def _depleted_s(self, call: Call, route: Route, now: float) -> float:
+        """Return for how long as many endpoints are missing as are left, or more.
+
+        It is 0 if fewer are missing.
+        """
         is_turn = route.kind is RouteKind.STREAM
         service = route.service_for((is_turn and program_name(call)) or call.id)
-        missing = self._history.missing(name_hash(service), now)
-        if not missing:
-            return False
+        recoveries = self._history.recoveries(name_hash(service), now)
+        if not recoveries:
+            return 0.0
         left = sum(
             not self._history.has_crashed(name_hash(item.key))
             for item in self._endpoints.usable(service)
         )
-        return left <= missing
+        surplus = len(recoveries) - left
+        if surplus < 0:
+            return 0.0
+        return recoveries[min(surplus, len(recoveries) - 1)]
 
     def _refuse(self, call: Call, block: _Block) -> None:
         identity, verdict = block.identity, block.verdict
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -171,9 +171,11 @@
 
     def test_endpoints_count_as_missing_while_they_restart(self) -> None:
         self.crash(0.0, {GUILTY: Progress.BEGUN})
-        self.assertEqual(1, self.history.missing(SERVICE, 1.0))
-        self.assertEqual(0, self.history.missing(SERVICE + 1, 1.0))
-        self.assertEqual(0, self.history.missing(SERVICE, RECOVERY_S))
+        self.crash(2.0, {GUILTY: Progress.BEGUN})
+        recoveries = self.history.recoveries(SERVICE, 3.0)
+        self.assertEqual([RECOVERY_S - 3.0, RECOVERY_S - 1.0], recoveries)
+        self.assertEqual([], self.history.recoveries(SERVICE + 1, 3.0))
+        self.assertEqual([2.0], self.history.recoveries(SERVICE, RECOVERY_S))
 
 
 class RequestIdentityTest(unittest.TestCase):
@@ -337,6 +339,21 @@
             crashed = [item.has_crashed for item in made.replicas.values()]
             self.assertEqual(1, sum(crashed))
 
+    async def test_a_suspected_request_is_told_to_wait_for_endpoints_that_are_back(
+        self,
+    ) -> None:
+        async with world(gateways=1, tools=2) as made:
+            for replica in made.replicas.values():
+                replica.crashes_on = DEADLY
+            await made.call("/read/x", body=DEADLY)
+            early = await made.call("/read/x", body=DEADLY)
+            await asyncio.sleep(1.5)
+            late = await made.call("/read/x", body=DEADLY)
+            self.assertEqual([503, 503], [early.status, late.status])
+            waits = [float(item.headers["retry-after"]) for item in (early, late)]
+            self.assertLessEqual(waits[0], RECOVERY_S)
+            self.assertLessEqual(waits[1], RECOVERY_S - 1)
+
     async def test_lost_answers_of_running_endpoints_make_nobody_suspect(self) -> None:
         async with world(gateways=2, engines=2) as made:
             for replica in made.replicas.values():
