Tests of a limit with turns, a start in an outage and a restart of all

Three path tests: two engines whose turns come at three gateways, a gateway that starts while the store fails, and three gateways that are killed at once and start again.

They pass on the code as it is (no fault found).

--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -20,9 +20,10 @@
     LimitUse,
 )
 from carobspur.gateway.endpoint_limits.statements import LimitChange, Statement
+from carobspur_standins.platform_replica import ReplicaStandin
 
 from .limit_model import SERVICE, LimitModel
-from .platform_world import TOOLS, CallerAnswer, World, world
+from .platform_world import ENGINES, TOOLS, CallerAnswer, World, world
 
 SETTLED_S = 3.0
 """Time after which a limit is binding."""
@@ -167,7 +168,7 @@
     """Real gateways: what a limited endpoint gets from all of them."""
 
     async def _load(
-        self, made: World, per_s: float, seconds: float
+        self, made: World, per_s: float, seconds: float, path: str = "/read/x"
     ) -> list[CallerAnswer]:
         rng = random.Random(5)
         calls = []
@@ -175,10 +176,23 @@
         end = loop.time() + seconds
         while loop.time() < end:
             via = rng.randrange(len(made.gateways))
-            calls.append(asyncio.ensure_future(made.call("/read/x", via=via)))
+            program = f"p{len(calls)}"
+            call = made.call(path, via=via, program_id=program, session_id=program)
+            calls.append(asyncio.ensure_future(call))
             await asyncio.sleep(1 / per_s)
         return await asyncio.gather(*calls)
 
+    def _check_limit(self, replica: ReplicaStandin, rate: float) -> None:
+        """Check what a replica got in any span since its limit was binding."""
+        times = [item.arrived_at for item in replica.seen]
+        since = times[0] + SETTLED_S
+        most = max(
+            sum(start <= at < start + SPAN_S for at in times)
+            for start in times
+            if start >= since
+        )
+        self.assertLessEqual(most, allowed_in_span(rate))
+
     async def test_endpoint_gets_more_requests_than_the_limit_it_named(self) -> None:
         """Guards against LIMIT: gateways that ignore a limit or keep to it singly."""
         rate = 4.0
@@ -188,14 +202,7 @@
                 replica.rate_limit = rate
             answers = await self._load(made, 60.0, SETTLED_S + SPAN_S + 0.5)
             for replica in tools:
-                times = [item.arrived_at for item in replica.seen]
-                since = times[0] + SETTLED_S
-                most = max(
-                    sum(start <= at < start + SPAN_S for at in times)
-                    for start in times
-                    if start >= since
-                )
-                self.assertLessEqual(most, allowed_in_span(rate))
+                self._check_limit(replica, rate)
             statuses = Counter(item.status for item in answers)
             self.assertEqual({200, 503}, set(statuses))
             for answer in answers:
@@ -209,3 +216,56 @@
             await self._load(made, 10.0, 1.5)
             answers = await self._load(made, 60.0, 1.0)
             self.assertEqual({200}, {item.status for item in answers})
+
+    async def test_engine_gets_more_turns_than_the_limit_it_named(self) -> None:
+        rate = 3.0
+        async with world(gateways=3, engines=2) as made:
+            engines = [
+                item for item in made.replicas.values() if item.service == ENGINES
+            ]
+            for replica in engines:
+                replica.rate_limit = rate
+            answers = await self._load(
+                made, 30.0, SETTLED_S + SPAN_S + 0.5, path="/walk/x"
+            )
+            for replica in engines:
+                self._check_limit(replica, rate)
+            statuses = Counter(item.status for item in answers)
+            self.assertEqual({200, 503}, set(statuses))
+
+    async def test_a_gateway_that_starts_in_a_store_outage_exceeds_a_limit(
+        self,
+    ) -> None:
+        rate = 4.0
+        async with world(gateways=2, tools=1) as made:
+            (replica,) = [
+                item for item in made.replicas.values() if item.service == TOOLS
+            ]
+            replica.rate_limit = rate
+            await self._load(made, 30.0, SETTLED_S)
+            made.store.faults.status = 503
+            made.start_gateway(seeds=[item.ports["peers"] for item in made.gateways])
+            await made.until_ready()
+            await self._load(made, 40.0, SETTLED_S + SPAN_S)
+            self._check_limit(replica, rate)
+            (late,) = made.gateways[2:]
+            self.assertTrue(late.events("endpoints_limited"))
+
+    async def test_gateways_that_all_start_again_exceed_a_limit_for_long(
+        self,
+    ) -> None:
+        """All that was known of the limit and of its use is lost."""
+        rate = 4.0
+        async with world(gateways=3, tools=1) as made:
+            (replica,) = [
+                item for item in made.replicas.values() if item.service == TOOLS
+            ]
+            replica.rate_limit = rate
+            await self._load(made, 30.0, SETTLED_S)
+            await asyncio.gather(*(made.kill(item) for item in made.gateways[:]))
+            for _ in range(3):
+                made.start_gateway()
+            await made.until_ready()
+            del replica.seen[:]
+            await self._load(made, 40.0, SETTLED_S + SPAN_S)
+            self._check_limit(replica, rate)
