Example deployments that run at once claim their ports

Cause: a deployment chose random ports on which nothing listened yet, and its processes listen a second later; another deployment could choose the same. The ports of tests are claimed among processes for this reason, those of deployments were not.

Change: both claim them in carobspur_standins.ports.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -26,6 +26,7 @@
 
 from carobspur.inventory import Inventory
 from carobspur.inventory_checks import parse_inventory
+from carobspur_standins.ports import claim_port
 
 HOST = "127.0.0.1"
 LOWEST_PORT = 20_000
@@ -70,15 +71,16 @@
 
 
 def free_port(used_ports: set[int]) -> int:
-    """Return a random port on which nothing listens, and add it to ``used_ports``."""
+    """Claim a random port on which nothing listens, and add it to ``used_ports``."""
     source = random.SystemRandom()
     while True:
         port = source.randint(LOWEST_PORT, HIGHEST_PORT)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if port not in used_ports and probe.connect_ex((HOST, port)) != 0:
-                used_ports.add(port)
-                return port
+            is_unused = port not in used_ports and probe.connect_ex((HOST, port)) != 0
+        if is_unused and claim_port(port):
+            used_ports.add(port)
+            return port
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import fcntl
 import itertools
 import os
 import socket
-import tempfile
-from pathlib import Path
+
+from carobspur_standins.ports import claim_port
 
 HOST = "127.0.0.1"
 FIRST_PORT, LAST_PORT = 15_000, 32_000
@@ -15,34 +14,22 @@
 could take a port before its server listens."""
 
 _ports = itertools.cycle(range(FIRST_PORT + os.getpid() % 100 * 100, LAST_PORT))
-# One byte for each port: the process that locks it owns the port until it ends.
-_claim_file = (Path(tempfile.gettempdir()) / "carobspur-test-ports").open("ab")
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return an unused port that no other call returns, in this or another process.
 
-    A server takes a second to start and listen. Until then its port looks unused to
-    other test runs, so the port is claimed until this process ends.
+    The port is claimed until this process ends.
 
     Args:
         kind: Type of the socket, ``SOCK_STREAM`` or ``SOCK_DGRAM``.
     """
     while True:
         port = next(_ports)
-        if _claim(port) and _is_unused(port, kind):
+        if claim_port(port) and _is_unused(port, kind):
             return port
 
 
-def _claim(port: int) -> bool:
-    """Claim a port among all test runs of this machine; return whether it was free."""
-    try:
-        fcntl.lockf(_claim_file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
-    except OSError:
-        return False
-    return True
-
-
 def _is_unused(port: int, kind: int) -> bool:
     with socket.socket(socket.AF_INET, kind) as sock:
         try:
