The replica stand-in repeats a refusal only on its own connection

The stand-in kept one last refusal for all connections.

Why the case is allowed: the fault is an earlier answer that arrives once more where the next one is expected (a kept connection), and the id identifies it. On a connection that has carried no other request nothing earlier can arrive; an answer without an id there is an answer to its only request, and refusals without one are part of the protocol.

Change: the stand-in keeps the last refusal of each connection.

--- a/src/carobspur_standins/platform_replica.py
+++ b/src/carobspur_standins/platform_replica.py
@@ -50,7 +50,7 @@
     FULL_UNNAMED = "full_unnamed"
     """The same without the id of the request."""
     REFUSED_AGAIN = "refused_again"
-    """Sends its last refusal again before the right answer."""
+    """Sends the last refusal of this connection again before the right answer."""
     OTHER_WEIGHTS = "other_weights"
     """Refuses the request with 421, not executed: its weights have another version."""
     NEW_WEIGHTS = "new_weights"
@@ -161,9 +161,9 @@
     _server: asyncio.Server | None = None
     _numbers: itertools.count = field(default_factory=itertools.count)
     _last_answer: bytes = b""
-    _last_refusal: bytes = b""
     _words: dict[str, str] = field(default_factory=dict)
-    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    # The last refusal on each open connection.
+    _refusals: dict[asyncio.StreamWriter, bytes] = field(default_factory=dict)
 
     async def listen(self, host: str, port: int = 0) -> int:
         """Start to serve; port 0 picks a free one. Returns the port."""
@@ -178,7 +178,7 @@
         """End at once, with all connections."""
         self.has_crashed = True
         self._server.close()
-        for writer in list(self._writers):
+        for writer in list(self._refusals):
             writer.close()
 
     @property
@@ -190,7 +190,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        self._writers.add(writer)
+        self._refusals[writer] = b""
         try:
             while await self._serve_one(reader, writer):
                 continue
@@ -198,7 +198,7 @@
             # The sender closed the connection.
             return
         finally:
-            self._writers.discard(writer)
+            del self._refusals[writer]
             writer.close()
 
     async def _serve_one(
@@ -210,17 +210,17 @@
         fault = self.faults.popleft() if self.faults else None
         request_id = request.headers.get("request-id", "")
         if request.headers.get("target-instance", self.id) != self.id:
-            writer.write(self._refusal("421 Misdirected Request", request_id))
+            self._refuse(writer, "421 Misdirected Request", request_id)
             return True
         match fault:
             case ReplicaFault.FULL:
-                writer.write(self._refusal(NOT_EXECUTED, request_id))
+                self._refuse(writer, NOT_EXECUTED, request_id)
                 return True
             case ReplicaFault.FULL_UNNAMED:
-                writer.write(self._refusal(NOT_EXECUTED, ""))
+                self._refuse(writer, NOT_EXECUTED, "")
                 return True
             case ReplicaFault.OTHER_WEIGHTS:
-                writer.write(self._refusal("421 Misdirected Request", request_id))
+                self._refuse(writer, "421 Misdirected Request", request_id)
                 return True
         request.has_run = True
         self.running += 1
@@ -270,7 +270,7 @@
             case ReplicaFault.LATE_COPY:
                 writer.write(self._last_answer)
             case ReplicaFault.REFUSED_AGAIN:
-                writer.write(self._last_refusal)
+                writer.write(self._refusals[writer])
                 # So that the two answers are received one after the other.
                 await writer.drain()
                 await asyncio.sleep(self.work_s)
@@ -376,12 +376,15 @@
             await writer.drain()
             await asyncio.sleep(TRICKLE_INTERVAL_S)
 
-    def _refusal(self, status: str, request_id: str) -> bytes:
+    def _refuse(
+        self, writer: asyncio.StreamWriter, status: str, request_id: str
+    ) -> None:
         name = f"Request-Id: {request_id}\r\n" if request_id else ""
-        self._last_refusal = (
+        refusal = (
             f"HTTP/1.1 {status}\r\n{name}{self._state_lines}Content-Length: 0\r\n\r\n"
         ).encode()
-        return self._last_refusal
+        self._refusals[writer] = refusal
+        writer.write(refusal)
 
     @property
     def _state_lines(self) -> str:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -48,6 +48,21 @@
                     self.assertEqual(1, runs)
                     self._check_not_refused(answer, refusal)
 
+    async def test_replica_stand_in_repeats_a_refusal_on_a_new_connection(self) -> None:
+        """No id tells it from a refusal of that connection's only request.
+
+        Guards against soaks that complain of two runs, as with the seeds 6045 and 6048.
+        """
+        for refusal in REFUSALS:
+            with self.subTest(refusal=refusal):
+                async with world(gateways=2, tools=1) as deployment:
+                    (replica,) = _replicas(deployment, TOOLS)
+                    replica.faults.extend([refusal, ReplicaFault.REFUSED_AGAIN])
+                    refused = await deployment.call("/pay/a", body=b"x", via=0)
+                    answer = await deployment.call("/pay/b", body=b"x", via=1)
+                self.assertEqual([503, 200], [refused.status, answer.status])
+                self.assertEqual((2, 1), (replica.connections, len(replica.ran)))
+
     def _check_not_refused(self, answer: CallerAnswer, refusal: ReplicaFault) -> None:
         """Check that a request that ran is answered, or that nothing is promised."""
         expected = 200 if refusal is ReplicaFault.FULL else 502
